Lay out the workspace, the core types and the frame of the reducer

The view, the heartbeats and the right to act are written; requests and batch work have their events and effects, not yet their logic.

No measurement: nothing runs yet.

--- /dev/null
+++ b/crates/guavacart/src/main.rs
@@ -0,0 +1,2 @@
+//! The guavacart command.
+fn main() {}
--- /dev/null
+++ b/crates/guavacart_config/src/lib.rs
@@ -0,0 +1,9 @@
+//! Process settings, the numbered configuration and its patches.
+
+mod configuration;
+mod settings;
+
+pub use configuration::{
+    BatchRule, Cell, Configuration, Objectives, Service, Sharing, Team, Weights,
+};
+pub use settings::{Access, Limits, Secret, Settings};
--- /dev/null
+++ b/crates/guavacart_report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -0,0 +1,455 @@
+//! Who is in the deployment, who owns what, and who may act as owner now.
+
+mod closure;
+mod heartbeat;
+mod peers;
+mod proposal;
+mod right;
+mod view;
+
+use guavacart_types::{
+    ConfigNumber, DataCentre, InstanceId, Revision, Span, Timestamp, ViewNumber,
+};
+use serde::{Deserialize, Serialize};
+
+use self::{closure::Closures, peers::Peers, right::Right};
+pub use self::{
+    heartbeat::{Echo, Heartbeat, Load, ServiceLoad},
+    view::{EarlierView, Member, View, ViewMember},
+};
+use crate::{Effect, Start, directory::Directory};
+
+/// Longest time between two ticks.
+pub const TICK: Span = Span::millis(50);
+/// Time between two heartbeats to one peer.
+pub const HEARTBEAT_INTERVAL: Span = Span::millis(400);
+/// How long evidence that the view is unchanged lets an owner act.
+pub const RIGHT_SPAN: Span = Span::secs(3);
+/// Allowance for clocks that run at different rates, added to [`RIGHT_SPAN`] by a new owner.
+pub const DRIFT_MARGIN: Span = Span::millis(300);
+/// Silence after which a member is taken out of the view.
+pub const SILENCE_LIMIT: Span = Span::millis(2_000);
+/// Time between two reads of the view from the store.
+const VIEW_READ_INTERVAL: Span = Span::secs(1);
+/// How long a stop waits for the view to change before it goes on regardless.
+const LEAVE_LIMIT: Span = Span::secs(10);
+
+/// What became known of the membership.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum MembershipEvent {
+    /// A peer's heartbeat arrived, authenticated and not replayed.
+    Heartbeat(Box<Heartbeat>),
+    /// The store answered a read of the view.
+    ViewRead {
+        /// When the read was asked for.
+        asked_at: Timestamp,
+        /// The record, or none where the key is absent.
+        view: Option<View>,
+        /// The key's revision.
+        revision: Revision,
+    },
+    /// A read of the view failed.
+    ViewUnread,
+    /// A swap of the view was answered.
+    ViewSwapped(Swap),
+}
+
+/// The store's answer to a compare-and-swap of the view.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Swap {
+    /// The record was written at this revision.
+    Written(Box<View>, Revision),
+    /// Another record stands there.
+    Conflict,
+    /// The answer was lost; the write may have taken effect.
+    Unknown,
+}
+
+/// What is to be done about the membership.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum MembershipEffect {
+    /// Send a heartbeat to a peer.
+    SendHeartbeat {
+        /// The peer.
+        to: InstanceId,
+        /// What to say.
+        heartbeat: Box<Heartbeat>,
+    },
+    /// Read the view from the store.
+    ReadView,
+    /// Write the view if the key's revision is still `expect`.
+    SwapView {
+        /// The revision that the proposal is based on.
+        expect: Revision,
+        /// The proposed view.
+        view: Box<View>,
+    },
+    /// A newer view is in force here.
+    ViewAdopted(ViewNumber),
+}
+
+/// How this instance stands to a key that has one owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// This instance owns the key and no earlier owner can act any more.
+    Owner,
+    /// This instance owns the key but an earlier owner may still act.
+    Pending,
+    /// Another member owns the key.
+    Other(InstanceId),
+    /// The view has no members.
+    Nobody,
+}
+
+/// Views, ownership and the right to act.
+#[derive(Debug)]
+pub struct Membership {
+    me: ViewMember,
+    view: View,
+    revision: Revision,
+    peers: Peers,
+    right: Right,
+    closures: Closures,
+    load: Load,
+    config: ConfigNumber,
+    leaving_since: Option<Timestamp>,
+    store_seen_at: Option<Timestamp>,
+    next_read: Timestamp,
+    next_proposal: Timestamp,
+    swapping: bool,
+    started_at: Timestamp,
+}
+
+impl Membership {
+    pub(crate) fn new(start: &Start) -> Self {
+        let me = ViewMember {
+            member: start.member.clone(),
+            data_centre: start.data_centre.clone(),
+        };
+        Self {
+            right: Right::new(start.now),
+            peers: Peers::default(),
+            closures: Closures::default(),
+            view: View::default(),
+            revision: Revision::default(),
+            load: Load::default(),
+            config: ConfigNumber::default(),
+            leaving_since: None,
+            store_seen_at: None,
+            next_read: start.now,
+            next_proposal: start.now,
+            swapping: false,
+            started_at: start.now,
+            me,
+        }
+    }
+
+    /// This instance's id and incarnation.
+    pub fn me(&self) -> &Member {
+        &self.me.member
+    }
+
+    /// This instance's data centre.
+    pub fn data_centre(&self) -> &DataCentre {
+        &self.me.data_centre
+    }
+
+    /// The view in force here.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// True if this incarnation is a member of the view in force here.
+    pub fn is_member(&self) -> bool {
+        self.view.contains(&self.me.member)
+    }
+
+    /// The end of the right to act, or none while there is none.
+    pub fn right_until(&self, now: Timestamp) -> Option<Timestamp> {
+        if !self.is_member() {
+            return None;
+        }
+        self.right
+            .until(now, &self.me.member, &self.view)
+            .filter(|until| *until > now)
+    }
+
+    /// True if this instance may act now as the owner of what it owns.
+    pub fn may_act(&self, now: Timestamp) -> bool {
+        self.right_until(now).is_some()
+    }
+
+    /// How this instance stands to `key`, whose owner is sought in `preferred` first.
+    pub fn standing(&self, key: &str, preferred: Option<&DataCentre>) -> Standing {
+        let Some(owner) = self.view.owner(key, preferred) else {
+            return Standing::Nobody;
+        };
+        if owner.member != self.me.member {
+            return Standing::Other(owner.member.id.clone());
+        }
+        let blocked = self
+            .view
+            .open
+            .iter()
+            .filter(|earlier| !self.closures.is_closed(earlier.number))
+            .any(|earlier| self.may_still_act(earlier, key, preferred));
+        if blocked {
+            Standing::Pending
+        } else {
+            Standing::Owner
+        }
+    }
+
+    /// The members that may hold `key`, best first.
+    pub fn ranking(&self, key: &str, preferred: Option<&DataCentre>) -> Vec<&ViewMember> {
+        self.view.ranking(key, preferred)
+    }
+
+    /// The last known load of a peer and when it was heard.
+    pub fn peer_load(&self, peer: &InstanceId) -> Option<(&Load, Timestamp)> {
+        self.peers.load(peer)
+    }
+
+    /// True if `peer` was heard within [`SILENCE_LIMIT`].
+    pub fn is_heard(&self, peer: &InstanceId, now: Timestamp) -> bool {
+        self.peers.is_heard(peer, now)
+    }
+
+    /// Peers heard within [`SILENCE_LIMIT`] that are members of the view, in order of id.
+    pub fn live_members(&self, now: Timestamp) -> Vec<&InstanceId> {
+        let heard =
+            |m: &&ViewMember| m.member != self.me.member && self.peers.is_heard(&m.member.id, now);
+        let members = self.view.members.iter().filter(heard);
+        members.map(|m| &m.member.id).collect()
+    }
+
+    /// The peer with the newest configuration, if newer than this instance's.
+    pub(crate) fn newest_config(&self) -> Option<(InstanceId, ConfigNumber)> {
+        self.peers
+            .newest_config()
+            .filter(|(_, number)| *number > self.config)
+    }
+
+    /// The configuration number that each heard peer holds.
+    pub fn peer_configs(&self, now: Timestamp) -> Vec<(InstanceId, ConfigNumber)> {
+        self.peers.configs(now)
+    }
+
+    pub(crate) fn note_local(&mut self, load: Load, config: ConfigNumber) {
+        self.load = load;
+        self.config = config;
+    }
+
+    /// Starts to leave: peers take this instance out of the view.
+    pub(crate) fn leave(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        if self.leaving_since.is_none() {
+            self.leaving_since = Some(now);
+            self.send_heartbeats(now, true, effects);
+        }
+    }
+
+    /// True once no member counts on this instance, or leaving has taken too long.
+    pub(crate) fn has_left(&self, now: Timestamp) -> bool {
+        let Some(since) = self.leaving_since else {
+            return false;
+        };
+        let alone = self.view.members.len() <= 1;
+        !self.is_member() || alone || now.since(since) > LEAVE_LIMIT
+    }
+
+    /// True once a graceful stop was asked for.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    /// Notes that the process runs at `now`, so that a pause is noticed before anything else.
+    pub(crate) fn observe(&mut self, now: Timestamp) {
+        self.right.observe(now);
+    }
+
+    pub(crate) fn listed(
+        &mut self,
+        now: Timestamp,
+        directory: &Directory,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.peers.listed(now, directory);
+        self.review(now, directory, effects);
+    }
+
+    pub(crate) fn tick(
+        &mut self,
+        now: Timestamp,
+        directory: &Directory,
+        effects: &mut Vec<Effect>,
+    ) {
+        if now >= self.next_read {
+            self.read_view(now, effects);
+        }
+        self.send_heartbeats(now, false, effects);
+        self.review(now, directory, effects);
+    }
+
+    pub(crate) fn apply(
+        &mut self,
+        now: Timestamp,
+        directory: &Directory,
+        event: MembershipEvent,
+        effects: &mut Vec<Effect>,
+    ) {
+        match event {
+            MembershipEvent::Heartbeat(heartbeat) => {
+                self.heartbeat_arrived(now, *heartbeat, effects);
+            }
+            MembershipEvent::ViewRead {
+                asked_at,
+                view,
+                revision,
+            } => self.view_read(now, asked_at, view, revision, effects),
+            MembershipEvent::ViewUnread => {}
+            MembershipEvent::ViewSwapped(swap) => self.view_swapped(now, swap, effects),
+        }
+        self.review(now, directory, effects);
+    }
+
+    fn read_view(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        self.next_read = now + VIEW_READ_INTERVAL;
+        effects.push(MembershipEffect::ReadView.into());
+    }
+
+    fn heartbeat_arrived(
+        &mut self,
+        now: Timestamp,
+        mut heartbeat: Heartbeat,
+        effects: &mut Vec<Effect>,
+    ) {
+        if heartbeat.from.id == self.me.member.id {
+            return;
+        }
+        if let Some(view) = heartbeat.view.take() {
+            self.adopt(now, *view, effects);
+        }
+        self.right.attested(&self.me.member, &self.view, &heartbeat);
+        let behind = heartbeat.view_number < self.view.number;
+        let from = heartbeat.from.id.clone();
+        self.peers.heard(now, heartbeat);
+        if behind && self.peers.due_correction(&from, now) {
+            self.send_heartbeat(now, &from, effects);
+        }
+    }
+
+    fn view_read(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        view: Option<View>,
+        revision: Revision,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.store_seen_at = Some(now);
+        let number = view.as_ref().map_or(ViewNumber::default(), |v| v.number);
+        if number >= self.view.number {
+            self.revision = revision;
+        }
+        if let Some(view) = view {
+            self.adopt(now, view, effects);
+        }
+        self.right.read(asked_at, number);
+    }
+
+    fn view_swapped(&mut self, now: Timestamp, swap: Swap, effects: &mut Vec<Effect>) {
+        self.swapping = false;
+        match swap {
+            Swap::Written(view, revision) => {
+                self.revision = revision;
+                self.adopt(now, *view, effects);
+                self.send_heartbeats(now, true, effects);
+            }
+            Swap::Conflict | Swap::Unknown => self.read_view(now, effects),
+        }
+    }
+
+    fn adopt(&mut self, now: Timestamp, view: View, effects: &mut Vec<Effect>) {
+        if view.number <= self.view.number {
+            return;
+        }
+        self.view = view;
+        self.closures.retain(&self.view);
+        self.next_proposal = now + proposal::SETTLE_SPAN;
+        effects.push(MembershipEffect::ViewAdopted(self.view.number).into());
+        self.send_heartbeats(now, true, effects);
+    }
+
+    /// Looks at what time and news have changed: earlier views that closed, members that went.
+    fn review(&mut self, now: Timestamp, directory: &Directory, effects: &mut Vec<Effect>) {
+        self.closures
+            .review(now, &self.me.member, &self.view, &self.peers);
+        if self.swapping || now < self.next_proposal {
+            return;
+        }
+        let proposal = proposal::propose(&proposal::Grounds {
+            now,
+            me: &self.me,
+            view: &self.view,
+            peers: &self.peers,
+            closures: &self.closures,
+            directory,
+            leaving: self.is_leaving(),
+            started_at: self.started_at,
+        });
+        let Some(view) = proposal else {
+            return;
+        };
+        if self.store_seen_at.is_none() {
+            return;
+        }
+        self.swapping = true;
+        self.next_proposal = now + proposal::RETRY_SPAN;
+        let expect = self.revision;
+        let view = Box::new(view);
+        effects.push(MembershipEffect::SwapView { expect, view }.into());
+    }
+
+    /// True if the owner of `key` in an earlier view may still act.
+    fn may_still_act(
+        &self,
+        earlier: &EarlierView,
+        key: &str,
+        preferred: Option<&DataCentre>,
+    ) -> bool {
+        let Some(owner) = view::owner(&earlier.members, key, preferred) else {
+            return false;
+        };
+        if owner.member == self.me.member {
+            return false;
+        }
+        !self.peers.has_released(&owner.member, earlier.number)
+    }
+
+    fn send_heartbeats(&mut self, now: Timestamp, at_once: bool, effects: &mut Vec<Effect>) {
+        for to in self.peers.due(now, at_once, &self.view, &self.me.member.id) {
+            self.send_heartbeat(now, &to, effects);
+        }
+    }
+
+    fn send_heartbeat(&mut self, now: Timestamp, to: &InstanceId, effects: &mut Vec<Effect>) {
+        let peer_number = self.peers.view_number(to);
+        let behind = peer_number.is_some_and(|number| number < self.view.number);
+        let heartbeat = Heartbeat {
+            from: self.me.member.clone(),
+            data_centre: self.me.data_centre.clone(),
+            sent_at: now,
+            echo: self.peers.echo(to),
+            view_number: self.view.number,
+            view: behind.then(|| Box::new(self.view.clone())),
+            attesting: self.right.is_attesting(),
+            leaving: self.is_leaving(),
+            config: self.config,
+            load: self.load.clone(),
+        };
+        self.peers.sent(to, now);
+        let to = to.clone();
+        let heartbeat = Box::new(heartbeat);
+        effects.push(MembershipEffect::SendHeartbeat { to, heartbeat }.into());
+    }
+}
--- /dev/null
+++ b/crates/guavacart_scheduler/src/membership/closure.rs
@@ -0,0 +1,73 @@
+//! Earlier views whose owners can no longer act.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use guavacart_types::{Timestamp, ViewNumber};
+
+use super::{
+    DRIFT_MARGIN, RIGHT_SPAN,
+    peers::Peers,
+    view::{EarlierView, Member, View, majority},
+};
+
+/// Which earlier views are closed, as far as this instance can tell.
+#[derive(Debug, Default)]
+pub(super) struct Closures {
+    /// When a majority of the view's members was first known to have adopted a later one.
+    abandoned_at: BTreeMap<ViewNumber, Timestamp>,
+    closed: BTreeSet<ViewNumber>,
+}
+
+impl Closures {
+    pub(super) fn is_closed(&self, number: ViewNumber) -> bool {
+        self.closed.contains(&number)
+    }
+
+    /// Forgets views that the record no longer names.
+    pub(super) fn retain(&mut self, view: &View) {
+        let is_open = |number: &ViewNumber| view.open.iter().any(|e| e.number == *number);
+        self.abandoned_at.retain(|number, _| is_open(number));
+        self.closed.retain(is_open);
+    }
+
+    pub(super) fn review(&mut self, now: Timestamp, me: &Member, view: &View, peers: &Peers) {
+        for earlier in &view.open {
+            if self.closed.contains(&earlier.number) {
+                continue;
+            }
+            if !is_abandoned(now, me, earlier, peers) {
+                continue;
+            }
+            let since = *self.abandoned_at.entry(earlier.number).or_insert(now);
+            if now.since(since) > RIGHT_SPAN + DRIFT_MARGIN {
+                self.closed.insert(earlier.number);
+            }
+        }
+    }
+}
+
+/// True if a majority of the earlier view's members attests it no more.
+fn is_abandoned(now: Timestamp, me: &Member, earlier: &EarlierView, peers: &Peers) -> bool {
+    let abandoned = earlier
+        .members
+        .iter()
+        .filter(|m| has_abandoned(now, me, &m.member, earlier.number, peers))
+        .count();
+    abandoned >= majority(earlier.members.len())
+}
+
+fn has_abandoned(
+    now: Timestamp,
+    me: &Member,
+    member: &Member,
+    number: ViewNumber,
+    peers: &Peers,
+) -> bool {
+    if member == me || peers.has_released(member, number) {
+        return true;
+    }
+    let silent = peers
+        .silent_since(&member.id)
+        .is_none_or(|at| now.since(at) > RIGHT_SPAN + DRIFT_MARGIN);
+    peers.is_gone(&member.id) && silent
+}
--- /dev/null
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -0,0 +1,176 @@
+//! What was last heard of each peer.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use guavacart_types::{ConfigNumber, DataCentre, InstanceId, Timestamp, ViewNumber};
+
+use super::{
+    HEARTBEAT_INTERVAL, SILENCE_LIMIT,
+    heartbeat::{Echo, Heartbeat, Load},
+    view::{Member, View},
+};
+use crate::directory::Directory;
+
+/// One peer as last heard.
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) member: Member,
+    pub(super) data_centre: DataCentre,
+    pub(super) heard_at: Timestamp,
+    pub(super) view_number: ViewNumber,
+    pub(super) attesting: bool,
+    pub(super) leaving: bool,
+    sent_at: Timestamp,
+    config: ConfigNumber,
+    load: Load,
+}
+
+/// All peers, whether heard yet or only listed.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    heard: BTreeMap<InstanceId, Peer>,
+    listed: BTreeSet<InstanceId>,
+    is_listed: bool,
+    last_sent: BTreeMap<InstanceId, Timestamp>,
+    /// When each id was first seen in a view or the list; the start of its silence if never heard.
+    known_since: BTreeMap<InstanceId, Timestamp>,
+}
+
+impl Peers {
+    pub(super) fn listed(&mut self, now: Timestamp, directory: &Directory) {
+        self.listed = directory.entries.keys().cloned().collect();
+        self.is_listed = true;
+        for id in &self.listed {
+            self.known_since.entry(id.clone()).or_insert(now);
+        }
+        let listed = &self.listed;
+        self.known_since.retain(|id, _| listed.contains(id));
+    }
+
+    /// Takes a heartbeat, unless a later one or a later incarnation's came first.
+    pub(super) fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        let id = heartbeat.from.id.clone();
+        let order = (heartbeat.from.incarnation, heartbeat.sent_at);
+        let stale = self
+            .heard
+            .get(&id)
+            .is_some_and(|peer| (peer.member.incarnation, peer.sent_at) >= order);
+        if stale {
+            return;
+        }
+        let peer = Peer {
+            member: heartbeat.from,
+            data_centre: heartbeat.data_centre,
+            heard_at: now,
+            view_number: heartbeat.view_number,
+            attesting: heartbeat.attesting,
+            leaving: heartbeat.leaving,
+            sent_at: heartbeat.sent_at,
+            config: heartbeat.config,
+            load: heartbeat.load,
+        };
+        self.heard.insert(id, peer);
+    }
+
+    pub(super) fn get(&self, id: &InstanceId) -> Option<&Peer> {
+        self.heard.get(id)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.heard.values()
+    }
+
+    pub(super) fn is_heard(&self, id: &InstanceId, now: Timestamp) -> bool {
+        self.heard
+            .get(id)
+            .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
+    }
+
+    /// True if the platform no longer lists `id`.
+    pub(super) fn is_gone(&self, id: &InstanceId) -> bool {
+        self.is_listed && !self.listed.contains(id)
+    }
+
+    /// When `id` was last heard, or first known if never heard.
+    pub(super) fn silent_since(&self, id: &InstanceId) -> Option<Timestamp> {
+        match self.heard.get(id) {
+            Some(peer) => Some(peer.heard_at),
+            None => self.known_since.get(id).copied(),
+        }
+    }
+
+    /// True if a later start of the same instance was heard, so that `member` has ended.
+    pub(super) fn is_superseded(&self, member: &Member) -> bool {
+        self.heard
+            .get(&member.id)
+            .is_some_and(|peer| peer.member.incarnation > member.incarnation)
+    }
+
+    /// True if `member` is known to act no more in the view `number`.
+    pub(super) fn has_released(&self, member: &Member, number: ViewNumber) -> bool {
+        let adopted = self
+            .heard
+            .get(&member.id)
+            .is_some_and(|peer| peer.member == *member && peer.view_number > number);
+        adopted || self.is_superseded(member)
+    }
+
+    pub(super) fn view_number(&self, id: &InstanceId) -> Option<ViewNumber> {
+        self.heard.get(id).map(|peer| peer.view_number)
+    }
+
+    pub(super) fn echo(&self, id: &InstanceId) -> Option<Echo> {
+        self.heard.get(id).map(|peer| Echo {
+            incarnation: peer.member.incarnation,
+            sent_at: peer.sent_at,
+        })
+    }
+
+    pub(super) fn load(&self, id: &InstanceId) -> Option<(&Load, Timestamp)> {
+        self.heard.get(id).map(|peer| (&peer.load, peer.heard_at))
+    }
+
+    pub(super) fn newest_config(&self) -> Option<(InstanceId, ConfigNumber)> {
+        let newest = self.heard.values().max_by_key(|peer| peer.config)?;
+        Some((newest.member.id.clone(), newest.config))
+    }
+
+    pub(super) fn configs(&self, now: Timestamp) -> Vec<(InstanceId, ConfigNumber)> {
+        let live = self
+            .heard
+            .values()
+            .filter(|peer| now.since(peer.heard_at) < SILENCE_LIMIT);
+        live.map(|peer| (peer.member.id.clone(), peer.config))
+            .collect()
+    }
+
+    /// Peers that are owed a heartbeat: all that are listed or in the view.
+    pub(super) fn due(
+        &self,
+        now: Timestamp,
+        at_once: bool,
+        view: &View,
+        me: &InstanceId,
+    ) -> Vec<InstanceId> {
+        let members = view.members.iter().map(|m| &m.member.id);
+        let all: BTreeSet<&InstanceId> = self.listed.iter().chain(members).collect();
+        let is_due = |id: &InstanceId| {
+            let last = self.last_sent.get(id);
+            at_once || last.is_none_or(|at| now.since(*at) >= HEARTBEAT_INTERVAL)
+        };
+        all.into_iter()
+            .filter(|id| *id != me && is_due(id))
+            .cloned()
+            .collect()
+    }
+
+    /// True if a peer that is behind has had no heartbeat for a tick.
+    pub(super) fn due_correction(&self, id: &InstanceId, now: Timestamp) -> bool {
+        let last = self.last_sent.get(id);
+        last.is_none_or(|at| now.since(*at) >= super::TICK)
+    }
+
+    pub(super) fn sent(&mut self, id: &InstanceId, now: Timestamp) {
+        self.last_sent.insert(id.clone(), now);
+    }
+}
--- /dev/null
+++ b/crates/guavacart_scheduler/src/membership/proposal.rs
@@ -0,0 +1,146 @@
+//! When the view should change, and to what.
+
+use guavacart_types::{InstanceId, Span, Timestamp, weight};
+
+use super::{
+    SILENCE_LIMIT,
+    closure::Closures,
+    peers::{Peer, Peers},
+    view::{EarlierView, Member, View, ViewMember, majority},
+};
+use crate::directory::Directory;
+
+/// Rest after a view was adopted, so that changes gather.
+pub(super) const SETTLE_SPAN: Span = Span::millis(400);
+/// Time until a proposal that got no answer is made again.
+pub(super) const RETRY_SPAN: Span = Span::millis(500);
+/// How long each member waits for those that rank before it to propose.
+const TURN_SPAN: Span = Span::millis(500);
+/// How long a newcomer listens before it founds a view of its own.
+const FOUND_SPAN: Span = Span::millis(800);
+
+/// All that a proposal rests on.
+pub(super) struct Grounds<'a> {
+    pub(super) now: Timestamp,
+    pub(super) me: &'a ViewMember,
+    pub(super) view: &'a View,
+    pub(super) peers: &'a Peers,
+    pub(super) closures: &'a Closures,
+    pub(super) directory: &'a Directory,
+    pub(super) leaving: bool,
+    pub(super) started_at: Timestamp,
+}
+
+/// The view that should follow, if this instance is to propose one now.
+pub(super) fn propose(grounds: &Grounds<'_>) -> Option<View> {
+    let members = wanted(grounds);
+    if members == grounds.view.members || members.is_empty() {
+        return None;
+    }
+    if !hears_majority(grounds) || !is_my_turn(grounds) {
+        return None;
+    }
+    Some(View {
+        number: grounds.view.number.next(),
+        members,
+        open: still_open(grounds),
+    })
+}
+
+/// The members that the next view should have, in order of id.
+fn wanted(grounds: &Grounds<'_>) -> Vec<ViewMember> {
+    let keep = |m: &&ViewMember| m.member != grounds.me.member && stays(grounds, &m.member);
+    let mut members: Vec<ViewMember> = grounds.view.members.iter().filter(keep).cloned().collect();
+    let newcomers = grounds.peers.iter().filter(|peer| joins(grounds, peer));
+    members.extend(newcomers.map(|peer| ViewMember {
+        member: peer.member.clone(),
+        data_centre: peer.data_centre.clone(),
+    }));
+    if !grounds.leaving {
+        members.push(grounds.me.clone());
+    }
+    members.sort();
+    members.dedup_by(|a, b| a.member.id == b.member.id);
+    members
+}
+
+/// True if a member of the view should remain one.
+fn stays(grounds: &Grounds<'_>, member: &Member) -> bool {
+    let peers = grounds.peers;
+    if peers.is_superseded(member) || peers.get(&member.id).is_some_and(|peer| peer.leaving) {
+        return false;
+    }
+    let Some(since) = peers.silent_since(&member.id) else {
+        return false;
+    };
+    grounds.now.since(since) < SILENCE_LIMIT
+}
+
+/// True if a peer outside the view should become a member.
+fn joins(grounds: &Grounds<'_>, peer: &Peer) -> bool {
+    let listed = grounds.directory.entries.get(&peer.member.id);
+    let heard = grounds.peers.is_heard(&peer.member.id, grounds.now);
+    let outside = !grounds.view.contains(&peer.member);
+    outside && heard && peer.attesting && !peer.leaving && listed.is_some_and(|e| !e.leaving)
+}
+
+/// True if a majority of the view is heard, not counting those that the platform lists no more.
+fn hears_majority(grounds: &Grounds<'_>) -> bool {
+    let view = grounds.view;
+    if view.members.is_empty() {
+        return true;
+    }
+    let counts = |m: &&ViewMember| {
+        let id: &InstanceId = &m.member.id;
+        m.member == grounds.me.member
+            || grounds.peers.is_heard(id, grounds.now)
+            || grounds.peers.is_superseded(&m.member)
+            || grounds.peers.is_gone(id)
+    };
+    view.members.iter().filter(counts).count() >= majority(view.members.len())
+}
+
+/// Members propose in an order that differs from view to view; newcomers come last.
+fn is_my_turn(grounds: &Grounds<'_>) -> bool {
+    let key = grounds.view.number.to_string();
+    let my_weight = weight(grounds.me.member.id.as_str(), &key);
+    let before_me = |m: &&ViewMember| {
+        let id = &m.member.id;
+        let heard = grounds.peers.is_heard(id, grounds.now);
+        *id != grounds.me.member.id && heard && weight(id.as_str(), &key) > my_weight
+    };
+    if grounds.view.contains(&grounds.me.member) {
+        let rank = grounds.view.members.iter().filter(before_me).count();
+        return rank == 0 || waited(grounds, TURN_SPAN * rank as u64);
+    }
+    let live = |m: &&ViewMember| grounds.peers.is_heard(&m.member.id, grounds.now);
+    let anyone_live = grounds.view.members.iter().any(|m| live(&m));
+    let patience = if anyone_live {
+        SILENCE_LIMIT
+    } else {
+        FOUND_SPAN
+    };
+    grounds.now.since(grounds.started_at) >= patience
+}
+
+/// True if the reason for a change has stood for `span` longer than needed.
+fn waited(grounds: &Grounds<'_>, span: Span) -> bool {
+    let overdue = |m: &&ViewMember| {
+        let since = grounds.peers.silent_since(&m.member.id);
+        since.is_some_and(|at| grounds.now.since(at) > SILENCE_LIMIT + span)
+    };
+    grounds.view.members.iter().any(|m| overdue(&m))
+}
+
+fn still_open(grounds: &Grounds<'_>) -> Vec<EarlierView> {
+    let view = grounds.view;
+    let is_open = |e: &&EarlierView| !grounds.closures.is_closed(e.number);
+    let mut open: Vec<EarlierView> = view.open.iter().filter(is_open).cloned().collect();
+    if !view.members.is_empty() {
+        open.push(EarlierView {
+            number: view.number,
+            members: view.members.clone(),
+        });
+    }
+    open
+}
--- /dev/null
+++ b/crates/guavacart_scheduler/src/membership/right.rs
@@ -0,0 +1,123 @@
+//! The right to act: recent evidence that the view is unchanged.
+
+use std::collections::BTreeMap;
+
+use guavacart_types::{InstanceId, Timestamp, ViewNumber};
+
+use super::{
+    RIGHT_SPAN,
+    heartbeat::Heartbeat,
+    view::{Member, View, majority},
+};
+
+/// What a member last attested to this instance.
+#[derive(Clone, Copy, Debug)]
+struct Attestation {
+    view: ViewNumber,
+    /// This instance's clock when it sent the heartbeat that was echoed.
+    asked_at: Timestamp,
+}
+
+/// Evidence for the view, and whether this instance may attest it to others.
+#[derive(Debug)]
+pub(super) struct Right {
+    attestations: BTreeMap<InstanceId, Attestation>,
+    store: Option<Attestation>,
+    last_run: Timestamp,
+    /// When the process ran again after a pause; evidence asked for before it proves nothing.
+    resumed_at: Option<Timestamp>,
+}
+
+impl Right {
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            attestations: BTreeMap::new(),
+            store: None,
+            last_run: now,
+            resumed_at: None,
+        }
+    }
+
+    /// Notes that the process runs at `now`; a gap longer than the right's span is a pause.
+    pub(super) fn observe(&mut self, now: Timestamp) {
+        if now.since(self.last_run) > RIGHT_SPAN {
+            self.resumed_at = Some(now);
+        }
+        self.last_run = self.last_run.max(now);
+    }
+
+    /// True if this instance may attest the view that it is in.
+    pub(super) fn is_attesting(&self) -> bool {
+        self.resumed_at.is_none()
+    }
+
+    /// The store showed the view `number` in answer to a read asked for at `asked_at`.
+    pub(super) fn read(&mut self, asked_at: Timestamp, number: ViewNumber) {
+        let newer = self.store.is_none_or(|seen| seen.asked_at < asked_at);
+        if newer {
+            let view = number;
+            self.store = Some(Attestation { view, asked_at });
+        }
+        self.refreshed(asked_at);
+    }
+
+    /// A peer told which view it is in and which heartbeat of ours it had by then.
+    pub(super) fn attested(&mut self, me: &Member, view: &View, heartbeat: &Heartbeat) {
+        let Some(echo) = heartbeat.echo else {
+            return;
+        };
+        if echo.incarnation != me.incarnation || !heartbeat.attesting {
+            return;
+        }
+        if heartbeat.view_number == view.number {
+            self.refreshed(echo.sent_at);
+        }
+        if !view.contains(&heartbeat.from) {
+            return;
+        }
+        let id = heartbeat.from.id.clone();
+        let attestation = Attestation {
+            view: heartbeat.view_number,
+            asked_at: echo.sent_at,
+        };
+        self.attestations.insert(id, attestation);
+    }
+
+    /// The end of the right to act in `view`, or none without evidence.
+    pub(super) fn until(&self, now: Timestamp, me: &Member, view: &View) -> Option<Timestamp> {
+        let by_store = self
+            .store
+            .filter(|seen| seen.view == view.number)
+            .map(|seen| seen.asked_at + RIGHT_SPAN);
+        let by_peers = self
+            .majority_asked_at(now, me, view)
+            .map(|asked_at| asked_at + RIGHT_SPAN);
+        by_store.max(by_peers)
+    }
+
+    /// The latest time such that a majority of the view attested it when asked then or later.
+    fn majority_asked_at(&self, now: Timestamp, me: &Member, view: &View) -> Option<Timestamp> {
+        if !self.is_attesting() {
+            return None;
+        }
+        let mut asked: Vec<Timestamp> = view
+            .members
+            .iter()
+            .filter_map(|m| {
+                if m.member == *me {
+                    return Some(now);
+                }
+                let seen = self.attestations.get(&m.member.id)?;
+                (seen.view == view.number).then_some(seen.asked_at)
+            })
+            .collect();
+        asked.sort_unstable_by(|a, b| b.cmp(a));
+        asked.get(majority(view.members.len()) - 1).copied()
+    }
+
+    fn refreshed(&mut self, asked_at: Timestamp) {
+        if self.resumed_at.is_some_and(|at| asked_at >= at) {
+            self.resumed_at = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavacart_types/src/lib.rs
@@ -0,0 +1,19 @@
+//! Newtypes for ids, sizes, rates, times and outcomes, shared by every crate.
+
+mod hash;
+mod id;
+mod outcome;
+mod resources;
+mod size;
+mod time;
+
+pub use hash::{mix, weight};
+pub use id::{
+    Attempt, BatchClass, CallId, CellId, ConfigNumber, DataCentre, DispatchId, EndpointId, Epoch,
+    IdError, Incarnation, InstanceId, JobId, PatchId, Rack, RequestId, Revision, ServiceName,
+    TaskId, TeamName, ViewNumber, WorkerId,
+};
+pub use outcome::{Class, ClassError, Outcome, Reason};
+pub use resources::Resources;
+pub use size::{Accelerators, ByteSize, Processors, SizeError};
+pub use time::{Span, SpanError, Timestamp};
