--- a/crates/guavacart_platform/src/lib.rs
+++ b/crates/guavacart_platform/src/lib.rs
@@ -2,4 +2,12 @@
 //!
 //! `docs/PLATFORM.md` gives the protocol; this is the only crate that changes with it.
 
+mod connection;
+pub mod endpoint;
+mod http_store;
+pub mod instance_list;
+mod plain_http;
 pub mod store;
+pub mod worker;
+
+pub use http_store::HttpStore;
