Test the platform clients and add the stand-ins

Cause: the promises rest on how the clients sort failures; minreq turns an answer that never came into a status 503, and idle connections kept their own pool alive. Change: the length is checked before the status, so that a lost write is never taken for an outage; a connection's place no longer holds its pool.

--- /dev/null
+++ b/crates/guavacart_lab/src/batch_ledger.rs
@@ -0,0 +1,231 @@
+//! What workers truly did with tasks, and the promises that this breaks.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+};
+
+use guavacart_types::{Attempt, JobId, TaskId, WorkerId};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::{clock::now_us, sync::lock};
+
+/// How an attempt ended on its worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunEnd {
+    /// With its result.
+    Finished,
+    /// Without one.
+    Failed,
+    /// By command.
+    Stopped,
+    /// By the worker since the lease lapsed.
+    Lapsed,
+    /// With the worker.
+    WorkerDied,
+}
+
+/// One attempt on one worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Where.
+    pub worker: WorkerId,
+    /// Start, in microseconds of the lab's clock.
+    pub start_us: u64,
+    /// End, if it ended, and how.
+    pub end: Option<(u64, RunEnd)>,
+    /// Progress that it started with, in parts per million.
+    pub from_ppm: u32,
+    /// Progress by its end.
+    pub to_ppm: u32,
+    /// The checkpoint that it started from.
+    pub checkpoint: Option<SmolStr>,
+}
+
+/// A finished ledger's counts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct BatchCounts {
+    /// Attempts that started.
+    pub starts: u64,
+    /// Tasks that finished.
+    pub finished: u64,
+    /// Attempts that failed.
+    pub failed: u64,
+    /// Attempts that were stopped by command.
+    pub evictions: u64,
+    /// Attempts that lapsed.
+    pub lapsed: u64,
+    /// Work done more than once, in thousandths of a task.
+    pub redone_milli_tasks: u64,
+    /// Tasks that ran in two places at once or finished more than once.
+    pub double_run: u64,
+    /// Commands to start what did not fit.
+    pub over_capacity: u64,
+    /// Attempts that started after the cancellation of their job was confirmed.
+    pub started_after_cancel: u64,
+}
+
+/// The ledger that all workers write.
+#[derive(Clone, Debug, Default)]
+pub struct BatchLedger {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    runs: BTreeMap<TaskId, Vec<Run>>,
+    over_capacity: u64,
+    cancelled_us: BTreeMap<JobId, u64>,
+    checkpoints: BTreeMap<SmolStr, u32>,
+}
+
+impl BatchLedger {
+    /// An attempt starts.
+    pub fn start(
+        &self,
+        task: &TaskId,
+        attempt: Attempt,
+        worker: &WorkerId,
+        from_ppm: u32,
+        checkpoint: Option<SmolStr>,
+    ) {
+        let run = Run {
+            attempt,
+            worker: worker.clone(),
+            start_us: now_us(),
+            end: None,
+            from_ppm,
+            to_ppm: from_ppm,
+            checkpoint,
+        };
+        lock(&self.inner)
+            .runs
+            .entry(task.clone())
+            .or_default()
+            .push(run);
+    }
+
+    /// An attempt ends on a worker.
+    pub fn end(
+        &self,
+        task: &TaskId,
+        attempt: Attempt,
+        worker: &WorkerId,
+        end: RunEnd,
+        to_ppm: u32,
+    ) {
+        let mut inner = lock(&self.inner);
+        let runs = inner
+            .runs
+            .get_mut(task)
+            .map_or(&mut [][..], Vec::as_mut_slice);
+        let open =
+            |run: &&mut Run| run.end.is_none() && run.attempt == attempt && run.worker == *worker;
+        if let Some(run) = runs.iter_mut().find(open) {
+            run.end = Some((now_us(), end));
+            run.to_ppm = to_ppm;
+        }
+    }
+
+    /// A worker was told to start what did not fit.
+    pub fn over_capacity(&self) {
+        lock(&self.inner).over_capacity += 1;
+    }
+
+    /// Saves a checkpoint.
+    pub fn save(&self, name: &str, progress_ppm: u32) {
+        lock(&self.inner)
+            .checkpoints
+            .insert(name.into(), progress_ppm);
+    }
+
+    /// The progress that a checkpoint holds.
+    pub fn load(&self, name: &str) -> Option<u32> {
+        lock(&self.inner).checkpoints.get(name).copied()
+    }
+
+    /// The cancellation of a job was confirmed to its submitter.
+    pub fn cancelled(&self, job: &JobId) {
+        lock(&self.inner)
+            .cancelled_us
+            .entry(job.clone())
+            .or_insert_with(now_us);
+    }
+
+    /// Tasks of a job that finished, by index.
+    pub fn finished(&self, job: &JobId) -> BTreeSet<u32> {
+        let inner = lock(&self.inner);
+        inner
+            .runs
+            .iter()
+            .filter(|(task, runs)| task.job == *job && runs.iter().any(Run::finished))
+            .map(|(task, _)| task.index)
+            .collect()
+    }
+
+    /// The runs of every task.
+    pub fn runs(&self) -> BTreeMap<TaskId, Vec<Run>> {
+        lock(&self.inner).runs.clone()
+    }
+
+    /// Sums up.
+    pub fn counts(&self) -> BatchCounts {
+        let inner = lock(&self.inner);
+        let mut counts = BatchCounts {
+            over_capacity: inner.over_capacity,
+            ..BatchCounts::default()
+        };
+        for (task, runs) in &inner.runs {
+            counts.add(runs, inner.cancelled_us.get(&task.job).copied());
+        }
+        counts
+    }
+}
+
+impl Run {
+    fn finished(&self) -> bool {
+        matches!(self.end, Some((_, RunEnd::Finished)))
+    }
+
+    fn end_us(&self) -> u64 {
+        self.end.map_or(u64::MAX, |(at, _)| at)
+    }
+
+    fn overlaps(&self, other: &Self) -> bool {
+        self.start_us < other.end_us() && other.start_us < self.end_us()
+    }
+}
+
+impl BatchCounts {
+    fn add(&mut self, runs: &[Run], cancelled_us: Option<u64>) {
+        self.starts += runs.len() as u64;
+        let ended = |wanted| {
+            let how = |run: &&Run| matches!(run.end, Some((_, end)) if end == wanted);
+            runs.iter().filter(how).count() as u64
+        };
+        let finishes = ended(RunEnd::Finished);
+        self.finished += finishes.min(1);
+        self.failed += ended(RunEnd::Failed);
+        self.evictions += ended(RunEnd::Stopped);
+        self.lapsed += ended(RunEnd::Lapsed);
+        self.double_run += u64::from(finishes > 1 || any_overlap(runs));
+        let done: u64 = runs
+            .iter()
+            .map(|r| u64::from(r.to_ppm.saturating_sub(r.from_ppm)))
+            .sum();
+        self.redone_milli_tasks += done.saturating_sub(1_000_000) / 1_000;
+        let after = |run: &&Run| cancelled_us.is_some_and(|at| run.start_us > at);
+        self.started_after_cancel += runs.iter().filter(after).count() as u64;
+    }
+}
+
+fn any_overlap(runs: &[Run]) -> bool {
+    let pairs = runs.iter().enumerate();
+    pairs
+        .into_iter()
+        .any(|(i, a)| runs[i + 1..].iter().any(|b| a.overlaps(b)))
+}
--- /dev/null
+++ b/crates/guavacart_lab/src/client.rs
@@ -0,0 +1,119 @@
+//! The lab's own HTTP client: one connection, whole answers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// Why a call brought no whole answer.
+#[derive(Debug, Error)]
+pub enum ClientError {
+    /// No connection, or the call was never written to it.
+    #[error("the call was not sent to {address}")]
+    NotSent {
+        /// Where to.
+        address: SocketAddr,
+    },
+    /// The call was sent and no whole answer came.
+    #[error("the connection to {address} broke")]
+    Broken {
+        /// Where to.
+        address: SocketAddr,
+    },
+    /// The time was up.
+    #[error("{address} did not answer within {timeout:?}")]
+    TimedOut {
+        /// Where to.
+        address: SocketAddr,
+        /// The time.
+        timeout: Duration,
+    },
+}
+
+/// One kept-alive connection.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    local: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Connects to `address`.
+    pub async fn open(address: SocketAddr) -> Result<Self, ClientError> {
+        let not_sent = || ClientError::NotSent { address };
+        let stream = TcpStream::connect(address).await.map_err(|_| not_sent())?;
+        stream.set_nodelay(true).map_err(|_| not_sent())?;
+        let local = stream.local_addr().map_err(|_| not_sent())?;
+        let io = TokioIo::new(stream);
+        let (sender, connection) = http1::handshake(io).await.map_err(|_| not_sent())?;
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                tracing::trace!(%err, "connection of a caller ended");
+            }
+        });
+        Ok(Self {
+            address,
+            local,
+            sender,
+        })
+    }
+
+    /// This side's address, by which a balancer knows the connection.
+    pub fn local(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// True once the other side closed it.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends one call and returns its whole answer.
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let address = self.address;
+        if self.sender.ready().await.is_err() {
+            return Err(ClientError::NotSent { address });
+        }
+        let res = self.sender.try_send_request(req).await;
+        let res: Response<Incoming> = match res {
+            Ok(res) => res,
+            Err(mut err) => {
+                return Err(match err.take_message() {
+                    Some(_) => ClientError::NotSent { address },
+                    None => ClientError::Broken { address },
+                });
+            }
+        };
+        let (head, body) = res.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map_err(|_| ClientError::Broken { address })?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+}
+
+/// One call over a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+    timeout: Duration,
+) -> Result<Response<Bytes>, ClientError> {
+    let exchange = async { Connection::open(address).await?.send(req).await };
+    match tokio::time::timeout(timeout, exchange).await {
+        Ok(answered) => answered,
+        Err(_) => Err(ClientError::TimedOut { address, timeout }),
+    }
+}
--- /dev/null
+++ b/crates/guavacart_lab/src/host.rs
@@ -0,0 +1,114 @@
+//! A worker's machine as its tasks and endpoints share it, and how they slow each other.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex},
+};
+
+use smol_str::SmolStr;
+
+use crate::sync::lock;
+
+/// Hidden from guavacart: how much each kind of work slows each other kind.
+///
+/// Kinds are names of services and of batch classes. A coefficient of 2 triples the time of the
+/// victim when the aggressor uses the whole machine.
+#[derive(Clone, Debug, Default)]
+pub struct Interference {
+    coefficients: HashMap<(SmolStr, SmolStr), f64>,
+}
+
+impl Interference {
+    /// Sets how much `aggressor` slows `victim`.
+    pub fn set(&mut self, victim: &str, aggressor: &str, coefficient: f64) {
+        self.coefficients
+            .insert((victim.into(), aggressor.into()), coefficient);
+    }
+
+    fn coefficient(&self, victim: &str, aggressor: &str) -> f64 {
+        let pair = (SmolStr::new(victim), SmolStr::new(aggressor));
+        self.coefficients.get(&pair).copied().unwrap_or_default()
+    }
+}
+
+/// A table that a scenario may change while everything runs.
+pub type SharedInterference = Arc<Mutex<Interference>>;
+
+/// One machine.
+#[derive(Debug)]
+pub struct Host {
+    processors: f64,
+    interference: SharedInterference,
+    pressure: Mutex<BTreeMap<SmolStr, f64>>,
+    meters: Mutex<BTreeMap<SmolStr, Meter>>,
+}
+
+/// Service times since the last report.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    /// Service times, in microseconds.
+    pub times_us: Vec<u64>,
+    /// Requests that were refused since all slots were taken.
+    pub refused: u64,
+}
+
+impl Host {
+    /// A machine with `processors` thousandths of a core.
+    pub fn open(processors: u64, interference: SharedInterference) -> Arc<Self> {
+        Arc::new(Self {
+            processors: (processors as f64).max(1.0),
+            interference,
+            pressure: Mutex::default(),
+            meters: Mutex::default(),
+        })
+    }
+
+    /// Sets how many thousandths of a core each batch class uses now.
+    pub fn set_batch(&self, used: BTreeMap<SmolStr, f64>) {
+        *lock(&self.pressure) = used;
+    }
+
+    /// Factor on the time of `victim` from the batch work on this machine, at least 1.
+    pub fn slowdown(&self, victim: &str) -> f64 {
+        let interference = lock(&self.interference);
+        let slowed_by = |(aggressor, used): (&SmolStr, &f64)| {
+            interference.coefficient(victim, aggressor) * used / self.processors
+        };
+        1.0 + lock(&self.pressure).iter().map(slowed_by).sum::<f64>()
+    }
+
+    /// Records one service time of an endpoint here.
+    pub fn served(&self, service: &str, time_us: u64) {
+        let mut meters = lock(&self.meters);
+        meters
+            .entry(service.into())
+            .or_default()
+            .times_us
+            .push(time_us);
+    }
+
+    /// Records that an endpoint here was asked beyond its slots.
+    pub fn refused(&self, service: &str) {
+        lock(&self.meters)
+            .entry(service.into())
+            .or_default()
+            .refused += 1;
+    }
+
+    /// Takes what was measured since the last call.
+    pub fn take_meters(&self) -> BTreeMap<SmolStr, Meter> {
+        std::mem::take(&mut *lock(&self.meters))
+    }
+}
+
+impl Meter {
+    /// 99th percentile of the service times, in microseconds.
+    pub fn p99_us(&mut self) -> u64 {
+        self.times_us.sort_unstable();
+        let rank = (self.times_us.len() * 99).div_ceil(100);
+        match rank.checked_sub(1) {
+            Some(i) => self.times_us[i],
+            None => 0,
+        }
+    }
+}
--- a/crates/guavacart_platform/src/connection.rs
+++ b/crates/guavacart_platform/src/connection.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use bytes::Bytes;
@@ -51,18 +54,20 @@
 #[derive(Debug, Default)]
 struct Pool {
     /// Connections that are not yet closed, idle ones included.
-    open: u32,
+    open: Arc<AtomicU32>,
     /// Most connections that the last caller allowed.
     cap: u32,
     idle: Vec<SendRequest<Full<Bytes>>>,
 }
 
 /// A connection's place under the cap, given back when the connection is closed.
-struct Place(Arc<Mutex<Pool>>);
+///
+/// It does not hold the pool, whose idle connections would otherwise keep themselves open.
+struct Place(Arc<AtomicU32>);
 
 impl Drop for Place {
     fn drop(&mut self) {
-        lock(&self.0).open -= 1;
+        self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -103,7 +108,7 @@
     pub(crate) fn open(&self, address: SocketAddr) -> u32 {
         lock(&self.pools)
             .get(&address)
-            .map_or(0, |pool| lock(pool).open)
+            .map_or(0, |pool| lock(pool).open.load(Ordering::SeqCst))
     }
 
     fn pool(&self, address: SocketAddr, cap: Option<u32>) -> Arc<Mutex<Pool>> {
@@ -125,18 +130,20 @@
     }
 }
 
-fn take_place(pool: &Arc<Mutex<Pool>>) -> Result<Place, ExchangeError> {
-    let mut guard = lock(pool);
-    if guard.open >= guard.cap.max(1) {
-        let cause = format_smolstr!("all {} connections are taken", guard.open);
+fn take_place(pool: &Mutex<Pool>) -> Result<Place, ExchangeError> {
+    // The lock keeps two callers from taking the last place.
+    let guard = lock(pool);
+    let open = guard.open.load(Ordering::SeqCst);
+    if open >= guard.cap.max(1) {
+        let cause = format_smolstr!("all {open} connections are taken");
         return Err(ExchangeError::NotSent(cause));
     }
-    guard.open += 1;
-    Ok(Place(Arc::clone(pool)))
+    guard.open.fetch_add(1, Ordering::SeqCst);
+    Ok(Place(Arc::clone(&guard.open)))
 }
 
 async fn connect(
-    pool: &Arc<Mutex<Pool>>,
+    pool: &Mutex<Pool>,
     address: SocketAddr,
     deadline: Instant,
 ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
--- a/crates/guavacart_platform/src/plain_http.rs
+++ b/crates/guavacart_platform/src/plain_http.rs
@@ -27,11 +27,12 @@
         .with_follow_redirects(false)
         .send()
         .map_err(|err| sort(&err))?;
-    if res.status_code == UNAVAILABLE {
-        return Err(CallError::Unavailable("status 503".into()));
-    }
+    // The order matters: `minreq` makes a status 503 up for an answer without a status line.
     check_length(&res)?;
-    Ok(res)
+    match res.status_code {
+        UNAVAILABLE => Err(CallError::Unavailable("status 503".into())),
+        _ => Ok(res),
+    }
 }
 
 /// The answer's `Revision` header.
--- /dev/null
+++ b/crates/guavacart_platform/tests/endpoint.rs
@@ -0,0 +1,220 @@
+//! The endpoint client against listeners that answer badly.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use guavacart_platform::endpoint::{
+    Dispatch, EndpointError, EndpointHealth, Endpoints, HttpEndpoints,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// Reads one request, up to the body `{}`.
+async fn read_request(stream: &mut TcpStream) -> Vec<u8> {
+    let mut seen = Vec::new();
+    let mut buf = [0; 4096];
+    while !seen.ends_with(b"{}") {
+        match stream.read(&mut buf).await {
+            Ok(n) if n > 0 => seen.extend_from_slice(&buf[..n]),
+            _ => break,
+        }
+    }
+    seen
+}
+
+/// Answers the first request of each connection with `answer`; then closes, or holds it open.
+async fn endpoint(answer: &'static str, holds: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            read_request(&mut stream).await;
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            if holds {
+                held.push(stream);
+            }
+        }
+    });
+    address
+}
+
+fn dispatch(connections: u32, timeout: Duration) -> Dispatch {
+    Dispatch {
+        id: "r1".parse().unwrap(),
+        body: Bytes::from_static(b"{}"),
+        content_type: Some("application/json".into()),
+        connections,
+        timeout,
+    }
+}
+
+fn kind(err: &EndpointError) -> &'static str {
+    match err {
+        EndpointError::NotSent { .. } => "not sent",
+        EndpointError::Busy { .. } => "busy",
+        EndpointError::Leaving { .. } => "leaving",
+        EndpointError::Broken { .. } => "broken",
+    }
+}
+
+macro_rules! answers {
+    ($($name:ident: $answer:literal => $kind:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let address = endpoint($answer, false).await;
+            let err = HttpEndpoints::open()
+                .run(address, dispatch(60, LONG), || true)
+                .await
+                .unwrap_err();
+            assert_eq!(kind(&err), $kind, "{err}");
+        }
+    )*};
+}
+
+answers! {
+    truncated: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\nfour" => "broken";
+    closed_at_once: "" => "broken";
+    wrong_id: "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nContent-Length: 2\r\n\r\nok" => "broken";
+    no_id: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" => "broken";
+    no_length: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nok" => "broken";
+    busy: "HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Run: busy\r\nContent-Length: 0\r\n\r\n" => "busy";
+    leaving: "HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Run: leaving\r\nContent-Length: 0\r\n\r\n" => "leaving";
+    foreign_refusal: "HTTP/1.1 503 No\r\nRequest-Id: r2\r\nNot-Run: busy\r\nContent-Length: 0\r\n\r\n" => "broken";
+}
+
+#[tokio::test]
+async fn whole_answer_and_own_failure() {
+    let ok = "HTTP/1.1 500 Own\r\nRequest-Id: r1\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops";
+    let address = endpoint(ok, true).await;
+    let answer = HttpEndpoints::open()
+        .run(address, dispatch(60, LONG), || true)
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 500);
+    assert_eq!(answer.content_type.as_deref(), Some("text/plain"));
+    assert_eq!(&answer.body[..], b"oops");
+}
+
+#[tokio::test]
+async fn refused_connection_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let err = HttpEndpoints::open()
+        .run(address, dispatch(60, LONG), || true)
+        .await
+        .unwrap_err();
+    assert_eq!(kind(&err), "not sent");
+}
+
+#[tokio::test]
+async fn ended_right_sends_no_byte() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let endpoints = HttpEndpoints::open();
+    let err = endpoints
+        .run(address, dispatch(60, LONG), || false)
+        .await
+        .unwrap_err();
+    assert_eq!(kind(&err), "not sent");
+    let (mut stream, _) = listener.accept().await.unwrap();
+    drop(endpoints);
+    let mut seen = Vec::new();
+    stream.read_to_end(&mut seen).await.unwrap();
+    assert!(seen.is_empty());
+}
+
+#[tokio::test]
+async fn timeout_under_a_second_is_broken_and_frees_its_connection_only_by_closing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let endpoints = HttpEndpoints::open();
+    let err = endpoints
+        .run(address, dispatch(1, Duration::from_millis(80)), || true)
+        .await
+        .unwrap_err();
+    assert_eq!(kind(&err), "broken");
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut seen = Vec::new();
+    stream.read_to_end(&mut seen).await.unwrap();
+    assert!(seen.ends_with(b"{}"));
+    while endpoints.connections(address) > 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn never_more_connections_than_the_cap() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let endpoints = HttpEndpoints::open();
+    let mut waiting = Vec::new();
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        let endpoints = endpoints.clone();
+        waiting.push(tokio::spawn(async move {
+            endpoints.run(address, dispatch(3, LONG), || true).await
+        }));
+        held.push(listener.accept().await.unwrap());
+    }
+    let err = endpoints
+        .run(address, dispatch(3, LONG), || true)
+        .await
+        .unwrap_err();
+    assert_eq!(kind(&err), "not sent");
+    assert_eq!(endpoints.connections(address), 3);
+    drop(held);
+    for task in waiting {
+        assert_eq!(kind(&task.await.unwrap().unwrap_err()), "broken");
+    }
+}
+
+#[tokio::test]
+async fn reused_connection_that_closes_after_the_write_is_broken_and_not_resent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let endpoints = HttpEndpoints::open();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_request(&mut stream).await;
+        let ok = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok";
+        stream.write_all(ok).await.unwrap();
+        read_request(&mut stream).await;
+        drop(stream);
+        listener
+    });
+    let first = endpoints.run(address, dispatch(1, LONG), || true).await;
+    assert!(first.is_ok());
+    let second = endpoints.run(address, dispatch(1, LONG), || true).await;
+    assert_eq!(kind(&second.unwrap_err()), "broken");
+    let listener = server.await.unwrap();
+    let again = tokio::time::timeout(Duration::from_millis(50), listener.accept()).await;
+    assert!(again.is_err(), "the request was sent again");
+}
+
+#[tokio::test]
+async fn health() {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n{\"busy\":3,\"leaving\":false} ";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 1024];
+        assert!(stream.read(&mut buf).await.unwrap() > 0);
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    });
+    let health = HttpEndpoints::open().health(address, LONG).await.unwrap();
+    let expected = EndpointHealth {
+        busy: 3,
+        leaving: false,
+    };
+    assert_eq!(health, expected);
+}
