Add the messages between entry instances and the runtime's frame

Cause: nothing carried the reducer's effects. Change: sealed heartbeats over UDP, authenticated links over TCP, the callers' front by hyper, and the runner of effects. Heartbeats carry a keyed tag over receiver and payload; link frames a tag over a per-link key and a sequence number, so a replay is refused. The runtime does not build yet: it waits for the platform's clients.

--- /dev/null
+++ b/crates/guavacart_entry/src/core.rs
@@ -0,0 +1,201 @@
+//! The one thread that runs the reducer, in the order in which inputs arrive.
+
+use std::time::Instant;
+
+use flume::{Receiver, RecvTimeoutError};
+use guavacart_platform::{endpoint::EndpointAnswer, store::Store};
+use guavacart_scheduler::{
+    Effect, Event, State,
+    membership::TICK,
+    request::{DispatchEnd, RequestEvent, RequestHead},
+};
+use guavacart_types::{CallId, DispatchId, InstanceId};
+use guavacart_wire::{ForwardWire, OutcomeWire, Question};
+use tokio::sync::oneshot;
+
+use crate::{
+    calls::{Answer, Origin, Pending, RequestBody, answer_from_wire},
+    clock::Clock,
+    runner::Runner,
+    status,
+};
+
+/// What reaches the reducer's thread.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// An event that carries all there is.
+    Event(Event),
+    /// A caller's request.
+    Call {
+        call: CallId,
+        head: RequestHead,
+        body: RequestBody,
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A peer's forwarded request.
+    Forward {
+        call: CallId,
+        from: InstanceId,
+        wire: ForwardWire,
+    },
+    /// The outcome of a request forwarded to a peer.
+    Outcome { from: InstanceId, wire: OutcomeWire },
+    /// The end of a dispatch.
+    Dispatched {
+        dispatch: DispatchId,
+        end: DispatchEnd,
+        answer: Option<EndpointAnswer>,
+    },
+    /// A peer gave up a call that it had forwarded.
+    Cancelled { from: InstanceId, call: CallId },
+    /// A question to be answered from memory, as JSON.
+    Ask {
+        question: Question,
+        reply: oneshot::Sender<Vec<u8>>,
+    },
+}
+
+/// The reducer, its runner and what feeds them.
+pub(crate) struct Core<S> {
+    pub(crate) state: State,
+    pub(crate) runner: Runner<S>,
+    pub(crate) inbox: Receiver<Input>,
+    pub(crate) clock: Clock,
+}
+
+impl<S: Store> Core<S> {
+    /// Runs until a stop is done or every sender is gone.
+    pub(crate) fn run(mut self) {
+        let mut next_tick = self.clock.now();
+        loop {
+            let now = self.clock.now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.apply(Event::Tick);
+                continue;
+            }
+            match self.next_input(self.clock.instant(next_tick)) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn next_input(&self, deadline: Instant) -> Result<Input, RecvTimeoutError> {
+        self.inbox.recv_deadline(deadline)
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.apply(event),
+            Input::Call {
+                call,
+                head,
+                body,
+                reply,
+            } => self.call_arrived(call, head, body, reply),
+            Input::Forward { call, from, wire } => self.forward_arrived(call, from, wire),
+            Input::Outcome { from, wire } => self.forward_ended(from, wire),
+            Input::Dispatched {
+                dispatch,
+                end,
+                answer,
+            } => self.dispatch_ended(dispatch, end, answer),
+            Input::Cancelled { from, call } => self.cancelled(&from, call),
+            Input::Ask { question, reply } => self.answer_question(question, reply),
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = self.clock.now();
+        for effect in self.state.apply(now, event) {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let load = || self.state.requests().load();
+        self.runner.run(effect, load, self.state.config().current());
+    }
+
+    fn call_arrived(
+        &mut self,
+        call: CallId,
+        head: RequestHead,
+        body: RequestBody,
+        reply: oneshot::Sender<Answer>,
+    ) {
+        let pending = Pending {
+            head: head.clone(),
+            body,
+            origin: Origin::Caller(reply),
+            since: self.clock.now(),
+        };
+        self.runner.calls.open(call, pending);
+        self.apply(Event::Request(RequestEvent::Arrived { call, head }));
+    }
+
+    fn forward_arrived(&mut self, call: CallId, from: InstanceId, wire: ForwardWire) {
+        let (theirs, head, body) = RequestBody::from_forward(wire);
+        let pending = Pending {
+            head: head.clone(),
+            body,
+            origin: Origin::Peer(from.clone(), theirs),
+            since: self.clock.now(),
+        };
+        self.runner.calls.open(call, pending);
+        self.apply(Event::Request(RequestEvent::ForwardArrived {
+            call,
+            from,
+            head,
+        }));
+    }
+
+    fn forward_ended(&mut self, from: InstanceId, wire: OutcomeWire) {
+        let call = CallId(wire.call);
+        let outcome = wire.outcome();
+        let load = wire.load();
+        if let Some(answer) = wire.answer {
+            self.runner
+                .calls
+                .forward_answered(call, answer_from_wire(answer));
+        }
+        self.apply(Event::Request(RequestEvent::ForwardEnded {
+            call,
+            from,
+            outcome,
+            load,
+        }));
+    }
+
+    fn dispatch_ended(
+        &mut self,
+        dispatch: DispatchId,
+        end: DispatchEnd,
+        answer: Option<EndpointAnswer>,
+    ) {
+        if let Some(answer) = answer {
+            self.runner.calls.dispatch_answered(dispatch, answer);
+        }
+        let ended = RequestEvent::DispatchEnded { dispatch, end };
+        self.apply(Event::Request(ended));
+    }
+
+    fn cancelled(&mut self, from: &InstanceId, theirs: CallId) {
+        if let Some(call) = self.runner.calls.of_peer(from, theirs) {
+            self.apply(Event::Request(RequestEvent::CallerGone { call }));
+        }
+    }
+
+    fn answer_question(&mut self, question: Question, reply: oneshot::Sender<Vec<u8>>) {
+        let now = self.clock.now();
+        let body = match question {
+            Question::Configuration => status::configuration(&self.state),
+            Question::Status => status::status(&self.state, now),
+            Question::Burn => self.runner.burn(now),
+        };
+        // The asker may have given up; then there is nobody to tell.
+        let _ = reply.send(body);
+    }
+}
--- /dev/null
+++ b/crates/guavacart_entry/src/heartbeats.rs
@@ -0,0 +1,73 @@
+//! Heartbeats over UDP.
+
+use std::{net::UdpSocket, sync::Arc};
+
+use flume::Sender;
+use guavacart_config::Secret;
+use guavacart_scheduler::{
+    Event,
+    membership::{Heartbeat, MembershipEvent},
+};
+use guavacart_types::InstanceId;
+use guavacart_wire::{open_datagram, seal_datagram};
+use tracing::debug;
+
+use crate::{core::Input, listing::Addresses, metrics::Metrics};
+
+/// Longest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
+
+/// Sends heartbeats.
+#[derive(Clone, Debug)]
+pub(crate) struct HeartbeatSender {
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) addresses: Addresses,
+    pub(crate) key: Secret,
+}
+
+impl HeartbeatSender {
+    /// Sends a heartbeat; one that cannot be sent is lost like any datagram.
+    pub(crate) fn send(&self, to: &InstanceId, heartbeat: Heartbeat) {
+        let Some(address) = self.addresses.of(to) else {
+            return;
+        };
+        match seal_datagram(self.key.as_bytes(), to.as_str(), heartbeat) {
+            Ok(datagram) => {
+                if let Err(err) = self.socket.send_to(&datagram, address) {
+                    debug!(event = "heartbeat_unsent", to = %to, error = %err);
+                }
+            }
+            Err(err) => debug!(event = "heartbeat_unsent", to = %to, error = %err),
+        }
+    }
+}
+
+/// Receives heartbeats until the inbox closes.
+pub(crate) fn receive(
+    socket: &UdpSocket,
+    me: &InstanceId,
+    key: &Secret,
+    metrics: &Metrics,
+    inbox: &Sender<Input>,
+) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((len, from)) = socket.recv_from(&mut buf) else {
+            metrics.count("heartbeats.unreceived");
+            continue;
+        };
+        let heartbeat = match open_datagram(key.as_bytes(), me.as_str(), &buf[..len]) {
+            Ok(heartbeat) => heartbeat,
+            Err(err) => {
+                metrics.count("heartbeats.refused");
+                debug!(event = "heartbeat_refused", from = %from, error = %err);
+                continue;
+            }
+        };
+        let heartbeat = MembershipEvent::Heartbeat(Box::new(heartbeat));
+        let input = Input::Event(Event::Membership(heartbeat));
+        if inbox.send(input).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/guavacart_entry/src/lib.rs
+++ b/crates/guavacart_entry/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! The runtime of an entry instance: sockets, threads and timers around the reducer.
+//!
+//! A request travels so: `front` → [`Event::RequestArrived`](guavacart_scheduler::request) →
+//! the reducer → `runner` → the endpoint → the reducer → `front`.
+
+mod calls;
+mod clock;
+mod core;
+mod entry;
+mod error;
+mod front;
+mod heartbeats;
+mod links;
+mod listing;
+mod metrics;
+mod runner;
+mod status;
+mod view_store;
+
+pub use crate::{entry::Entry, error::EntryError};
--- /dev/null
+++ b/crates/guavacart_entry/src/runner.rs
@@ -0,0 +1,98 @@
+//! Carries out the reducer's effects.
+
+mod config;
+mod requests;
+
+use std::sync::Arc;
+
+use flume::Sender;
+use guavacart_config::Configuration;
+use guavacart_platform::{endpoint::HttpEndpoints, store::Store};
+use guavacart_report::Recorder;
+use guavacart_scheduler::{
+    Effect, Event,
+    membership::{Load, MembershipEffect, MembershipEvent},
+};
+use guavacart_types::Timestamp;
+use tokio::sync::watch;
+use tracing::{info, warn};
+
+use crate::{
+    calls::Calls, clock::Clock, core::Input, heartbeats::HeartbeatSender, links::Links,
+    metrics::Metrics, view_store,
+};
+
+/// What the effects need; owned by the reducer's thread.
+pub(crate) struct Runner<S> {
+    pub(crate) calls: Calls,
+    pub(crate) clock: Clock,
+    pub(crate) runtime: tokio::runtime::Handle,
+    pub(crate) inbox: Sender<Input>,
+    pub(crate) store: S,
+    pub(crate) endpoints: Arc<HttpEndpoints>,
+    pub(crate) links: Links,
+    pub(crate) heartbeats: HeartbeatSender,
+    pub(crate) metrics: Metrics,
+    pub(crate) recorder: Recorder,
+    pub(crate) stopped: watch::Sender<bool>,
+}
+
+impl<S: Store> Runner<S> {
+    /// Carries out one effect; what comes of it arrives as an input.
+    pub(crate) fn run(&mut self, effect: Effect, load: impl Fn() -> Load, cfg: &Configuration) {
+        match effect {
+            Effect::Membership(effect) => self.run_membership(effect),
+            Effect::Request(effect) => self.run_request(effect, load),
+            Effect::Config(effect) => self.run_config(effect, cfg),
+            Effect::Batch(effect) => match effect {},
+            Effect::Stopped => {
+                info!(event = "stopped", "all work is done");
+                self.stopped.send_replace(true);
+            }
+        }
+    }
+
+    /// The service-level record as JSON.
+    pub(crate) fn burn(&mut self, now: Timestamp) -> Vec<u8> {
+        let snapshot = self.recorder.snapshot(now);
+        serde_json::to_vec(&snapshot).unwrap_or_else(|err| {
+            warn!(event = "burn_unencoded", error = %err, "the service-level record has no JSON form");
+            Vec::new()
+        })
+    }
+
+    fn run_membership(&mut self, effect: MembershipEffect) {
+        match effect {
+            MembershipEffect::SendHeartbeat { to, heartbeat } => {
+                self.metrics.count("heartbeats.sent");
+                self.heartbeats.send(&to, *heartbeat);
+            }
+            MembershipEffect::ReadView => {
+                let asked_at = self.clock.now();
+                self.blocking(move |store| view_store::read(store, asked_at));
+            }
+            MembershipEffect::SwapView { expect, view } => {
+                self.blocking(move |store| view_store::swap(store, expect, *view));
+            }
+            MembershipEffect::ViewAdopted(number) => {
+                self.metrics.gauge("view.number", number.0);
+                info!(
+                    event = "view_adopted",
+                    view = number.0,
+                    "a newer view is in force"
+                );
+            }
+        }
+    }
+
+    /// Makes a call of the store on a thread that may wait.
+    fn blocking(&self, call: impl FnOnce(&S) -> MembershipEvent + Send + 'static) {
+        let store = self.store.clone();
+        let inbox = self.inbox.clone();
+        self.runtime.spawn_blocking(move || {
+            let event = Event::Membership(call(&store));
+            // A closed inbox means that the process is ending.
+            let _ = inbox.send(Input::Event(event));
+        });
+    }
+}
--- /dev/null
+++ b/crates/guavacart_entry/src/runner/requests.rs
@@ -0,0 +1,167 @@
+//! Sends requests to endpoints and peers, and hands outcomes to whoever waits.
+
+use std::net::SocketAddr;
+
+use guavacart_platform::{
+    endpoint::{EndpointAnswer, EndpointError, Endpoints, Run},
+    store::Store,
+};
+use guavacart_scheduler::{
+    Event,
+    membership::Load,
+    request::{Body, Counted, DispatchEnd, RequestEffect, RequestEvent},
+};
+use guavacart_types::{CallId, DispatchId, EndpointId, Outcome, Reason};
+use guavacart_wire::{Frame, OutcomeWire};
+use tracing::debug;
+
+use super::Runner;
+use crate::{
+    calls::{Answer, Origin, Pending, answer_to_wire},
+    core::Input,
+};
+
+impl<S: Store> Runner<S> {
+    pub(super) fn run_request(&mut self, effect: RequestEffect, load: impl Fn() -> Load) {
+        match effect {
+            RequestEffect::Dispatch { .. } => self.dispatch(effect),
+            RequestEffect::Discard { dispatch } => {
+                self.calls.take_dispatch(dispatch);
+            }
+            RequestEffect::Forward { call, to, head } => {
+                let Some(body) = self.calls.body(call) else {
+                    return;
+                };
+                let frame = Frame::Forward(body.to_forward(call, head));
+                self.links.send(&to, frame);
+            }
+            RequestEffect::Answer {
+                call,
+                outcome,
+                body,
+            } => self.answer(call, outcome, body, load),
+            RequestEffect::Tell { to, message } => {
+                self.links.send(&to, Frame::Request(message.into()));
+            }
+            RequestEffect::Probe { endpoint, address } => self.probe(endpoint, address),
+            RequestEffect::Count(counted) => self.metrics.count(counter(counted)),
+        }
+    }
+
+    fn dispatch(&mut self, effect: RequestEffect) {
+        let RequestEffect::Dispatch {
+            dispatch,
+            call,
+            id,
+            endpoint: _,
+            address,
+            connections,
+            timeout,
+            valid_until,
+        } = effect
+        else {
+            return;
+        };
+        let Some(body) = self.calls.body(call).cloned() else {
+            self.dispatched(dispatch, Err(EndpointError::NotSent));
+            return;
+        };
+        let clock = self.clock;
+        let endpoints = self.endpoints.clone();
+        let inbox = self.inbox.clone();
+        self.runtime.spawn(async move {
+            let run = Run {
+                address,
+                id,
+                content_type: body.content_type,
+                body: body.bytes,
+                connections,
+                timeout: timeout.into(),
+            };
+            let result = endpoints.run(run, || clock.now() < valid_until).await;
+            // A closed inbox means that the process is ending.
+            let _ = inbox.send(dispatched(dispatch, result));
+        });
+    }
+
+    fn dispatched(&self, dispatch: DispatchId, result: Result<EndpointAnswer, EndpointError>) {
+        // A closed inbox means that the process is ending.
+        let _ = self.inbox.send(dispatched(dispatch, result));
+    }
+
+    fn probe(&self, endpoint: EndpointId, address: SocketAddr) {
+        let asked_at = self.clock.now();
+        let endpoints = self.endpoints.clone();
+        let inbox = self.inbox.clone();
+        self.runtime.spawn(async move {
+            let report = endpoints.health(address).await.ok();
+            let probed = RequestEvent::Probed {
+                endpoint,
+                asked_at,
+                report: report.map(Into::into),
+            };
+            let _ = inbox.send(Input::Event(Event::Request(probed)));
+        });
+    }
+
+    fn answer(&mut self, call: CallId, outcome: Outcome, body: Body, load: impl Fn() -> Load) {
+        let body = match body {
+            Body::None => None,
+            Body::Dispatch(dispatch) => self.calls.take_dispatch(dispatch),
+            Body::Forward => self.calls.take_forward(call),
+        };
+        let Some(pending) = self.calls.close(call) else {
+            return;
+        };
+        match &pending.origin {
+            Origin::Caller(_) => self.answer_caller(pending, outcome, body),
+            Origin::Peer(peer, theirs) => {
+                let wire = OutcomeWire::new(theirs.0, outcome, load(), body.map(answer_to_wire));
+                self.links.send(peer, Frame::Outcome(wire));
+            }
+        }
+    }
+
+    fn answer_caller(&mut self, pending: Pending, outcome: Outcome, body: Option<EndpointAnswer>) {
+        let now = self.clock.now();
+        let took = now.since(pending.since);
+        let gone = matches!(
+            outcome,
+            Outcome::NotRun(Reason::CallerGone) | Outcome::MayHaveRun(Reason::CallerGone)
+        );
+        let head = &pending.head;
+        self.recorder
+            .record(now, &head.service, &head.team, outcome, took, gone);
+        self.metrics.request(&head.service, outcome, took);
+        debug!(event = "request", id = %head.id, service = %head.service, team = %head.team, outcome = outcome.header(), ms = took.0);
+        if let Origin::Caller(reply) = pending.origin {
+            // The caller may have gone; its answer is then dropped.
+            let _ = reply.send(Answer { outcome, body });
+        }
+    }
+}
+
+fn dispatched(dispatch: DispatchId, result: Result<EndpointAnswer, EndpointError>) -> Input {
+    let (end, answer) = match result {
+        Ok(answer) if answer.status >= 500 => (DispatchEnd::Failed, Some(answer)),
+        Ok(answer) => (DispatchEnd::Answered, Some(answer)),
+        Err(EndpointError::NotSent) => (DispatchEnd::NotSent, None),
+        Err(EndpointError::Busy) => (DispatchEnd::Busy, None),
+        Err(EndpointError::Leaving) => (DispatchEnd::Leaving, None),
+        Err(_) => (DispatchEnd::Broken, None),
+    };
+    Input::Dispatched {
+        dispatch,
+        end,
+        answer,
+    }
+}
+
+fn counter(counted: Counted) -> &'static str {
+    match counted {
+        Counted::Retry => "requests.retries",
+        Counted::Hedge => "requests.hedges",
+        Counted::LateAnswer => "requests.late_answers",
+        Counted::Probation => "endpoints.probations",
+    }
+}
--- /dev/null
+++ b/crates/guavacart_entry/src/view_store.rs
@@ -0,0 +1,57 @@
+//! The view's record in the platform's store.
+
+use guavacart_platform::store::{Store, StoreError, Swapped};
+use guavacart_scheduler::membership::{MembershipEvent, Swap, View};
+use guavacart_types::{Revision, Timestamp};
+use guavacart_wire::{decode_view, encode_view};
+use tracing::warn;
+
+/// The view's key.
+const VIEW_KEY: &str = "view";
+
+/// Reads the view.
+pub(crate) fn read<S: Store>(store: &S, asked_at: Timestamp) -> MembershipEvent {
+    let record = match store.get(VIEW_KEY) {
+        Ok(Some(record)) => record,
+        Ok(None) => {
+            return MembershipEvent::ViewRead {
+                asked_at,
+                view: None,
+                revision: Revision::default(),
+            };
+        }
+        Err(err) => {
+            warn!(event = "view_unread", error = %err, "the view could not be read");
+            return MembershipEvent::ViewUnread;
+        }
+    };
+    match decode_view(&record.value) {
+        Ok(view) => MembershipEvent::ViewRead {
+            asked_at,
+            view: Some(view),
+            revision: record.revision,
+        },
+        Err(err) => {
+            warn!(event = "view_damaged", key = VIEW_KEY, error = %err, "the view's record cannot be used");
+            MembershipEvent::ViewUnread
+        }
+    }
+}
+
+/// Writes the view if the key is still at the revision `expect`.
+pub(crate) fn swap<S: Store>(store: &S, expect: Revision, view: View) -> MembershipEvent {
+    let record = match encode_view(view.clone()) {
+        Ok(record) => record,
+        Err(err) => {
+            warn!(event = "view_unencoded", error = %err, "the proposed view has no record form");
+            return MembershipEvent::ViewSwapped(Swap::Conflict);
+        }
+    };
+    let swap = match store.put(VIEW_KEY, &record, expect) {
+        Ok(Swapped::Written(revision)) => Swap::Written(Box::new(view), revision),
+        Ok(Swapped::Conflict(_)) => Swap::Conflict,
+        Err(StoreError::Unavailable { .. } | StoreError::TooLarge { .. }) => Swap::Conflict,
+        Err(StoreError::Unknown { .. }) => Swap::Unknown,
+    };
+    MembershipEvent::ViewSwapped(swap)
+}
--- a/crates/guavacart_scheduler/src/request.rs
+++ b/crates/guavacart_scheduler/src/request.rs
@@ -10,7 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-pub use self::message::PeerRequest;
+pub use self::message::{ClaimAnswer, PeerRequest};
 use crate::{Cx, Effect, membership::Load};
 
 /// What the reducer knows of a request; its body stays with the runtime.
--- a/crates/guavacart_scheduler/src/state.rs
+++ b/crates/guavacart_scheduler/src/state.rs
@@ -1,6 +1,6 @@
 //! The whole state of an entry instance and the reducer over it.
 
-use guavacart_types::{DataCentre, Timestamp};
+use guavacart_types::{DataCentre, Span, Timestamp};
 
 use crate::{
     Cx, Effect, Event,
@@ -20,6 +20,8 @@
     pub data_centre: DataCentre,
     /// The time of the start.
     pub now: Timestamp,
+    /// How long a stopping instance goes on taking requests while the balancer learns of it.
+    pub linger: Span,
 }
 
 /// The whole state of an entry instance.
@@ -30,7 +32,8 @@
     config: ConfigState,
     requests: Requests,
     batch: Batch,
-    stopping: bool,
+    linger: Span,
+    stopping_since: Option<Timestamp>,
     stopped: bool,
 }
 
@@ -43,7 +46,8 @@
             config: ConfigState::default(),
             requests: Requests::new(start.member.id.clone()),
             batch: Batch::new(start.member.id.clone()),
-            stopping: false,
+            linger: start.linger,
+            stopping_since: None,
             stopped: false,
         }
     }
@@ -90,7 +94,7 @@
                 self.membership.listed(now, &self.directory, effects);
             }
             Event::StopRequested => {
-                self.stopping = true;
+                self.stopping_since.get_or_insert(now);
                 self.membership.leave(now, effects);
             }
             Event::Membership(event) => {
@@ -126,7 +130,10 @@
     }
 
     fn finish(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        if !self.stopping || self.stopped {
+        let Some(since) = self.stopping_since else {
+            return;
+        };
+        if self.stopped || now.since(since) < self.linger {
             return;
         }
         let idle = self.requests.is_idle() && self.batch.is_idle();
@@ -142,7 +149,7 @@
             membership: &self.membership,
             directory: &self.directory,
             configuration: self.config.current(),
-            stopping: self.stopping,
+            stopping: self.stopping_since.is_some(),
         };
         (&mut self.requests, cx)
     }
@@ -153,7 +160,7 @@
             membership: &self.membership,
             directory: &self.directory,
             configuration: self.config.current(),
-            stopping: self.stopping,
+            stopping: self.stopping_since.is_some(),
         };
         (&mut self.batch, cx)
     }
--- /dev/null
+++ b/crates/guavacart_wire/src/request.rs
@@ -0,0 +1,260 @@
+//! Requests, their outcomes and claims as they travel between entry instances.
+
+use guavacart_scheduler::{
+    membership::Load,
+    request::{ClaimAnswer, PeerRequest, RequestHead},
+};
+use guavacart_types::{
+    ByteSize, CallId, Class, Outcome, Reason, RequestId, ServiceName, Span, TeamName, ViewNumber,
+};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::heartbeat::{ServiceLoadWire, load_from_wire, load_to_wire};
+
+/// [`RequestHead`] as it travels.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeadWire {
+    service: ServiceName,
+    team: TeamName,
+    long: bool,
+    id: RequestId,
+    idempotent: bool,
+    deadline_ms: u64,
+}
+
+/// A forwarded request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ForwardWire {
+    /// The sender's call.
+    pub call: u64,
+    /// What the reducer needs.
+    pub head: HeadWire,
+    /// The body's media type.
+    pub content_type: Option<SmolStr>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// The outcome of a forwarded request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OutcomeWire {
+    /// The forwarder's call.
+    pub call: u64,
+    outcome: OutcomeKind,
+    load: Vec<ServiceLoadWire>,
+    /// The endpoint's answer, if there is one.
+    pub answer: Option<AnswerWire>,
+}
+
+/// An endpoint's answer as it travels.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AnswerWire {
+    /// HTTP status.
+    pub status: u16,
+    /// The body's media type.
+    pub content_type: Option<SmolStr>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum OutcomeKind {
+    Answered,
+    NotRun(ReasonWire),
+    MayHaveRun(ReasonWire),
+}
+
+macro_rules! mirrored {
+    ($(#[$doc:meta])* $wire:ident = $domain:ident { $($variant:ident),* $(,)? }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+        enum $wire {
+            $($variant),*
+        }
+
+        impl From<$domain> for $wire {
+            fn from(domain: $domain) -> Self {
+                match domain {
+                    $($domain::$variant => Self::$variant),*
+                }
+            }
+        }
+
+        impl From<$wire> for $domain {
+            fn from(wire: $wire) -> Self {
+                match wire {
+                    $($wire::$variant => Self::$variant),*
+                }
+            }
+        }
+    };
+}
+
+mirrored! {
+    /// [`Reason`] as it travels.
+    ReasonWire = Reason {
+        Overloaded,
+        QueueFull,
+        DeadlinePassed,
+        NoEndpoint,
+        Unknown,
+        EndpointFailed,
+        PeerLost,
+        Repeated,
+        Stopping,
+        CallerGone,
+    }
+}
+
+mirrored! {
+    /// [`ClaimAnswer`] as it travels.
+    ClaimAnswerWire = ClaimAnswer {
+        New,
+        Unsure,
+        Seen,
+        WrongView,
+    }
+}
+
+/// [`PeerRequest`] as it travels.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerRequestWire(PeerRequestKind);
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum PeerRequestKind {
+    Cancel {
+        call: u64,
+    },
+    Claim {
+        call: u64,
+        id: RequestId,
+        view: u64,
+    },
+    Claimed {
+        call: u64,
+        answer: ClaimAnswerWire,
+    },
+    Release {
+        id: RequestId,
+    },
+    Handover {
+        view: u64,
+        ids: Vec<(RequestId, u64)>,
+        complete: bool,
+    },
+}
+
+impl HeadWire {
+    /// The head that travelled with a body of `size`.
+    pub fn into_head(self, size: ByteSize) -> RequestHead {
+        RequestHead {
+            service: self.service,
+            team: self.team,
+            class: if self.long { Class::Long } else { Class::Short },
+            id: self.id,
+            idempotent: self.idempotent,
+            deadline: Span(self.deadline_ms),
+            size,
+        }
+    }
+}
+
+impl From<RequestHead> for HeadWire {
+    fn from(head: RequestHead) -> Self {
+        Self {
+            service: head.service,
+            team: head.team,
+            long: head.class == Class::Long,
+            id: head.id,
+            idempotent: head.idempotent,
+            deadline_ms: head.deadline.0,
+        }
+    }
+}
+
+impl OutcomeWire {
+    /// The outcome of the forwarder's `call`.
+    pub fn new(call: u64, outcome: Outcome, load: Load, answer: Option<AnswerWire>) -> Self {
+        let outcome = match outcome {
+            Outcome::Answered => OutcomeKind::Answered,
+            Outcome::NotRun(reason) => OutcomeKind::NotRun(reason.into()),
+            Outcome::MayHaveRun(reason) => OutcomeKind::MayHaveRun(reason.into()),
+        };
+        Self {
+            call,
+            outcome,
+            load: load_to_wire(load),
+            answer,
+        }
+    }
+
+    /// The outcome; an answer that did not come along leaves the request's fate unknown.
+    pub fn outcome(&self) -> Outcome {
+        match self.outcome {
+            OutcomeKind::Answered if self.answer.is_some() => Outcome::Answered,
+            OutcomeKind::Answered => Outcome::MayHaveRun(Reason::PeerLost),
+            OutcomeKind::NotRun(reason) => Outcome::NotRun(reason.into()),
+            OutcomeKind::MayHaveRun(reason) => Outcome::MayHaveRun(reason.into()),
+        }
+    }
+
+    /// The sender's load.
+    pub fn load(&self) -> Load {
+        load_from_wire(self.load.clone())
+    }
+}
+
+impl From<PeerRequest> for PeerRequestWire {
+    fn from(message: PeerRequest) -> Self {
+        Self(match message {
+            PeerRequest::Cancel { call } => PeerRequestKind::Cancel { call: call.0 },
+            PeerRequest::Claim { call, id, view } => PeerRequestKind::Claim {
+                call: call.0,
+                id,
+                view: view.0,
+            },
+            PeerRequest::Claimed { call, answer } => PeerRequestKind::Claimed {
+                call: call.0,
+                answer: answer.into(),
+            },
+            PeerRequest::Release { id } => PeerRequestKind::Release { id },
+            PeerRequest::Handover {
+                view,
+                ids,
+                complete,
+            } => PeerRequestKind::Handover {
+                view: view.0,
+                ids: ids.into_iter().map(|(id, age)| (id, age.0)).collect(),
+                complete,
+            },
+        })
+    }
+}
+
+impl From<PeerRequestWire> for PeerRequest {
+    fn from(wire: PeerRequestWire) -> Self {
+        match wire.0 {
+            PeerRequestKind::Cancel { call } => Self::Cancel { call: CallId(call) },
+            PeerRequestKind::Claim { call, id, view } => Self::Claim {
+                call: CallId(call),
+                id,
+                view: ViewNumber(view),
+            },
+            PeerRequestKind::Claimed { call, answer } => Self::Claimed {
+                call: CallId(call),
+                answer: answer.into(),
+            },
+            PeerRequestKind::Release { id } => Self::Release { id },
+            PeerRequestKind::Handover {
+                view,
+                ids,
+                complete,
+            } => Self::Handover {
+                view: ViewNumber(view),
+                ids: ids.into_iter().map(|(id, age)| (id, Span(age))).collect(),
+                complete,
+            },
+        }
+    }
+}
