Read settings, apply patches and keep the configuration's record

Cause: operators drive guavacart by settings files and numbered patches only. Change: settings options collect every fault with key, place and remedy; one validation serves patches and records; a record keeps versions and patch ids within the store's 1 MiB.

--- a/crates/guavacart_config/src/lib.rs
+++ b/crates/guavacart_config/src/lib.rs
@@ -1,9 +1,23 @@
 //! Process settings, the numbered configuration and its patches.
 
 mod configuration;
+mod diagnostic;
+mod diff;
+mod options;
+mod patch;
+mod record;
+mod section;
 mod settings;
+mod validate;
 
 pub use configuration::{
     BatchRule, Cell, Configuration, Objectives, Service, Sharing, Team, Weights,
 };
+pub use diagnostic::{Diagnostic, Place, SettingsFault};
+pub use diff::{Change, diff};
+pub use options::{SettingsError, SettingsOptions};
+pub use patch::{Patch, PatchError};
+pub use record::{Accepted, ConfigRecord, RECORD_KEY, RecordError};
+pub use section::Environment;
 pub use settings::{Access, Limits, Secret, Settings};
+pub use validate::{Fault, MAX_CONFIGURATION_BYTES, Problem, validate};
--- /dev/null
+++ b/crates/guavacart_config/src/patch.rs
@@ -0,0 +1,196 @@
+//! Patches: a JSON merge patch (RFC 7396) against a numbered configuration.
+
+use guavacart_types::{ConfigNumber, PatchId, weight};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+use smol_str::{SmolStr, ToSmolStr};
+use thiserror::Error;
+
+use crate::{
+    configuration::Configuration,
+    diff::{contents, join},
+    validate::{Fault, Problem, validate},
+};
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Patch {
+    /// The operator's own id; a repeat with the same id is the same patch.
+    pub id: PatchId,
+    /// The configuration that the operator saw.
+    pub base: ConfigNumber,
+    /// The JSON merge patch.
+    pub change: Value,
+}
+
+/// Why a patch was not accepted; it changed nothing.
+#[derive(Clone, Debug, Deserialize, Error, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PatchError {
+    /// The base is not the current configuration.
+    #[error(
+        "base {base} is not the current configuration {current}; \
+         read {current}, and submit the patch against it"
+    )]
+    Conflict {
+        /// The base that the patch names.
+        base: ConfigNumber,
+        /// The current number.
+        current: ConfigNumber,
+        /// The keys that changed since the base; none if the base is no longer kept.
+        changed: Option<Vec<SmolStr>>,
+    },
+    /// The base is so old that the record no longer tells whether the patch was accepted.
+    #[error(
+        "base {base} is older than the patch ids kept, which begin at {oldest}; \
+         compare the configuration with the patch, and submit it against {current} if it lacks it"
+    )]
+    TooOld {
+        /// The base that the patch names.
+        base: ConfigNumber,
+        /// The oldest number whose patch id is kept.
+        oldest: ConfigNumber,
+        /// The current number.
+        current: ConfigNumber,
+    },
+    /// The id was used by a patch of other contents.
+    #[error("patch id {id} was used by another patch, accepted as {number}; choose another id")]
+    IdReused {
+        /// The id.
+        id: PatchId,
+        /// The number of the other patch.
+        number: ConfigNumber,
+    },
+    /// The change breaks rules of the configuration.
+    #[error("the patch breaks {} rules of the configuration", problems.len())]
+    Invalid {
+        /// Each key with its fault.
+        problems: Vec<Problem>,
+    },
+}
+
+impl Patch {
+    /// Tells this patch's contents from those of another with the same id.
+    pub(crate) fn digest(&self) -> u64 {
+        weight(&self.base.to_smolstr(), &self.change.to_string())
+    }
+
+    /// The configuration that the patch makes of `current`.
+    ///
+    /// # Errors
+    /// A conflict if `current` is not the base, or each key that breaks a rule.
+    pub fn apply(&self, current: &Configuration) -> Result<Configuration, PatchError> {
+        if self.base != current.number {
+            return Err(PatchError::Conflict {
+                base: self.base,
+                current: current.number,
+                changed: None,
+            });
+        }
+        let merged = self.merge(current).map_err(invalid)?;
+        let mut next = decode(&merged).map_err(invalid)?;
+        next.number = current.number.next();
+        validate(&next).map_err(invalid)?;
+        Ok(next)
+    }
+
+    fn merge(&self, current: &Configuration) -> Result<Value, Vec<Problem>> {
+        let Value::Object(change) = &self.change else {
+            return Err(vec![unreadable(
+                "(patch)",
+                "a merge patch is a JSON object",
+            )]);
+        };
+        if change.contains_key("number") {
+            let key = SmolStr::new("number");
+            let fault = Fault::ReadOnly;
+            return Err(vec![Problem { key, fault }]);
+        }
+        let mut merged = contents(current);
+        merge_into(&mut merged, &self.change);
+        Ok(merged)
+    }
+}
+
+fn invalid(problems: Vec<Problem>) -> PatchError {
+    PatchError::Invalid { problems }
+}
+
+/// RFC 7396: null removes, objects merge, anything else replaces.
+fn merge_into(target: &mut Value, change: &Value) {
+    let Value::Object(change) = change else {
+        *target = change.clone();
+        return;
+    };
+    if !target.is_object() {
+        *target = Value::Object(Map::new());
+    }
+    let Value::Object(map) = target else {
+        return;
+    };
+    for (key, value) in change {
+        if value.is_null() {
+            map.remove(key);
+            continue;
+        }
+        merge_into(map.entry(key.clone()).or_insert(Value::Null), value);
+    }
+}
+
+/// Reads a configuration from contents without a number.
+fn decode(contents: &Value) -> Result<Configuration, Vec<Problem>> {
+    from_contents(contents.clone()).map_err(|whole| {
+        let mut problems = Vec::new();
+        locate(&[], contents, &mut problems);
+        if problems.is_empty() {
+            problems.push(unreadable("(patch)", &whole.to_smolstr()));
+        }
+        problems
+    })
+}
+
+fn from_contents(contents: Value) -> Result<Configuration, serde_json::Error> {
+    let mut contents = contents;
+    if let Value::Object(map) = &mut contents {
+        map.insert("number".to_owned(), json!(0));
+    }
+    serde_json::from_value(contents)
+}
+
+/// Finds the deepest keys that cannot be read, by reading each alone.
+fn locate(path: &[&str], value: &Value, problems: &mut Vec<Problem>) {
+    let Err(err) = from_contents(nest(path, value.clone())) else {
+        return;
+    };
+    let known = problems.len();
+    if let Value::Object(map) = value
+        && from_contents(nest(path, json!({}))).is_ok()
+    {
+        for (key, value) in map {
+            let path: Vec<&str> = path.iter().copied().chain([key.as_str()]).collect();
+            locate(&path, value, problems);
+        }
+    }
+    if problems.len() == known {
+        let key = path
+            .iter()
+            .fold(SmolStr::default(), |path, key| join(&path, key));
+        problems.push(unreadable(&key, &err.to_smolstr()));
+    }
+}
+
+fn nest(path: &[&str], value: Value) -> Value {
+    path.iter()
+        .rev()
+        .fold(value, |value, key| json!({ *key: value }))
+}
+
+fn unreadable(key: &str, cause: &str) -> Problem {
+    Problem {
+        key: SmolStr::new(key),
+        fault: Fault::Unreadable {
+            cause: SmolStr::new(cause),
+        },
+    }
+}
--- /dev/null
+++ b/crates/guavacart_config/src/validate.rs
@@ -0,0 +1,297 @@
+//! The rules that every configuration in force obeys.
+
+use std::{collections::BTreeMap, fmt};
+
+use guavacart_types::{CellId, Rack, Span};
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+use thiserror::Error;
+
+use crate::configuration::{Configuration, Objectives, Service, Weights};
+
+/// Longest JSON form of a configuration; the rest of the store's 1 MiB is left to the patch ids.
+pub const MAX_CONFIGURATION_BYTES: usize = 768 << 10;
+/// The whole, in parts per million.
+const WHOLE_PPM: u32 = 1_000_000;
+/// The whole, in percent.
+const WHOLE_PERCENT: u32 = 100;
+/// Longest span that a service may name: one day.
+const LONGEST_SPAN: Span = Span::secs(86_400);
+
+/// One key of a configuration that breaks a rule.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Problem {
+    /// Path of the key, such as `services.engine.slots`.
+    pub key: SmolStr,
+    /// What is wrong with it.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; {}", self.key, self.fault, self.fault.remedy())
+    }
+}
+
+/// What is wrong with a key.
+#[derive(Clone, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// The value is below the least that is allowed.
+    #[error("{found} is below {least}")]
+    TooSmall {
+        /// The value.
+        found: u64,
+        /// The least that is allowed.
+        least: u64,
+    },
+    /// The value is above the greatest that is allowed.
+    #[error("{found} is above {greatest}")]
+    TooLarge {
+        /// The value.
+        found: u64,
+        /// The greatest that is allowed.
+        greatest: u64,
+    },
+    /// The value is not below that of another key.
+    #[error("{found} is not below {other_key}, which is {other}")]
+    NotBelow {
+        /// The value.
+        found: u64,
+        /// The other key.
+        other_key: SmolStr,
+        /// The other key's value.
+        other: u64,
+    },
+    /// The value is above that of another key.
+    #[error("{found} is above {other_key}, which is {other}")]
+    Above {
+        /// The value.
+        found: u64,
+        /// The other key.
+        other_key: SmolStr,
+        /// The other key's value.
+        other: u64,
+    },
+    /// All of several weights are zero.
+    #[error("all weights are zero")]
+    AllZero,
+    /// A cell without racks.
+    #[error("the list is empty")]
+    Empty,
+    /// A rack in more than one place.
+    #[error("rack {rack} also stands in cell {other}")]
+    RackTwice {
+        /// The rack.
+        rack: Rack,
+        /// The cell that holds it already.
+        other: CellId,
+    },
+    /// The key may not be patched.
+    #[error("is set by the system")]
+    ReadOnly,
+    /// The key or its value cannot be read.
+    #[error("cannot be read: {cause}")]
+    Unreadable {
+        /// What the decoder said.
+        cause: SmolStr,
+    },
+    /// The whole configuration is too large for the store.
+    #[error("the configuration has {found} bytes, above {greatest}")]
+    TooManyBytes {
+        /// Its length in bytes.
+        found: usize,
+        /// The greatest length in bytes.
+        greatest: usize,
+    },
+}
+
+impl Fault {
+    /// What to do about it.
+    pub fn remedy(&self) -> String {
+        match self {
+            Self::TooSmall { least, .. } => format!("give at least {least}"),
+            Self::TooLarge { greatest, .. } => format!("give at most {greatest}"),
+            Self::NotBelow { other_key, .. } => format!("lower it, or raise {other_key}"),
+            Self::Above { other_key, .. } => format!("lower it, or raise {other_key}"),
+            Self::AllZero => "give at least one of them a value above zero".to_owned(),
+            Self::Empty => "name at least one rack, or remove the cell".to_owned(),
+            Self::RackTwice { other, .. } => format!("remove it here or from cells.{other}.racks"),
+            Self::ReadOnly => "remove it from the patch and name the base instead".to_owned(),
+            Self::Unreadable { .. } => "see the configuration's keys in docs/API.md".to_owned(),
+            Self::TooManyBytes { .. } => {
+                "remove services, teams, classes or cells no longer used".to_owned()
+            }
+        }
+    }
+}
+
+/// Checks every rule and returns what breaks one.
+///
+/// # Errors
+/// All problems, in order of section and name.
+pub fn validate(configuration: &Configuration) -> Result<(), Vec<Problem>> {
+    let mut problems = Problems::default();
+    for (name, service) in &configuration.services {
+        check_service(&mut problems, &format_smolstr!("services.{name}"), service);
+    }
+    for (name, team) in &configuration.teams {
+        let key = format_smolstr!("teams.{name}.weight");
+        problems.at_least(key, u64::from(team.weight), 1);
+    }
+    for (name, rule) in &configuration.batch_classes {
+        let key = format_smolstr!("batch_classes.{name}.throttled_percent");
+        problems.at_most(key, rule.throttled_percent, WHOLE_PERCENT);
+    }
+    check_cells(&mut problems, configuration);
+    check_weights(&mut problems, &configuration.sharing.weights);
+    check_size(&mut problems, configuration);
+    if problems.0.is_empty() {
+        Ok(())
+    } else {
+        Err(problems.0)
+    }
+}
+
+#[derive(Default)]
+struct Problems(Vec<Problem>);
+
+impl Problems {
+    fn push(&mut self, key: SmolStr, fault: Fault) {
+        self.0.push(Problem { key, fault });
+    }
+
+    fn at_least(&mut self, key: SmolStr, found: u64, least: u64) {
+        if found < least {
+            self.push(key, Fault::TooSmall { found, least });
+        }
+    }
+
+    fn at_most(&mut self, key: SmolStr, found: impl Into<u64>, greatest: impl Into<u64>) {
+        let (found, greatest) = (found.into(), greatest.into());
+        if found > greatest {
+            self.push(key, Fault::TooLarge { found, greatest });
+        }
+    }
+
+    fn not_above(&mut self, key: SmolStr, found: u64, other_key: SmolStr, other: u64) {
+        if found > other {
+            let fault = Fault::Above {
+                found,
+                other_key,
+                other,
+            };
+            self.push(key, fault);
+        }
+    }
+}
+
+fn check_service(problems: &mut Problems, path: &str, service: &Service) {
+    let key = |name: &str| format_smolstr!("{path}.{name}");
+    let counts = [
+        ("slots", u64::from(service.slots)),
+        ("connections", u64::from(service.connections)),
+        ("queue_entries", u64::from(service.queue_entries)),
+        ("queue_bytes", service.queue_bytes.0),
+        ("deadline", service.deadline.0),
+        ("short_time", service.short_time.0),
+        ("long_time", service.long_time.0),
+    ];
+    for (name, found) in counts {
+        problems.at_least(key(name), found, 1);
+    }
+    if service.slots > 0 && service.short_slots >= service.slots {
+        let fault = Fault::NotBelow {
+            found: service.short_slots.into(),
+            other_key: key("slots"),
+            other: service.slots.into(),
+        };
+        problems.push(key("short_slots"), fault);
+    }
+    let orders = [
+        (
+            "slots",
+            service.slots.into(),
+            "connections",
+            service.connections.into(),
+        ),
+        (
+            "deadline",
+            service.deadline.0,
+            "longest_deadline",
+            service.longest_deadline.0,
+        ),
+        (
+            "short_time",
+            service.short_time.0,
+            "long_time",
+            service.long_time.0,
+        ),
+        (
+            "long_time",
+            service.long_time.0,
+            "longest_deadline",
+            service.longest_deadline.0,
+        ),
+    ];
+    for (name, found, other_name, other) in orders {
+        problems.not_above(key(name), found, key(other_name), other);
+    }
+    problems.at_most(
+        key("longest_deadline"),
+        service.longest_deadline.0,
+        LONGEST_SPAN.0,
+    );
+    check_objectives(problems, &key("objectives"), &service.objectives);
+}
+
+fn check_objectives(problems: &mut Problems, path: &str, objectives: &Objectives) {
+    let key = |name: &str| format_smolstr!("{path}.{name}");
+    problems.at_least(key("latency"), objectives.latency.0, 1);
+    let shares = [
+        ("availability_ppm", objectives.availability_ppm),
+        ("latency_ppm", objectives.latency_ppm),
+    ];
+    for (name, ppm) in shares {
+        problems.at_least(key(name), ppm.into(), 1);
+        problems.at_most(key(name), ppm, WHOLE_PPM - 1);
+    }
+}
+
+fn check_cells(problems: &mut Problems, configuration: &Configuration) {
+    let mut holders: BTreeMap<&Rack, &CellId> = BTreeMap::new();
+    for (id, cell) in &configuration.cells {
+        let key = format_smolstr!("cells.{id}.racks");
+        if cell.racks.is_empty() {
+            problems.push(key.clone(), Fault::Empty);
+        }
+        for rack in &cell.racks {
+            if let Some(other) = holders.insert(rack, id) {
+                let (rack, other) = (rack.clone(), other.clone());
+                problems.push(key.clone(), Fault::RackTwice { rack, other });
+            }
+        }
+    }
+}
+
+fn check_weights(problems: &mut Problems, weights: &Weights) {
+    let parts = [
+        weights.tail,
+        weights.crest,
+        weights.throughput,
+        weights.evictions,
+    ];
+    if parts.iter().all(|part| *part == 0) {
+        problems.push(SmolStr::new("sharing.weights"), Fault::AllZero);
+    }
+}
+
+fn check_size(problems: &mut Problems, configuration: &Configuration) {
+    let bytes = serde_json::to_vec(configuration)
+        .expect("a configuration has only text keys and finite numbers");
+    let (found, greatest) = (bytes.len(), MAX_CONFIGURATION_BYTES);
+    if found > greatest {
+        let fault = Fault::TooManyBytes { found, greatest };
+        problems.push(SmolStr::new("(configuration)"), fault);
+    }
+}
