--- /dev/null
+++ b/crates/guavacart_entry/src/operators.rs
@@ -0,0 +1,1 @@
+//! Handlers of the operators' calls.
