--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -5,13 +5,13 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
     thread,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use flume::Sender;
 use guavacart_config::Settings;
 use guavacart_platform::{
-    endpoint::HttpEndpoints, instance_list::HttpInstanceList, store::HttpStore,
+    HttpStore, endpoint::HttpEndpoints, instance_list::HttpInstanceList,
 };
 use guavacart_report::Recorder;
 use guavacart_scheduler::{Event, Start, State, membership::Member};
@@ -35,6 +35,10 @@
 const SOCKET_THREADS: usize = 2;
 /// Most threads that wait for the store at once.
 const BLOCKING_THREADS: usize = 32;
+/// Longest wait for an answer of the store.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the instance list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most inputs that wait for the reducer; senders wait beyond it.
 const INBOX_INPUTS: usize = 65_536;
 /// How often a free port is sought that both TCP and UDP can take.
@@ -96,7 +100,7 @@
             key: settings.access.peer_key.clone(),
         };
         let (stopped, stopped_rx) = watch::channel(false);
-        let store = HttpStore::open(settings.store);
+        let store = HttpStore::open(settings.store, STORE_TIMEOUT);
         let start = Start {
             member,
             data_centre: settings.data_centre.clone(),
@@ -111,7 +115,7 @@
                 runtime: runtime.handle().clone(),
                 inbox: inbox.clone(),
                 store: store.clone(),
-                endpoints: Arc::new(HttpEndpoints::open()),
+                endpoints: HttpEndpoints::open(),
                 links: links.clone(),
                 heartbeats,
                 metrics: metrics.clone(),
@@ -286,7 +290,7 @@
     addresses: Addresses,
     inbox: Sender<Input>,
 ) -> Result<(), EntryError> {
-    let list = HttpInstanceList::open(settings.instance_list);
+    let list = HttpInstanceList::open(settings.instance_list, LIST_TIMEOUT);
     spawn_thread("instance-list", move || {
         listing::poll(&list, &addresses, &inbox);
     })?;
--- a/crates/guavacart_entry/src/front.rs
+++ b/crates/guavacart_entry/src/front.rs
@@ -16,7 +16,7 @@
 
 use flume::Sender;
 use guavacart_config::{Access, Limits};
-use guavacart_platform::store::HttpStore;
+use guavacart_platform::HttpStore;
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
--- a/crates/guavacart_entry/src/lib.rs
+++ b/crates/guavacart_entry/src/lib.rs
@@ -13,7 +13,7 @@
 mod links;
 mod listing;
 mod metrics;
-mod operators;
+pub mod operators;
 mod runner;
 mod status;
 mod view_store;
--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -3,8 +3,6 @@
 mod config;
 mod requests;
 
-use std::sync::Arc;
-
 use flume::Sender;
 use guavacart_config::Configuration;
 use guavacart_platform::{endpoint::HttpEndpoints, store::Store};
@@ -29,7 +27,7 @@
     pub(crate) runtime: tokio::runtime::Handle,
     pub(crate) inbox: Sender<Input>,
     pub(crate) store: S,
-    pub(crate) endpoints: Arc<HttpEndpoints>,
+    pub(crate) endpoints: HttpEndpoints,
     pub(crate) links: Links,
     pub(crate) heartbeats: HeartbeatSender,
     pub(crate) metrics: Metrics,
--- a/crates/guavacart_entry/src/runner/requests.rs
+++ b/crates/guavacart_entry/src/runner/requests.rs
@@ -1,15 +1,15 @@
 //! Sends requests to endpoints and peers, and hands outcomes to whoever waits.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use guavacart_platform::{
-    endpoint::{EndpointAnswer, EndpointError, Endpoints, Run},
+    endpoint::{Dispatch, EndpointAnswer, EndpointError, Endpoints},
     store::Store,
 };
 use guavacart_scheduler::{
     Event,
     membership::Load,
-    request::{Body, Counted, DispatchEnd, RequestEffect, RequestEvent},
+    request::{Body, Counted, DispatchEnd, EndpointReport, RequestEffect, RequestEvent},
 };
 use guavacart_types::{CallId, DispatchId, EndpointId, Outcome, Reason};
 use guavacart_wire::{Frame, OutcomeWire};
@@ -21,6 +21,9 @@
     core::Input,
 };
 
+/// Longest wait for an endpoint to say what it runs.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl<S: Store> Runner<S> {
     pub(super) fn run_request(&mut self, effect: RequestEffect, load: impl Fn() -> Load) {
         match effect {
@@ -63,30 +66,36 @@
             return;
         };
         let Some(body) = self.calls.body(call).cloned() else {
-            self.dispatched(dispatch, Err(EndpointError::NotSent));
-            return;
+            return self.unsent(dispatch);
         };
         let clock = self.clock;
         let endpoints = self.endpoints.clone();
         let inbox = self.inbox.clone();
         self.runtime.spawn(async move {
-            let run = Run {
-                address,
+            let request = Dispatch {
                 id,
                 content_type: body.content_type,
                 body: body.bytes,
                 connections,
                 timeout: timeout.into(),
             };
-            let result = endpoints.run(run, || clock.now() < valid_until).await;
+            let result = endpoints
+                .run(address, request, || clock.now() < valid_until)
+                .await;
             // A closed inbox means that the process is ending.
             let _ = inbox.send(dispatched(dispatch, result));
         });
     }
 
-    fn dispatched(&self, dispatch: DispatchId, result: Result<EndpointAnswer, EndpointError>) {
+    /// Ends a dispatch whose call ended first.
+    fn unsent(&self, dispatch: DispatchId) {
+        let ended = Input::Dispatched {
+            dispatch,
+            end: DispatchEnd::NotSent,
+            answer: None,
+        };
         // A closed inbox means that the process is ending.
-        let _ = self.inbox.send(dispatched(dispatch, result));
+        let _ = self.inbox.send(ended);
     }
 
     fn probe(&self, endpoint: EndpointId, address: SocketAddr) {
@@ -94,11 +103,14 @@
         let endpoints = self.endpoints.clone();
         let inbox = self.inbox.clone();
         self.runtime.spawn(async move {
-            let report = endpoints.health(address).await.ok();
+            let report = endpoints.health(address, PROBE_TIMEOUT).await.ok();
             let probed = RequestEvent::Probed {
                 endpoint,
                 asked_at,
-                report: report.map(Into::into),
+                report: report.map(|health| EndpointReport {
+                    busy: health.busy,
+                    leaving: health.leaving,
+                }),
             };
             let _ = inbox.send(Input::Event(Event::Request(probed)));
         });
@@ -145,10 +157,10 @@
     let (end, answer) = match result {
         Ok(answer) if answer.status >= 500 => (DispatchEnd::Failed, Some(answer)),
         Ok(answer) => (DispatchEnd::Answered, Some(answer)),
-        Err(EndpointError::NotSent) => (DispatchEnd::NotSent, None),
-        Err(EndpointError::Busy) => (DispatchEnd::Busy, None),
-        Err(EndpointError::Leaving) => (DispatchEnd::Leaving, None),
-        Err(_) => (DispatchEnd::Broken, None),
+        Err(EndpointError::NotSent { .. }) => (DispatchEnd::NotSent, None),
+        Err(EndpointError::Busy { .. }) => (DispatchEnd::Busy, None),
+        Err(EndpointError::Leaving { .. }) => (DispatchEnd::Leaving, None),
+        Err(EndpointError::Broken { .. }) => (DispatchEnd::Broken, None),
     };
     Input::Dispatched {
         dispatch,
