--- /dev/null
+++ b/crates/guavacart/src/config.rs
@@ -0,0 +1,149 @@
+//! `guavacart config`: shows, compares and awaits configurations.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use getopts::{Matches, Options};
+use guavacart_config::Change;
+use guavacart_types::{ConfigNumber, Span};
+use serde::Deserialize;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::{
+    cli::{print_json, print_line},
+    client::Client,
+    command::{Command, arguments, client, client_options, parse},
+    exit::Failure,
+};
+
+pub(crate) const SHOW: Command = Command {
+    name: "config show",
+    arguments: "[--version N]",
+    summary: "Print the configuration in force, or an earlier one",
+    options: show_options,
+    takes_version: true,
+    run: show,
+};
+
+pub(crate) const DIFF: Command = Command {
+    name: "config diff",
+    arguments: "A B",
+    summary: "Print the keys that differ between two configurations",
+    options: client_options,
+    takes_version: false,
+    run: diff,
+};
+
+pub(crate) const WAIT: Command = Command {
+    name: "config wait",
+    arguments: "N [--timeout 8s]",
+    summary: "Wait until configuration N or a later one is in force at every live instance",
+    options: wait_options,
+    takes_version: false,
+    run: wait,
+};
+
+/// How long `config wait` waits when the command line names no span.
+const DEFAULT_WAIT: Span = Span::secs(8);
+/// Pause between two questions.
+const POLL: Duration = Duration::from_millis(200);
+
+/// The answer of `GET /v1/config/instances`.
+#[derive(Deserialize)]
+struct Instances {
+    instances: Vec<InstanceNumber>,
+}
+
+#[derive(Deserialize)]
+struct InstanceNumber {
+    id: SmolStr,
+    number: Option<ConfigNumber>,
+}
+
+#[derive(Deserialize)]
+struct Differences {
+    changes: Vec<Change>,
+}
+
+fn show_options(options: &mut Options) {
+    client_options(options);
+    options.optflagopt(
+        "V",
+        "version",
+        "number of an earlier configuration; without N, print the program's version",
+        "N",
+    );
+}
+
+fn wait_options(options: &mut Options) {
+    client_options(options);
+    options.optopt("t", "timeout", "longest wait, such as 8s", "SPAN");
+}
+
+fn show(matches: &Matches) -> Result<(), Failure> {
+    let [] = arguments(matches, "no arguments")?;
+    let path = match matches.opt_str("version") {
+        Some(text) => {
+            let number: ConfigNumber = parse("--version", &text)?;
+            format!("/v1/config/versions/{number}")
+        }
+        None => "/v1/config".to_owned(),
+    };
+    print_json(&client(matches)?.get(&path)?.success()?)
+}
+
+fn diff(matches: &Matches) -> Result<(), Failure> {
+    let [from, to] = arguments(matches, "two numbers")?;
+    let from: ConfigNumber = parse("A", from)?;
+    let to: ConfigNumber = parse("B", to)?;
+    let path = format!("/v1/config/diff?from={from}&to={to}");
+    let body = client(matches)?.get(&path)?.success()?;
+    let differences: Differences = decoded(body)?;
+    for change in &differences.changes {
+        print_line(&change.to_string())?;
+    }
+    Ok(())
+}
+
+fn wait(matches: &Matches) -> Result<(), Failure> {
+    let [number] = arguments(matches, "one number")?;
+    let number: ConfigNumber = parse("N", number)?;
+    let timeout = match matches.opt_str("timeout") {
+        Some(text) => parse("--timeout", &text)?,
+        None => DEFAULT_WAIT,
+    };
+    let client = client(matches)?;
+    let begun = Instant::now();
+    loop {
+        let missing = behind(&client, number);
+        if let Ok(ids) = &missing
+            && ids.is_empty()
+        {
+            return print_line(&format!("{number} is in force at every live instance"));
+        }
+        if begun.elapsed() >= Duration::from(timeout) {
+            let ids = missing?.join(", ");
+            let text = format_smolstr!("{number} is not in force after {timeout} at: {ids}");
+            return Err(Failure::TimedOut(text));
+        }
+        thread::sleep(POLL);
+    }
+}
+
+/// The live instances that are not yet at `number`, or do not say.
+fn behind(client: &Client, number: ConfigNumber) -> Result<Vec<String>, Failure> {
+    let body = client.get("/v1/config/instances")?.success()?;
+    let answer: Instances = decoded(body)?;
+    let behind = answer
+        .instances
+        .into_iter()
+        .filter(|instance| instance.number.is_none_or(|at| at < number));
+    Ok(behind.map(|instance| instance.id.to_string()).collect())
+}
+
+fn decoded<T: serde::de::DeserializeOwned>(body: serde_json::Value) -> Result<T, Failure> {
+    serde_json::from_value(body)
+        .map_err(|err| Failure::Unavailable(format_smolstr!("the answer cannot be read: {err}")))
+}
--- a/crates/guavacart/src/main.rs
+++ b/crates/guavacart/src/main.rs
@@ -1,2 +1,23 @@
 //! The guavacart command.
-fn main() {}
+
+mod check;
+mod cli;
+mod client;
+mod command;
+mod config;
+mod exit;
+mod jobs;
+mod patch;
+mod serve;
+mod settings_file;
+mod status;
+
+use std::{env, process::ExitCode};
+
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().skip(1).collect();
+    match cli::run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => failure.report(),
+    }
+}
