--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -10,9 +10,7 @@
 
 use flume::Sender;
 use guavacart_config::Settings;
-use guavacart_platform::{
-    HttpStore, endpoint::HttpEndpoints, instance_list::HttpInstanceList,
-};
+use guavacart_platform::{HttpStore, endpoint::HttpEndpoints, instance_list::HttpInstanceList};
 use guavacart_report::Recorder;
 use guavacart_scheduler::{Event, Start, State, membership::Member};
 use guavacart_types::Incarnation;
--- /dev/null
+++ b/crates/guavacart_entry/tests/front.rs
@@ -0,0 +1,147 @@
+//! The callers' listener against malformed, hostile and slow callers.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use guavacart_config::{Access, Limits, Secret, Settings};
+use guavacart_entry::Entry;
+use guavacart_types::{ByteSize, Span};
+
+/// Longest wait for an answer before a test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An address where nothing listens.
+const NOWHERE: ([u8; 4], u16) = ([127, 0, 0, 1], 1);
+
+fn settings() -> Settings {
+    let mut access = Access {
+        peer_key: Secret::new("0123456789abcdef0123456789abcdef"),
+        ..Access::default()
+    };
+    let team = "north".parse().unwrap();
+    access.teams.insert(team, Secret::new("the team's token"));
+    Settings {
+        instance: "e1".parse().unwrap(),
+        data_centre: "dc1".parse().unwrap(),
+        callers: ([127, 0, 0, 1], 0).into(),
+        peers: ([127, 0, 0, 1], 0).into(),
+        store: NOWHERE.into(),
+        instance_list: NOWHERE.into(),
+        limits: Limits {
+            head: ByteSize::kib(8),
+            body: ByteSize::kib(4),
+            connections: 20,
+            head_time: Span::millis(300),
+            body_time: Span::millis(300),
+        },
+        access,
+        linger: Span::ZERO,
+        metrics: None,
+    }
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// Sends bytes and reads until the listener closes.
+fn exchange(address: SocketAddr, request: &[u8]) -> String {
+    let mut stream = connect(address);
+    // The listener may close before it has read all that is sent.
+    let _ = stream.write_all(request);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("closed")
+}
+
+fn request(headers: &str, body: &str) -> String {
+    let len = body.len();
+    format!(
+        "POST /v1/services/engine HTTP/1.1\r\nHost: e1\r\nConnection: close\r\n{headers}Content-Length: {len}\r\n\r\n{body}"
+    )
+}
+
+fn is_unharmed(address: SocketAddr) -> bool {
+    let health = "GET /v1/health HTTP/1.1\r\nHost: e1\r\nConnection: close\r\n\r\n";
+    status(&exchange(address, health.as_bytes())) == "200"
+}
+
+const WHO: &str = "Guavacart-Team: north\r\nAuthorization: Bearer the team's token\r\n";
+const ID: &str = "Guavacart-Request-Id: r1\r\n";
+
+macro_rules! answered {
+    ($($name:ident: $request:expr => $status:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let entry = Entry::spawn(settings()).unwrap();
+            let answer = exchange(entry.callers(), $request.as_bytes());
+            assert_eq!(status(&answer), $status, "{answer}");
+            assert!(is_unharmed(entry.callers()));
+        }
+    )*};
+}
+
+answered! {
+    a_request_without_an_endpoint_is_not_run: request(&format!("{WHO}{ID}"), "draft") => "503";
+    a_missing_team_is_named: request(ID, "draft") => "400";
+    a_missing_request_id_is_named: request(WHO, "draft") => "400";
+    a_wrong_request_id_is_named:
+        request(&format!("{WHO}Guavacart-Request-Id: a b\r\n"), "draft") => "400";
+    a_wrong_class_is_named:
+        request(&format!("{WHO}{ID}Guavacart-Class: huge\r\n"), "draft") => "400";
+    a_wrong_deadline_is_named:
+        request(&format!("{WHO}{ID}Guavacart-Deadline-Ms: soon\r\n"), "draft") => "400";
+    a_wrong_token_is_refused:
+        request(&format!("Guavacart-Team: north\r\nAuthorization: Bearer guess\r\n{ID}"), "draft")
+            => "401";
+    an_unknown_team_is_refused:
+        request(&format!("Guavacart-Team: south\r\nAuthorization: Bearer the team's token\r\n{ID}"), "draft")
+            => "401";
+    a_body_over_the_limit_is_refused:
+        request(&format!("{WHO}{ID}"), &"x".repeat(5_000)) => "413";
+    an_unknown_path_is_not_found:
+        "GET /nothing HTTP/1.1\r\nHost: e1\r\nConnection: close\r\n\r\n" => "404";
+    a_wrong_method_is_named:
+        "GET /v1/services/engine HTTP/1.1\r\nHost: e1\r\nConnection: close\r\n\r\n" => "405";
+    two_different_lengths_are_refused:
+        format!("POST /v1/services/engine HTTP/1.1\r\nHost: e1\r\n{WHO}{ID}Content-Length: 5\r\nContent-Length: 6\r\n\r\ndraft")
+            => "400";
+    a_head_over_the_limit_is_refused:
+        request(&format!("{WHO}{ID}X: {}\r\n", "x".repeat(16 << 10)), "draft") => "431";
+    what_is_not_http_is_refused: "HELLO\r\n\r\n" => "400";
+    a_body_that_never_comes_is_given_up:
+        format!("POST /v1/services/engine HTTP/1.1\r\nHost: e1\r\nConnection: close\r\n{WHO}{ID}Content-Length: 5\r\n\r\ndr")
+            => "408";
+    a_head_that_never_ends_is_given_up: "POST /v1/services/engine HTTP/1.1\r\nHost: e1\r\n"
+            => "closed";
+}
+
+#[test]
+fn half_open_connections_do_not_keep_others_out() {
+    let entry = Entry::spawn(settings()).unwrap();
+    let silent: Vec<TcpStream> = (0..40).map(|_| connect(entry.callers())).collect();
+    assert!(is_unharmed(entry.callers()));
+    drop(silent);
+}
+
+#[test]
+fn a_head_of_64_mebibytes_is_not_taken_in() {
+    let entry = Entry::spawn(settings()).unwrap();
+    let mut stream = connect(entry.callers());
+    stream.write_all(b"GET /v1/health HTTP/1.1\r\nX: ").unwrap();
+    let chunk = vec![b'x'; 1 << 20];
+    let taken = (0..64)
+        .take_while(|_| stream.write_all(&chunk).is_ok())
+        .count();
+    assert!(taken < 64, "the listener read the whole head");
+    assert!(is_unharmed(entry.callers()));
+}
