--- a/crates/guavacart_config/src/lib.rs
+++ b/crates/guavacart_config/src/lib.rs
@@ -17,7 +17,7 @@
 pub use diff::{Change, diff};
 pub use options::{SettingsError, SettingsOptions};
 pub use patch::{Patch, PatchError};
-pub use record::{Accepted, ConfigRecord, RECORD_KEY, RecordError};
+pub use record::{Accepted, CONFIG_KEY, ConfigRecord, RecordError};
 pub use section::Environment;
 pub use settings::{Access, Limits, Secret, Settings};
 pub use validate::{Fault, MAX_CONFIGURATION_BYTES, Problem, validate};
--- a/crates/guavacart_config/src/record.rs
+++ b/crates/guavacart_config/src/record.rs
@@ -15,7 +15,7 @@
 };
 
 /// Key of the record in the store.
-pub const RECORD_KEY: &str = "config/current";
+pub const CONFIG_KEY: &str = "config/current";
 /// Longest record, in bytes: the longest value that the store takes.
 const MAX_RECORD_BYTES: usize = 1 << 20;
 /// Most earlier configurations kept.
@@ -27,7 +27,8 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigRecord {
-    current: Configuration,
+    /// The configuration in force.
+    pub current: Configuration,
     /// Earlier configurations, oldest first.
     versions: VecDeque<Configuration>,
     /// Accepted patches, oldest first.
@@ -55,19 +56,19 @@
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum RecordError {
     /// The bytes cannot be read.
-    #[error("{RECORD_KEY} cannot be read: {cause}")]
+    #[error("{CONFIG_KEY} cannot be read: {cause}")]
     Unreadable {
         /// What the decoder said.
         cause: SmolStr,
     },
     /// The record's configuration breaks a rule.
-    #[error("{RECORD_KEY} holds a configuration that breaks {} rules", problems.len())]
+    #[error("{CONFIG_KEY} holds a configuration that breaks {} rules", problems.len())]
     Invalid {
         /// Each key with its fault.
         problems: Vec<Problem>,
     },
     /// The record's numbers are out of order.
-    #[error("{RECORD_KEY} holds number {found} after {before}")]
+    #[error("{CONFIG_KEY} holds number {found} after {before}")]
     Order {
         /// The number that is too low.
         found: ConfigNumber,
@@ -77,11 +78,6 @@
 }
 
 impl ConfigRecord {
-    /// The configuration in force.
-    pub fn current(&self) -> &Configuration {
-        &self.current
-    }
-
     /// A configuration by its number; none if it is no longer kept or not yet made.
     pub fn version(&self, number: ConfigNumber) -> Option<&Configuration> {
         if number == self.current.number {
