--- a/crates/guavacart_report/src/lib.rs
+++ b/crates/guavacart_report/src/lib.rs
@@ -1,31 +1,23 @@
-//! Service-level burn.
+//! Service-level burn: recorded in memory at each instance, reported for the whole deployment.
+//!
+//! Abandoned, late and refused requests burn the budget as failed ones do.
 
-use guavacart_types::{Outcome, ServiceName, Span, TeamName, Timestamp};
+mod counts;
+mod json;
+mod latencies;
+mod recorder;
+mod report;
+mod snapshot;
+mod svg;
+mod text;
+mod window;
 
-/// Counts.
-#[derive(Debug)]
-pub struct Recorder;
-
-impl Recorder {
-    /// Starts.
-    pub fn start(_now: Timestamp) -> Self {
-        Self
-    }
-
-    /// Records.
-    pub fn record(
-        &mut self,
-        _now: Timestamp,
-        _service: &ServiceName,
-        _team: &TeamName,
-        _outcome: Outcome,
-        _latency: Span,
-        _abandoned: bool,
-    ) {
-    }
-
-    /// Snapshot.
-    pub fn snapshot(&mut self, _now: Timestamp) -> u32 {
-        0
-    }
-}
+pub use counts::Counts;
+pub use json::{ReportError, read, write};
+pub use latencies::Latencies;
+pub use recorder::Recorder;
+pub use report::{Alarm, Burn, Objective, Report, ReportedInstance, Row, WindowBurn};
+pub use snapshot::{Series, Snapshot, WindowCounts};
+pub use svg::{SvgError, draw};
+pub use text::table;
+pub use window::{Window, WindowScale};
