--- a/crates/guavacart_entry/src/runner/config.rs
+++ b/crates/guavacart_entry/src/runner/config.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use flume::Sender;
-use guavacart_config::{ConfigRecord, Configuration, RECORD_KEY};
+use guavacart_config::{CONFIG_KEY, ConfigRecord, Configuration};
 use guavacart_platform::store::Store;
 use guavacart_scheduler::{
     Event,
@@ -54,7 +54,7 @@
 }
 
 fn read_store<S: Store>(store: &S) -> ConfigEvent {
-    let record = match store.get(RECORD_KEY) {
+    let record = match store.get(CONFIG_KEY) {
         Ok(Some(record)) => record,
         Ok(None) => return ConfigEvent::Unchanged,
         Err(err) => {
@@ -63,7 +63,7 @@
         }
     };
     match ConfigRecord::decode(&record.value) {
-        Ok(record) => ConfigEvent::Read(Box::new(record.current().clone())),
+        Ok(record) => ConfigEvent::Read(Box::new(record.current)),
         Err(err) => {
             warn!(event = "config_damaged", error = %err, "the configuration's record cannot be used");
             ConfigEvent::Unchanged
