Add the core of batch work: cells, journals, placement and worker leases

Change: one cell is read, taken over under a higher epoch, and worked: jobs are admitted, tasks placed, attempts started, stopped, ended and lapsed, each told to a worker or submitter only after its record is committed.

--- /dev/null
+++ b/crates/guavacart_scheduler/src/batch/cell/answer.rs
@@ -0,0 +1,218 @@
+//! Submitters' calls to the cell.
+
+use guavacart_types::{JobId, Resources, TeamName};
+use smol_str::ToSmolStr;
+
+use super::{Cell, Io, Phase, reply};
+use crate::{
+    Cx,
+    batch::{
+        call::{
+            Asker, JobCall, JobReply, JobStatus, JobSummary, NotAccepted, RejectReason, TaskStatus,
+        },
+        decision::Decision,
+        job::{Job, JobSpec, MAX_PAYLOAD_BYTES, MAX_TASKS_PER_JOB, TaskState},
+        journal::Change,
+        ledger::counts,
+        quota,
+    },
+};
+
+/// Most tasks that wait or hold a place in one cell.
+const MAX_LIVE_TASKS: usize = 20_000;
+/// Most tasks that one status names.
+const MAX_STATUS_TASKS: usize = 100;
+
+impl Cell {
+    /// Answers a call, at once or when what it decides is durable.
+    pub(in crate::batch) fn call(
+        &mut self,
+        cx: &Cx<'_>,
+        io: &mut Io<'_>,
+        asker: Asker,
+        call: JobCall,
+    ) {
+        if let Some(reason) = self.unready(cx) {
+            reply(io, asker, JobReply::NotAccepted(reason));
+            return;
+        }
+        let answer = match call {
+            JobCall::Submit(spec) => self.submit(cx, *spec),
+            JobCall::Query(id) => self.status(&id),
+            JobCall::Cancel(ids) => self.cancel(cx, &ids),
+            JobCall::List(team) => self.list(team.as_ref()),
+        };
+        match answer {
+            JobReply::Rejected(_) | JobReply::NotAccepted(_) => reply(io, asker, answer),
+            _ => self.hold(cx, io, asker, answer),
+        }
+        self.act(cx, io);
+    }
+
+    fn unready(&self, cx: &Cx<'_>) -> Option<NotAccepted> {
+        if self.stopped.is_some() {
+            return Some(NotAccepted::CellStopped);
+        }
+        let acting = self.phase == Phase::Acting && cx.membership.may_act(cx.now);
+        (!acting).then_some(NotAccepted::NoOwner)
+    }
+
+    fn submit(&mut self, cx: &Cx<'_>, spec: JobSpec) -> JobReply {
+        if let Some(job) = self.ledger.jobs.get(&spec.id) {
+            return match job.spec == spec {
+                true => JobReply::Accepted(summary(job)),
+                false => JobReply::Conflict(spec.id),
+            };
+        }
+        if let Some(reason) = reject(cx, self, &spec) {
+            return JobReply::Rejected(reason);
+        }
+        if self.is_store_out(cx.now) || cx.stopping {
+            return JobReply::NotAccepted(NotAccepted::StoreUnavailable);
+        }
+        if self.ledger.live_tasks + spec.tasks as usize > MAX_LIVE_TASKS {
+            return JobReply::NotAccepted(NotAccepted::CellFull);
+        }
+        let id = spec.id.clone();
+        self.decide(Change::Admitted(Box::new(spec)));
+        self.dirty = true;
+        match self.ledger.jobs.get(&id) {
+            Some(job) => JobReply::Accepted(summary(job)),
+            None => JobReply::Unknown,
+        }
+    }
+
+    fn cancel(&mut self, cx: &Cx<'_>, ids: &[JobId]) -> JobReply {
+        let open = |job: &Job| !job.cancelled && job.ended.is_none();
+        let known = ids.iter().filter_map(|id| self.ledger.jobs.get(id));
+        let needs_record = known.into_iter().any(open);
+        if needs_record && self.is_store_out(cx.now) {
+            return JobReply::NotAccepted(NotAccepted::StoreUnavailable);
+        }
+        for id in ids {
+            if self.ledger.jobs.get(id).is_some_and(open) {
+                self.decide(Change::Cancelled(id.clone()));
+                self.mark_cancelled(id);
+            }
+        }
+        let known = ids.iter().filter_map(|id| self.ledger.jobs.get(id));
+        JobReply::Cancelled(known.map(summary).collect())
+    }
+
+    /// Tells workers to stop the attempts of a cancelled job once that is durable.
+    fn mark_cancelled(&mut self, id: &JobId) {
+        let decided = self.journal.decided;
+        self.waiting.remove(id);
+        let tracked = self.links.values_mut().flat_map(|l| l.tracked.iter_mut());
+        for (_, tracked) in tracked.filter(|(attempt, _)| attempt.task.job == *id) {
+            tracked.stop.get_or_insert(decided);
+        }
+        self.dirty = true;
+    }
+
+    fn list(&self, team: Option<&TeamName>) -> JobReply {
+        let jobs = self.ledger.jobs.values();
+        let jobs = jobs.filter(|job| team.is_none_or(|team| job.spec.team == *team));
+        JobReply::Listing(jobs.map(summary).collect())
+    }
+
+    fn status(&self, id: &JobId) -> JobReply {
+        let Some(job) = self.ledger.jobs.get(id) else {
+            return JobReply::NotFound(id.clone());
+        };
+        let open = (0..).zip(&job.tasks);
+        let open = open.filter(|(_, task)| task.state != TaskState::Finished);
+        let tasks = open.take(MAX_STATUS_TASKS).map(|(index, task)| {
+            let worker = match &task.state {
+                TaskState::Placed { worker, .. } => Some(worker.clone()),
+                _ => None,
+            };
+            TaskStatus {
+                index,
+                attempt: task.attempt,
+                worker,
+                decision: self.explain(job, index),
+            }
+        });
+        JobReply::Status(Box::new(JobStatus {
+            summary: summary(job),
+            cell: self.id.clone(),
+            tasks: tasks.collect(),
+        }))
+    }
+
+    /// The last decision about a task, in words.
+    fn explain(&self, job: &Job, index: u32) -> smol_str::SmolStr {
+        let id = job.task_id(index);
+        let decided = self.decisions.get(&id);
+        match &job.tasks[index as usize].state {
+            TaskState::Queued => {
+                let waiting = self.waiting.get(&job.spec.id);
+                waiting
+                    .or(decided)
+                    .unwrap_or(&Decision::WaitsForTurn)
+                    .to_smolstr()
+            }
+            TaskState::Placed { worker, .. } => decided.map_or_else(
+                || smol_str::format_smolstr!("placed on {worker} under an earlier owner"),
+                |decision| decision.to_smolstr(),
+            ),
+            TaskState::Finished => "finished".into(),
+            TaskState::Cancelled => "cancelled with its job".into(),
+            TaskState::Parked(reason) => reason.to_smolstr(),
+            TaskState::HandedOff { to, .. } => smol_str::format_smolstr!("held by cell {to}"),
+        }
+    }
+}
+
+/// A job in short.
+fn summary(job: &Job) -> JobSummary {
+    JobSummary {
+        id: job.spec.id.clone(),
+        team: job.spec.team.clone(),
+        priority: job.spec.priority,
+        cancelled: job.cancelled,
+        counts: counts(job),
+    }
+}
+
+/// Why the job can never run as it is.
+fn reject(cx: &Cx<'_>, cell: &Cell, spec: &JobSpec) -> Option<RejectReason> {
+    if spec.tasks == 0 || spec.tasks > MAX_TASKS_PER_JOB {
+        let limit = MAX_TASKS_PER_JOB;
+        return Some(RejectReason::Tasks { limit });
+    }
+    if spec.payload.len() > MAX_PAYLOAD_BYTES {
+        let limit = MAX_PAYLOAD_BYTES as u32;
+        return Some(RejectReason::Payload { limit });
+    }
+    if !cx.configuration.teams.contains_key(&spec.team) {
+        return Some(RejectReason::UnknownTeam);
+    }
+    let quota = quota::slice(cx.configuration, &cell.id, &spec.team);
+    if let Some(quota) = quota.filter(|quota| !spec.resources.fits_in(quota)) {
+        return Some(RejectReason::OverQuota { quota });
+    }
+    let listed = cell.listed(cx);
+    if listed.is_empty()
+        || listed
+            .iter()
+            .any(|(_, w)| spec.resources.fits_in(&w.capacity))
+    {
+        return None;
+    }
+    let largest = listed.iter().map(|(_, w)| w.capacity);
+    let largest = largest.max_by_key(|c: &Resources| fitting_parts(c, &spec.resources))?;
+    Some(RejectReason::TooLarge { largest })
+}
+
+/// Order of shapes by how near they come to holding `wanted`.
+fn fitting_parts(capacity: &Resources, wanted: &Resources) -> (usize, u64, u64) {
+    let parts = [
+        wanted.processors <= capacity.processors,
+        wanted.memory <= capacity.memory,
+        wanted.accelerators <= capacity.accelerators,
+    ];
+    let count = parts.into_iter().filter(|fits| *fits).count();
+    (count, capacity.processors.0, capacity.memory.0)
+}
--- /dev/null
+++ b/crates/guavacart_scheduler/src/batch/cell/sync.rs
@@ -0,0 +1,334 @@
+//! Calls to workers, their reports and leases that lapsed.
+
+use guavacart_types::{Timestamp, WorkerId};
+
+use super::{Cell, Io};
+use crate::{
+    Cx,
+    batch::{
+        BatchEffect,
+        decision::Decision,
+        job::{AttemptEnd, StopReason},
+        journal::Change,
+        link::{LEASE, Link, Tracked},
+        worker::{AttemptId, AttemptState, WorkerAnswer, WorkerCommand, WorkerReport, WorkerSync},
+    },
+};
+
+/// Most commands in one call.
+const MAX_COMMANDS: usize = 500;
+
+impl Cell {
+    /// Calls every worker that is due.
+    pub(super) fn sync_workers(&mut self, cx: &Cx<'_>, io: &mut Io<'_>) {
+        let Some(valid_until) = cx.membership.right_until(cx.now) else {
+            return;
+        };
+        for (worker, listed) in self.listed(cx) {
+            let owned_since = self.owned_since;
+            let link = self.links.entry(worker.clone());
+            let link = link.or_insert_with(|| Link::new(owned_since));
+            if !link.is_due(cx.now) {
+                continue;
+            }
+            let sync = io.next();
+            let call = self.sync_call(worker);
+            let grants = call.grants();
+            if let Some(link) = self.links.get_mut(worker) {
+                link.called(cx.now, sync, grants);
+            }
+            io.emit(BatchEffect::Sync {
+                cell: self.id.clone(),
+                worker: worker.clone(),
+                address: listed.address,
+                sync,
+                call: Box::new(call),
+                valid_until,
+            });
+        }
+    }
+
+    fn sync_call(&mut self, worker: &WorkerId) -> WorkerSync {
+        let mut call = WorkerSync {
+            epoch: self.epoch,
+            renew: Vec::new(),
+            lease: LEASE,
+            commands: Vec::new(),
+        };
+        let Some(link) = self.links.get(worker) else {
+            return call;
+        };
+        let durable = self.journal.durable;
+        let ended = link.ended.iter().filter(|(_, at)| **at <= durable);
+        let acknowledge = ended.map(|(id, _)| WorkerCommand::Acknowledge(id.clone()));
+        call.commands.extend(acknowledge);
+        let stray = link.strays.iter().map(|id| WorkerCommand::Stop {
+            id: id.clone(),
+            checkpoint: false,
+        });
+        call.commands.extend(stray);
+        let mut throttled = Vec::new();
+        for (id, tracked) in &link.tracked {
+            if call.commands.len() >= MAX_COMMANDS {
+                break;
+            }
+            self.tell(&mut call, link, id, tracked);
+            if tracked.throttle != tracked.throttle_sent {
+                throttled.push(id.clone());
+            }
+        }
+        if let Some(link) = self.links.get_mut(worker) {
+            for id in throttled {
+                if let Some(tracked) = link.tracked.get_mut(&id) {
+                    tracked.throttle_sent = tracked.throttle;
+                }
+            }
+        }
+        call
+    }
+
+    fn tell(&self, call: &mut WorkerSync, link: &Link, id: &AttemptId, tracked: &Tracked) {
+        let durable = self.journal.durable;
+        if tracked.durable > durable {
+            return;
+        }
+        let seen = tracked.seen_at.is_some();
+        if seen && link.may_grant() {
+            call.renew.push(id.clone());
+        }
+        if tracked.stop.is_some_and(|at| at <= durable) {
+            let place = self.ledger.place_of(&id.task, id.attempt);
+            let reason = place.and_then(|(_, reason)| reason);
+            call.commands.push(WorkerCommand::Stop {
+                id: id.clone(),
+                checkpoint: reason != Some(StopReason::Cancelled),
+            });
+        } else if !seen && link.may_grant() {
+            call.commands.extend(self.start(id));
+        } else if let Some(percent) = tracked.throttle
+            && tracked.throttle != tracked.throttle_sent
+        {
+            let id = id.clone();
+            call.commands.push(WorkerCommand::Throttle { id, percent });
+        }
+    }
+
+    fn start(&self, id: &AttemptId) -> Option<WorkerCommand> {
+        let job = self.ledger.jobs.get(&id.task.job)?;
+        let task = self.ledger.task(&id.task)?;
+        Some(WorkerCommand::Start {
+            id: id.clone(),
+            class: job.spec.class.clone(),
+            resources: job.spec.resources,
+            run_time: job.spec.run_time,
+            payload: job.spec.payload.clone(),
+            checkpoint: task.checkpoint.clone(),
+            lease: LEASE,
+        })
+    }
+
+    /// Brings calls forward to workers that are to be told something.
+    pub(super) fn hurry_workers(&mut self, now: Timestamp) {
+        let durable = self.journal.durable;
+        for link in self.links.values_mut() {
+            let untold = |t: &Tracked| {
+                t.durable <= durable
+                    && (t.seen_at.is_none() || t.stop.is_some_and(|at| at <= durable))
+            };
+            let acknowledgeable = link.ended.values().any(|at| *at <= durable);
+            if acknowledgeable || link.tracked.values().any(untold) {
+                link.hurry(now);
+            }
+        }
+    }
+
+    /// Takes in a worker's answer.
+    pub(in crate::batch) fn worker_answered(
+        &mut self,
+        cx: &Cx<'_>,
+        io: &mut Io<'_>,
+        report: WorkerReport,
+    ) {
+        let WorkerReport {
+            worker,
+            sync,
+            answer,
+        } = report;
+        let Some(link) = self.links.get_mut(&worker) else {
+            return;
+        };
+        let Some(call) = link.returned(sync) else {
+            return;
+        };
+        match answer {
+            WorkerAnswer::Report { attempts, usage } => {
+                link.answered(cx.now);
+                link.usage = usage;
+                self.reported(cx, &worker, attempts);
+            }
+            WorkerAnswer::NotSent => {}
+            WorkerAnswer::Deposed(_) | WorkerAnswer::Unknown => link.unanswered(call),
+        }
+        self.act(cx, io);
+    }
+
+    fn reported(
+        &mut self,
+        cx: &Cx<'_>,
+        worker: &WorkerId,
+        attempts: Vec<(AttemptId, AttemptState)>,
+    ) {
+        let listed: std::collections::BTreeSet<AttemptId> =
+            attempts.iter().map(|(id, _)| id.clone()).collect();
+        for (id, state) in attempts {
+            self.attempt_reported(cx, worker, id, state);
+        }
+        self.miss_unreported(cx, worker, &listed);
+        let durable = self.journal.durable;
+        let Some(link) = self.links.get_mut(worker) else {
+            return;
+        };
+        link.ended
+            .retain(|id, at| *at > durable || listed.contains(id));
+        link.strays.retain(|id| listed.contains(id));
+        link.review_proof(cx.now);
+        if !link.ended.is_empty() || !link.strays.is_empty() {
+            link.hurry(cx.now);
+        }
+    }
+
+    fn attempt_reported(
+        &mut self,
+        cx: &Cx<'_>,
+        worker: &WorkerId,
+        id: AttemptId,
+        state: AttemptState,
+    ) {
+        let place = self.ledger.place_of(&id.task, id.attempt);
+        let here = place.is_some_and(|(at, _)| at == worker);
+        let durable = self.journal.decided;
+        let Some(link) = self.links.get_mut(worker) else {
+            return;
+        };
+        match (here, state) {
+            (true, AttemptState::Running { progress_ppm }) => {
+                if let Some(tracked) = link.tracked.get_mut(&id) {
+                    tracked.seen_at.get_or_insert(cx.now);
+                    tracked.progress_ppm = progress_ppm;
+                }
+            }
+            (false, AttemptState::Running { .. }) => {
+                link.strays.insert(id);
+            }
+            (true, ended) => self.end(cx, worker, &id, end_of(ended)),
+            (false, _) => {
+                link.strays.remove(&id);
+                link.ended.entry(id).or_insert(durable);
+            }
+        }
+    }
+
+    /// Attempts that the worker held and no longer knows have ended without a result.
+    fn miss_unreported(
+        &mut self,
+        cx: &Cx<'_>,
+        worker: &WorkerId,
+        listed: &std::collections::BTreeSet<AttemptId>,
+    ) {
+        let Some(link) = self.links.get(worker) else {
+            return;
+        };
+        let missing = link
+            .tracked
+            .iter()
+            .filter(|(id, tracked)| tracked.seen_at.is_some() && !listed.contains(id));
+        let missing: Vec<AttemptId> = missing.map(|(id, _)| id.clone()).collect();
+        for id in missing {
+            self.end(cx, worker, &id, AttemptEnd::Lapsed);
+        }
+    }
+
+    /// Ends an attempt in the journal.
+    fn end(&mut self, cx: &Cx<'_>, worker: &WorkerId, id: &AttemptId, end: AttemptEnd) {
+        let decided = self.decide(Change::Ended {
+            task: id.task.clone(),
+            attempt: id.attempt,
+            end: end.clone(),
+        });
+        if !decided {
+            return;
+        }
+        self.dirty = true;
+        self.learn(cx.now, worker, id, &end);
+        let durable = self.journal.decided;
+        let places = self.ledger.workers.get(worker);
+        let failures = places.map_or(0, |places| places.failures_in_a_row);
+        if let Some(link) = self.links.get_mut(worker) {
+            link.tracked.remove(id);
+            link.ended.insert(id.clone(), durable);
+            match end {
+                AttemptEnd::Finished => link.worked(),
+                AttemptEnd::Failed => link.failed(cx.now, failures),
+                _ => {}
+            }
+        }
+        let open = self.ledger.task(&id.task);
+        if open.is_none_or(|task| task.state.is_ended()) {
+            self.decisions.remove(&id.task);
+        } else {
+            let worker = worker.clone();
+            let decision = Decision::Again { worker, end };
+            self.decisions.insert(id.task.clone(), decision);
+        }
+    }
+
+    fn learn(&mut self, now: Timestamp, worker: &WorkerId, id: &AttemptId, end: &AttemptEnd) {
+        let tracked = self.links.get(worker).and_then(|l| l.tracked.get(id));
+        let began = tracked.and_then(|t| t.seen_at.or(Some(t.placed_at)));
+        let (Some(began), Some(job)) = (began, self.ledger.jobs.get(&id.task.job)) else {
+            return;
+        };
+        let resumed = self.ledger.task(&id.task);
+        let resumed = resumed.is_some_and(|task| task.checkpoint.is_some());
+        if *end == AttemptEnd::Finished && !resumed {
+            let ran = now.since(began);
+            self.run_times.finished(&job.spec, ran);
+        }
+    }
+
+    /// Ends attempts on workers that have been silent for longer than any lease.
+    pub(super) fn lapse_leases(&mut self, cx: &Cx<'_>) {
+        let read_at = cx.directory.read_at;
+        let current = read_at.is_some_and(|at| at > self.owned_since);
+        let mut lapsed = Vec::new();
+        for (worker, link) in &self.links {
+            if link.tracked.is_empty() || cx.now < link.leases_end() {
+                continue;
+            }
+            let gone = current && !cx.directory.workers.contains_key(worker);
+            if gone || !link.has_unconfirmed() {
+                let ids = link.tracked.keys().cloned();
+                lapsed.push((worker.clone(), ids.collect::<Vec<_>>()));
+                continue;
+            }
+            let confirmed = link.tracked.iter().filter(|(_, t)| t.seen_at.is_some());
+            let ids = confirmed.map(|(id, _)| id.clone());
+            lapsed.push((worker.clone(), ids.collect()));
+        }
+        for (worker, ids) in lapsed {
+            for id in ids {
+                self.end(cx, &worker, &id, AttemptEnd::Lapsed);
+            }
+        }
+    }
+}
+
+fn end_of(state: AttemptState) -> AttemptEnd {
+    match state {
+        AttemptState::Finished => AttemptEnd::Finished,
+        AttemptState::Failed => AttemptEnd::Failed,
+        AttemptState::Stopped { checkpoint } => AttemptEnd::Stopped { checkpoint },
+        AttemptState::Refused => AttemptEnd::Refused,
+        AttemptState::Running { .. } | AttemptState::Lapsed => AttemptEnd::Lapsed,
+    }
+}
--- a/crates/guavacart_scheduler/src/state.rs
+++ b/crates/guavacart_scheduler/src/state.rs
@@ -42,7 +42,7 @@
             directory: Directory::default(),
             config: ConfigState::default(),
             requests: Requests::new(start.member.id.clone()),
-            batch: Batch::new(start.member.id.clone()),
+            batch: Batch::new(start.member.clone()),
             stopping: false,
             stopped: false,
         }
