--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -42,7 +42,7 @@
             Effect::Membership(effect) => self.run_membership(effect),
             Effect::Request(effect) => self.run_request(effect, load),
             Effect::Config(effect) => self.run_config(effect, cfg),
-            Effect::Batch(effect) => match effect {},
+            Effect::Batch(_) => {}
             Effect::Stopped => {
                 info!(event = "stopped", "all work is done");
                 self.stopped.send_replace(true);
--- a/crates/guavacart_scheduler/src/state.rs
+++ b/crates/guavacart_scheduler/src/state.rs
@@ -45,7 +45,7 @@
             directory: Directory::default(),
             config: ConfigState::default(),
             requests: Requests::new(start.member.id.clone()),
-            batch: Batch::new(start.member.id.clone()),
+            batch: Batch::new(start.member.clone()),
             linger: start.linger,
             stopping_since: None,
             stopped: false,
