--- a/crates/guavacart_entry/src/operators.rs
+++ b/crates/guavacart_entry/src/operators.rs
@@ -1,1 +1,13 @@
-//! Handlers of the operators' calls.
+//! Handlers of the operators' calls; they know no socket and reach nothing but the store.
+
+mod answer;
+mod call;
+mod configuration;
+mod deployment;
+pub mod patching;
+
+pub use answer::Answer;
+pub use call::{Call, CallError, Role};
+pub use configuration::{difference, version};
+pub use deployment::{InstanceNumber, burn, instances};
+pub use patching::{dry_run, submit};
--- /dev/null
+++ b/crates/guavacart_entry/src/operators/configuration.rs
@@ -0,0 +1,92 @@
+//! Earlier configurations and their differences, from the store's record.
+
+use guavacart_config::{CONFIG_KEY, Change, ConfigRecord, Configuration, RecordError, diff};
+use guavacart_platform::store::{Store, StoreError};
+use guavacart_types::{ConfigNumber, Revision};
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::operators::answer::Answer;
+
+/// Why the record cannot be read.
+#[derive(Clone, Debug, Error)]
+pub(crate) enum ReadError {
+    /// The store failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The record is damaged.
+    #[error(transparent)]
+    Record(#[from] RecordError),
+}
+
+/// Why a configuration cannot be shown.
+#[derive(Clone, Debug, Error)]
+pub(crate) enum VersionError {
+    /// The record cannot be read.
+    #[error(transparent)]
+    Read(#[from] ReadError),
+    /// The number is not kept.
+    #[error("configuration {number} is not kept; {oldest} to {current} are")]
+    NotKept {
+        /// The number asked for.
+        number: ConfigNumber,
+        /// The oldest that is kept.
+        oldest: ConfigNumber,
+        /// The current one.
+        current: ConfigNumber,
+    },
+}
+
+#[derive(Serialize)]
+struct Differences {
+    from: ConfigNumber,
+    to: ConfigNumber,
+    changes: Vec<Change>,
+}
+
+/// Answers with one configuration.
+pub fn version<S: Store>(store: &S, number: ConfigNumber) -> Answer {
+    match find_version(store, number) {
+        Ok(configuration) => Answer::ok(&configuration),
+        Err(err) => err.into(),
+    }
+}
+
+/// Answers with the keys that differ between two configurations.
+pub fn difference<S: Store>(store: &S, from: ConfigNumber, to: ConfigNumber) -> Answer {
+    match find_difference(store, from, to) {
+        Ok(differences) => Answer::ok(&differences),
+        Err(err) => err.into(),
+    }
+}
+
+fn find_version<S: Store>(store: &S, number: ConfigNumber) -> Result<Configuration, VersionError> {
+    let (record, _) = read_record(store)?;
+    kept(&record, number).cloned()
+}
+
+fn find_difference<S: Store>(
+    store: &S,
+    from: ConfigNumber,
+    to: ConfigNumber,
+) -> Result<Differences, VersionError> {
+    let (record, _) = read_record(store)?;
+    let changes = diff(kept(&record, from)?, kept(&record, to)?);
+    Ok(Differences { from, to, changes })
+}
+
+/// The record and its revision; an absent one is empty.
+pub(crate) fn read_record<S: Store>(store: &S) -> Result<(ConfigRecord, Revision), ReadError> {
+    match store.get(CONFIG_KEY)? {
+        None => Ok((ConfigRecord::default(), Revision::default())),
+        Some(found) => Ok((ConfigRecord::decode(&found.value)?, found.revision)),
+    }
+}
+
+fn kept(record: &ConfigRecord, number: ConfigNumber) -> Result<&Configuration, VersionError> {
+    record.version(number).ok_or_else(|| VersionError::NotKept {
+        number,
+        oldest: record.oldest(),
+        current: record.current.number,
+    })
+}
