Build the request path: slots, queues, routing, claims and outcomes

Cause: the frame answered every request as not run for want of an endpoint. Change: exact slots of owned endpoints with probes for those in doubt, deficit round robin by class and team, learned service times, two choices among peers, retries and hedges inside a budget, probation, and claims of non-idempotent ids at two holders with handovers. A model of several reducers with a store, a network and endpoints checks slots, at most once, truth of 'not run' and one answer a call under death, pause, loss, breaks and a store outage. Contract: ForwardArrived carries remote; Claim and Release carry asker (and call), Claimed carries view, Handover carries before and HeldId; Service has queueing and admission.

--- a/crates/guavacart_config/src/configuration.rs
+++ b/crates/guavacart_config/src/configuration.rs
@@ -52,10 +52,25 @@
     pub short_time: Span,
     /// Service time of a long request until one was measured.
     pub long_time: Span,
+    /// How waiting requests are ordered.
+    pub queueing: Queueing,
+    /// True if requests that cannot meet their deadline are refused at once.
+    pub admission: bool,
     /// What the service promises.
     pub objectives: Objectives,
 }
 
+/// How the waiting requests of a service are ordered.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Queueing {
+    /// By class and, within it, by deficit round robin over the teams.
+    #[default]
+    Fair,
+    /// By arrival alone; for comparison.
+    Fifo,
+}
+
 impl Default for Service {
     fn default() -> Self {
         Self {
@@ -68,6 +83,8 @@
             longest_deadline: Span::secs(60),
             short_time: Span::millis(20),
             long_time: Span::secs(2),
+            queueing: Queueing::default(),
+            admission: true,
             objectives: Objectives::default(),
         }
     }
--- a/crates/guavacart_scheduler/src/request.rs
+++ b/crates/guavacart_scheduler/src/request.rs
@@ -1,17 +1,35 @@
 //! Requests of callers: admission, queues, routing, retries and outcomes.
 
+mod admit;
+mod budget;
+mod call;
+mod claim;
+mod claiming;
+mod dispatch;
+mod endpoint;
+mod ledger;
 mod message;
+mod outcome;
+mod peers;
+mod pool;
+mod probation;
+mod queue;
+mod reducer;
+mod service_time;
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::net::SocketAddr;
 
 use guavacart_types::{
-    ByteSize, CallId, Class, DispatchId, EndpointId, InstanceId, Outcome, Reason, RequestId,
-    ServiceName, Span, TeamName, Timestamp,
+    ByteSize, CallId, Class, DispatchId, EndpointId, InstanceId, Outcome, RequestId, ServiceName,
+    Span, TeamName, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 
-pub use self::message::PeerRequest;
-use crate::{Cx, Effect, membership::Load};
+pub use self::{
+    message::{ClaimAnswer, HeldId, PeerRequest},
+    reducer::Requests,
+};
+use crate::membership::Load;
 
 /// What the reducer knows of a request; its body stays with the runtime.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,6 +71,8 @@
         call: CallId,
         /// The peer.
         from: InstanceId,
+        /// The peer's id of it.
+        remote: CallId,
         /// The request, with the deadline that is left.
         head: RequestHead,
     },
@@ -211,42 +231,3 @@
     /// An endpoint was put on probation.
     Probation,
 }
-
-/// All requests in hand and the slots of the endpoints that this instance owns.
-#[derive(Debug)]
-pub struct Requests {
-    calls: BTreeMap<CallId, RequestHead>,
-}
-
-impl Requests {
-    pub(crate) fn new(_me: InstanceId) -> Self {
-        Self {
-            calls: BTreeMap::new(),
-        }
-    }
-
-    /// True if no call is in hand.
-    pub fn is_idle(&self) -> bool {
-        self.calls.is_empty()
-    }
-
-    /// What this instance has to spare.
-    pub fn load(&self) -> Load {
-        Load::default()
-    }
-
-    pub(crate) fn tick(&mut self, _cx: &Cx<'_>, _effects: &mut Vec<Effect>) {}
-
-    pub(crate) fn apply(&mut self, _cx: &Cx<'_>, event: RequestEvent, effects: &mut Vec<Effect>) {
-        if let RequestEvent::Arrived { call, .. } = event {
-            let outcome = Outcome::NotRun(Reason::NoEndpoint);
-            let body = Body::None;
-            let answer = RequestEffect::Answer {
-                call,
-                outcome,
-                body,
-            };
-            effects.push(answer.into());
-        }
-    }
-}
--- /dev/null
+++ b/crates/guavacart_scheduler/src/request/ledger.rs
@@ -0,0 +1,304 @@
+//! The request ids that this instance holds, and for which of them it knows all that came before.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use guavacart_types::{CallId, InstanceId, RequestId, Span, Timestamp, ViewNumber, weight};
+
+use super::{ClaimAnswer, HeldId};
+use crate::membership::{Member, View};
+
+/// Holders of one request id.
+const HOLDERS: usize = 2;
+/// Most ids that are held.
+const MAX_IDS: usize = 500_000;
+/// Most views that are looked back on.
+const MAX_VIEWS: usize = 64;
+/// The number of the first view of a deployment.
+const FIRST_VIEW: ViewNumber = ViewNumber(1);
+
+#[derive(Clone, Debug)]
+struct Held {
+    asker: Member,
+    call: CallId,
+    at: Timestamp,
+}
+
+/// A view that this instance was in.
+#[derive(Clone, Debug)]
+struct Era {
+    number: ViewNumber,
+    members: Vec<InstanceId>,
+    since: Timestamp,
+    /// Members of the view before that handed over all that they knew.
+    covered: Vec<InstanceId>,
+    /// The view before as those members knew it.
+    before: Vec<InstanceId>,
+}
+
+/// The request ids that this instance holds.
+#[derive(Debug)]
+pub(super) struct Ledger {
+    me: InstanceId,
+    ids: BTreeMap<RequestId, Held>,
+    order: VecDeque<(Timestamp, RequestId)>,
+    eras: VecDeque<Era>,
+    /// Handovers for a view that this instance has not adopted yet.
+    early: Vec<(ViewNumber, InstanceId, Vec<InstanceId>)>,
+}
+
+impl Ledger {
+    pub(super) fn new(me: InstanceId) -> Self {
+        Self {
+            me,
+            ids: BTreeMap::new(),
+            order: VecDeque::new(),
+            eras: VecDeque::new(),
+            early: Vec::new(),
+        }
+    }
+
+    /// The view that claims are answered in.
+    pub(super) fn view(&self) -> ViewNumber {
+        self.eras.back().map_or(ViewNumber(0), |era| era.number)
+    }
+
+    /// Takes a newer view.
+    pub(super) fn adopt(&mut self, now: Timestamp, view: &View) {
+        let members: Vec<InstanceId> = view.members.iter().map(|m| m.member.id.clone()).collect();
+        let mut era = Era {
+            number: view.number,
+            members,
+            since: now,
+            covered: Vec::new(),
+            before: Vec::new(),
+        };
+        for (number, from, before) in std::mem::take(&mut self.early) {
+            if number == view.number {
+                era.covered.push(from);
+                era.before = before;
+            } else if number > view.number {
+                self.early.push((number, from, before));
+            }
+        }
+        self.eras.push_back(era);
+        if self.eras.len() > MAX_VIEWS {
+            self.eras.pop_front();
+        }
+    }
+
+    /// Forgets what is older than `keep`.
+    pub(super) fn expire(&mut self, now: Timestamp, keep: Span) {
+        while let Some((at, id)) = self.order.front() {
+            if now.since(*at) <= keep {
+                break;
+            }
+            if self.ids.get(id).is_some_and(|held| held.at <= *at) {
+                self.ids.remove(id);
+            }
+            self.order.pop_front();
+        }
+    }
+
+    /// Records a claim of `call` at `asker` and tells what was known.
+    pub(super) fn claim(
+        &mut self,
+        now: Timestamp,
+        keep: Span,
+        view: ViewNumber,
+        asker: &Member,
+        call: CallId,
+        id: &RequestId,
+    ) -> ClaimAnswer {
+        if view != self.view() || !self.is_holder(id) {
+            return ClaimAnswer::WrongView;
+        }
+        if let Some(held) = self.ids.get(id) {
+            if held.call != call || held.asker != *asker {
+                return ClaimAnswer::Seen;
+            }
+        } else if self.ids.len() >= MAX_IDS {
+            return ClaimAnswer::WrongView;
+        }
+        let asker = asker.clone();
+        self.record(
+            id.clone(),
+            Held {
+                asker,
+                call,
+                at: now,
+            },
+        );
+        if self.knows(now, keep, id) {
+            ClaimAnswer::New
+        } else {
+            ClaimAnswer::Unsure
+        }
+    }
+
+    /// Forgets an id that its claimant did not dispatch.
+    pub(super) fn release(&mut self, asker: &Member, call: CallId, id: &RequestId) {
+        let same = |held: &Held| held.call == call && held.asker == *asker;
+        if self.ids.get(id).is_some_and(same) {
+            self.ids.remove(id);
+        }
+    }
+
+    /// Takes the ids of a holder of the view before.
+    pub(super) fn take_over(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        view: ViewNumber,
+        before: Vec<InstanceId>,
+        ids: Vec<HeldId>,
+        complete: bool,
+    ) {
+        for held in ids {
+            let at = now - held.age;
+            let (asker, call) = (held.asker, held.call);
+            if !self.ids.contains_key(&held.id) {
+                self.record(held.id, Held { asker, call, at });
+            }
+        }
+        if !complete {
+            return;
+        }
+        let from = from.clone();
+        if view > self.view() {
+            self.early.push((view, from, before));
+        } else if let Some(era) = self.eras.back_mut().filter(|era| era.number == view) {
+            if !era.covered.contains(&from) {
+                era.covered.push(from);
+            }
+            era.before = before;
+        }
+    }
+
+    /// What each other member of the view is to be told: its ids and whether they are all.
+    pub(super) fn handovers(&self, now: Timestamp, keep: Span) -> Vec<Handover> {
+        let eras = self.eras.len();
+        let Some(last) = self.eras.back() else {
+            return Vec::new();
+        };
+        let Some(before) = eras.checked_sub(2).and_then(|i| self.eras.get(i)) else {
+            return Vec::new();
+        };
+        if !before.members.contains(&self.me) {
+            return Vec::new();
+        }
+        let follows = before.number.next() == last.number;
+        let complete = follows && self.knows_all(now, keep, eras - 2);
+        let others = last.members.iter().filter(|id| **id != self.me);
+        let handover = |to: &InstanceId| Handover {
+            to: to.clone(),
+            view: last.number,
+            before: before.members.clone(),
+            ids: self.ids_for(now, to, last),
+            complete,
+        };
+        others.map(handover).collect()
+    }
+
+    fn ids_for(&self, now: Timestamp, to: &InstanceId, era: &Era) -> Vec<HeldId> {
+        let theirs = self
+            .ids
+            .iter()
+            .filter(|(id, _)| holders(&era.members, id).contains(&to));
+        let held = |(id, held): (&RequestId, &Held)| HeldId {
+            id: id.clone(),
+            asker: held.asker.clone(),
+            call: held.call,
+            age: now.since(held.at),
+        };
+        theirs.map(held).collect()
+    }
+
+    fn record(&mut self, id: RequestId, held: Held) {
+        let at = held.at;
+        let place = self.order.partition_point(|(other, _)| *other <= at);
+        self.order.insert(place, (at, id.clone()));
+        self.ids.insert(id, held);
+    }
+
+    fn is_holder(&self, id: &RequestId) -> bool {
+        let last = self.eras.back();
+        last.is_some_and(|era| holders(&era.members, id).contains(&&self.me))
+    }
+
+    /// True if no id could have been recorded without this instance knowing it.
+    fn knows(&self, now: Timestamp, keep: Span, id: &RequestId) -> bool {
+        for (place, era) in self.eras.iter().enumerate().rev() {
+            if !holders(&era.members, id).contains(&&self.me) {
+                return false;
+            }
+            if is_base(era, now, keep) {
+                return true;
+            }
+            let old = holders(&era.before, id);
+            if era.covered.iter().any(|from| old.contains(&from)) {
+                return true;
+            }
+            if !self.follows(place) {
+                return false;
+            }
+        }
+        false
+    }
+
+    /// True if this instance knows every id that it is a holder of in the era at `place`.
+    fn knows_all(&self, now: Timestamp, keep: Span, place: usize) -> bool {
+        let Some(era) = self.eras.get(place) else {
+            return false;
+        };
+        if !era.members.contains(&self.me) {
+            return false;
+        }
+        if is_base(era, now, keep) {
+            return true;
+        }
+        let stayed = self.follows(place) && self.knows_all(now, keep, place - 1);
+        let covered = era.covered.len() + usize::from(stayed);
+        let before = if stayed {
+            self.eras[place - 1].members.len()
+        } else {
+            era.before.len()
+        };
+        covered >= 1 && covered + 1 >= before
+    }
+
+    /// True if the era at `place` follows the one before it without a view between.
+    fn follows(&self, place: usize) -> bool {
+        let before = place.checked_sub(1).and_then(|i| self.eras.get(i));
+        let era = self.eras.get(place);
+        match (before, era) {
+            (Some(before), Some(era)) => before.number.next() == era.number,
+            _ => false,
+        }
+    }
+}
+
+/// Ids that one member of a new view is to be told.
+#[derive(Debug)]
+pub(super) struct Handover {
+    pub(super) to: InstanceId,
+    pub(super) view: ViewNumber,
+    pub(super) before: Vec<InstanceId>,
+    pub(super) ids: Vec<HeldId>,
+    pub(super) complete: bool,
+}
+
+/// The holders of an id among `members`.
+pub(super) fn holders<'a>(members: &'a [InstanceId], id: &RequestId) -> Vec<&'a InstanceId> {
+    let key = format!("request/{id}");
+    let mut ranking: Vec<(u64, &InstanceId)> = members
+        .iter()
+        .map(|m| (weight(m.as_str(), &key), m))
+        .collect();
+    ranking.sort_unstable_by(|a, b| b.cmp(a));
+    ranking.truncate(HOLDERS);
+    ranking.into_iter().map(|(_, m)| m).collect()
+}
+
+fn is_base(era: &Era, now: Timestamp, keep: Span) -> bool {
+    era.number == FIRST_VIEW || now.since(era.since) > keep
+}
--- a/crates/guavacart_scheduler/src/request/message.rs
+++ b/crates/guavacart_scheduler/src/request/message.rs
@@ -1,8 +1,10 @@
 //! What entry instances tell one another about requests, beside forwards and their outcomes.
 
-use guavacart_types::{CallId, RequestId, Span, ViewNumber};
+use guavacart_types::{CallId, InstanceId, RequestId, Span, ViewNumber};
 use serde::{Deserialize, Serialize};
 
+use crate::membership::Member;
+
 /// A message between entry instances about requests.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerRequest {
@@ -13,6 +15,8 @@
     },
     /// The sender asks a holder to record a non-idempotent request before it is dispatched.
     Claim {
+        /// The sender.
+        asker: Member,
         /// The sender's call.
         call: CallId,
         /// The request.
@@ -24,11 +28,17 @@
     Claimed {
         /// The asker's call.
         call: CallId,
+        /// The view that the claim named.
+        view: ViewNumber,
         /// What the holder knows.
         answer: ClaimAnswer,
     },
     /// The request was not run and its id may be used again.
     Release {
+        /// The sender, which claimed it.
+        asker: Member,
+        /// The sender's call.
+        call: CallId,
         /// The request.
         id: RequestId,
     },
@@ -36,13 +46,28 @@
     Handover {
         /// The view.
         view: ViewNumber,
-        /// The ids and how long ago each was recorded.
-        ids: Vec<(RequestId, Span)>,
+        /// The members of the view before, as the sender knew it.
+        before: Vec<InstanceId>,
+        /// The ids.
+        ids: Vec<HeldId>,
         /// True if the sender has held them for as long as ids are kept.
         complete: bool,
     },
 }
 
+/// A request id that a holder has recorded.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeldId {
+    /// The id.
+    pub id: RequestId,
+    /// Who claimed it.
+    pub asker: Member,
+    /// The claimant's call.
+    pub call: CallId,
+    /// How long ago.
+    pub age: Span,
+}
+
 /// What a holder of a request id knows of it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ClaimAnswer {
