Prove membership by a model test and mend what it broke

Cause: the membership code had no test. A model of processes, clocks that drift by 4%, network, store and lagging list found, at once, with the seed's minimal script: - an instance restarted under the same id never acted again: its own earlier incarnation was neither superseded nor dropped from the view (one instance: kill, restart; two: kill 1, restart 1) - a minority with the store proposed, since it heard the last of its peers at different times Found by reading against the argument for safety: - an attestation was kept by id, so an older incarnation that still runs could attest for a newer - a member never seen in the list counted as gone at once, though the list shows newcomers late - joins and leaves waited for ever when the first in turn could not reach the store - a record could name earlier views without bound

Change: Peers knows its own member; attestations by incarnation, newest kept; gone only if the list was read 10 s after the member became known; turns count from when a change is wanted; a proposer must have heard a majority within 1.2 s; at most 16 earlier views; Membership::generation for callers that cache standings.

One death: every key acts again within 8 s in 10 seeds at 8 instances.

--- a/crates/guavacart_scheduler/src/event.rs
+++ b/crates/guavacart_scheduler/src/event.rs
@@ -60,3 +60,9 @@
     Batch(BatchEffect);
     Config(ConfigEffect);
 }
+
+impl From<MembershipEvent> for Event {
+    fn from(event: MembershipEvent) -> Self {
+        Self::Membership(event)
+    }
+}
--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -118,6 +118,9 @@
     next_proposal: Timestamp,
     swapping: bool,
     started_at: Timestamp,
+    generation: u64,
+    /// Since when the members differ from those that the view should have.
+    wanted_since: Option<Timestamp>,
 }
 
 impl Membership {
@@ -128,7 +131,7 @@
         };
         Self {
             right: Right::new(start.now),
-            peers: Peers::default(),
+            peers: Peers::new(start.member.clone()),
             closures: Closures::default(),
             view: View::default(),
             revision: Revision::default(),
@@ -140,6 +143,8 @@
             next_proposal: start.now,
             swapping: false,
             started_at: start.now,
+            generation: 0,
+            wanted_since: None,
             me,
         }
     }
@@ -179,6 +184,13 @@
         self.right_until(now).is_some()
     }
 
+    /// Changes whenever [`Self::standing`] may have changed for some key, so that callers may cache it.
+    ///
+    /// The right to act ends by time alone and is no part of it; check [`Self::may_act`] each time.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// How this instance stands to `key`, whose owner is sought in `preferred` first.
     pub fn standing(&self, key: &str, preferred: Option<&DataCentre>) -> Standing {
         let Some(owner) = self.view.owner(key, preferred) else {
@@ -332,7 +344,9 @@
         self.right.attested(&self.me.member, &self.view, &heartbeat);
         let behind = heartbeat.view_number < self.view.number;
         let from = heartbeat.from.id.clone();
-        self.peers.heard(now, heartbeat);
+        if self.peers.heard(now, heartbeat) {
+            self.generation += 1;
+        }
         if behind && self.peers.due_correction(&from, now) {
             self.send_heartbeat(now, &from, effects);
         }
@@ -374,7 +388,11 @@
             return;
         }
         self.view = view;
+        self.generation += 1;
+        self.wanted_since = None;
         self.closures.retain(&self.view);
+        self.right.adopted(&self.view);
+        self.peers.adopted(now, &self.view);
         self.next_proposal = now + proposal::SETTLE_SPAN;
         effects.push(MembershipEffect::ViewAdopted(self.view.number).into());
         self.send_heartbeats(now, true, effects);
@@ -382,12 +400,28 @@
 
     /// Looks at what time and news have changed: earlier views that closed, members that went.
     fn review(&mut self, now: Timestamp, directory: &Directory, effects: &mut Vec<Effect>) {
-        self.closures
+        let closed = self
+            .closures
             .review(now, &self.me.member, &self.view, &self.peers);
-        if self.swapping || now < self.next_proposal {
+        if closed {
+            self.generation += 1;
+        }
+        let may_propose = self.store_seen_at.is_some() && self.right.is_attesting();
+        if self.swapping || now < self.next_proposal || !may_propose {
             return;
         }
-        let proposal = proposal::propose(&proposal::Grounds {
+        let Some(view) = self.proposal(now, directory) else {
+            return;
+        };
+        self.swapping = true;
+        self.next_proposal = now + proposal::RETRY_SPAN;
+        let expect = self.revision;
+        let view = Box::new(view);
+        effects.push(MembershipEffect::SwapView { expect, view }.into());
+    }
+
+    fn proposal(&mut self, now: Timestamp, directory: &Directory) -> Option<View> {
+        let grounds = proposal::Grounds {
             now,
             me: &self.me,
             view: &self.view,
@@ -396,18 +430,15 @@
             directory,
             leaving: self.is_leaving(),
             started_at: self.started_at,
-        });
-        let Some(view) = proposal else {
-            return;
+            wanted_since: self.wanted_since.unwrap_or(now),
         };
-        if self.store_seen_at.is_none() {
-            return;
+        let members = proposal::wanted(&grounds);
+        if members == self.view.members {
+            self.wanted_since = None;
+            return None;
         }
-        self.swapping = true;
-        self.next_proposal = now + proposal::RETRY_SPAN;
-        let expect = self.revision;
-        let view = Box::new(view);
-        effects.push(MembershipEffect::SwapView { expect, view }.into());
+        self.wanted_since = Some(grounds.wanted_since);
+        proposal::propose(&grounds, members)
     }
 
     /// True if the owner of `key` in an earlier view may still act.
--- a/crates/guavacart_scheduler/src/membership/closure.rs
+++ b/crates/guavacart_scheduler/src/membership/closure.rs
@@ -30,7 +30,15 @@
         self.closed.retain(is_open);
     }
 
-    pub(super) fn review(&mut self, now: Timestamp, me: &Member, view: &View, peers: &Peers) {
+    /// Looks for views that have become closed; true if there are any.
+    pub(super) fn review(
+        &mut self,
+        now: Timestamp,
+        me: &Member,
+        view: &View,
+        peers: &Peers,
+    ) -> bool {
+        let before = self.closed.len();
         for earlier in &view.open {
             if self.closed.contains(&earlier.number) {
                 continue;
@@ -43,6 +51,7 @@
                 self.closed.insert(earlier.number);
             }
         }
+        self.closed.len() != before
     }
 }
 
@@ -67,7 +76,7 @@
         return true;
     }
     let silent = peers
-        .silent_since(&member.id)
+        .silent_since(member)
         .is_none_or(|at| now.since(at) > RIGHT_SPAN + DRIFT_MARGIN);
-    peers.is_gone(&member.id) && silent
+    peers.is_gone(member) && silent
 }
--- a/crates/guavacart_scheduler/src/membership/peers.rs
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_types::{ConfigNumber, DataCentre, InstanceId, Timestamp, ViewNumber};
+use guavacart_types::{ConfigNumber, DataCentre, InstanceId, Span, Timestamp, ViewNumber};
 
 use super::{
     HEARTBEAT_INTERVAL, SILENCE_LIMIT,
@@ -11,6 +11,9 @@
 };
 use crate::directory::Directory;
 
+/// Longest time that the instance list takes to show an instance that has started.
+const LIST_LAG: Span = Span::secs(10);
+
 /// One peer as last heard.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -26,29 +29,54 @@
 }
 
 /// All peers, whether heard yet or only listed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Peers {
+    me: Member,
     heard: BTreeMap<InstanceId, Peer>,
     listed: BTreeSet<InstanceId>,
-    is_listed: bool,
+    /// When the list was last read.
+    listed_at: Option<Timestamp>,
     last_sent: BTreeMap<InstanceId, Timestamp>,
-    /// When each id was first seen in a view or the list; the start of its silence if never heard.
-    known_since: BTreeMap<InstanceId, Timestamp>,
+    /// When each member of a view was first seen in one; the start of its silence if never heard.
+    known_since: BTreeMap<Member, Timestamp>,
 }
 
 impl Peers {
+    pub(super) fn new(me: Member) -> Self {
+        Self {
+            me,
+            heard: BTreeMap::new(),
+            listed: BTreeSet::new(),
+            listed_at: None,
+            last_sent: BTreeMap::new(),
+            known_since: BTreeMap::new(),
+        }
+    }
+
     pub(super) fn listed(&mut self, now: Timestamp, directory: &Directory) {
         self.listed = directory.entries.keys().cloned().collect();
-        self.is_listed = true;
-        for id in &self.listed {
-            self.known_since.entry(id.clone()).or_insert(now);
+        self.listed_at = Some(now);
+    }
+
+    /// Notes the members that an adopted view names, its earlier views' included.
+    pub(super) fn adopted(&mut self, now: Timestamp, view: &View) {
+        let earlier = view.open.iter().flat_map(|e| &e.members);
+        let named: BTreeSet<&Member> = view
+            .members
+            .iter()
+            .chain(earlier)
+            .map(|m| &m.member)
+            .collect();
+        self.known_since.retain(|member, _| named.contains(member));
+        for member in named {
+            self.known_since.entry(member.clone()).or_insert(now);
         }
-        let listed = &self.listed;
-        self.known_since.retain(|id, _| listed.contains(id));
     }
 
     /// Takes a heartbeat, unless a later one or a later incarnation's came first.
-    pub(super) fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+    ///
+    /// True if the peer is in another view or incarnation than it was when last heard.
+    pub(super) fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) -> bool {
         let id = heartbeat.from.id.clone();
         let order = (heartbeat.from.incarnation, heartbeat.sent_at);
         let stale = self
@@ -56,7 +84,7 @@
             .get(&id)
             .is_some_and(|peer| (peer.member.incarnation, peer.sent_at) >= order);
         if stale {
-            return;
+            return false;
         }
         let peer = Peer {
             member: heartbeat.from,
@@ -69,7 +97,9 @@
             config: heartbeat.config,
             load: heartbeat.load,
         };
-        self.heard.insert(id, peer);
+        let position = (peer.member.incarnation, peer.view_number);
+        let before = self.heard.insert(id, peer);
+        before.is_none_or(|p| (p.member.incarnation, p.view_number) != position)
     }
 
     pub(super) fn get(&self, id: &InstanceId) -> Option<&Peer> {
@@ -86,21 +116,30 @@
             .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
     }
 
-    /// True if the platform no longer lists `id`.
-    pub(super) fn is_gone(&self, id: &InstanceId) -> bool {
-        self.is_listed && !self.listed.contains(id)
+    /// True if the platform no longer lists `member`.
+    ///
+    /// A list that may have been made before the member started says nothing of it.
+    pub(super) fn is_gone(&self, member: &Member) -> bool {
+        let Some((listed_at, known_since)) = self.listed_at.zip(self.known_since.get(member))
+        else {
+            return false;
+        };
+        !self.listed.contains(&member.id) && listed_at.since(*known_since) > LIST_LAG
     }
 
-    /// When `id` was last heard, or first known if never heard.
-    pub(super) fn silent_since(&self, id: &InstanceId) -> Option<Timestamp> {
-        match self.heard.get(id) {
-            Some(peer) => Some(peer.heard_at),
-            None => self.known_since.get(id).copied(),
+    /// When `member` was last heard, or first known if never heard.
+    pub(super) fn silent_since(&self, member: &Member) -> Option<Timestamp> {
+        match self.heard.get(&member.id) {
+            Some(peer) if peer.member == *member => Some(peer.heard_at),
+            _ => self.known_since.get(member).copied(),
         }
     }
 
-    /// True if a later start of the same instance was heard, so that `member` has ended.
+    /// True if a later start of the same instance is known, so that `member` has ended.
     pub(super) fn is_superseded(&self, member: &Member) -> bool {
+        if member.id == self.me.id {
+            return self.me.incarnation > member.incarnation;
+        }
         self.heard
             .get(&member.id)
             .is_some_and(|peer| peer.member.incarnation > member.incarnation)
--- a/crates/guavacart_scheduler/src/membership/proposal.rs
+++ b/crates/guavacart_scheduler/src/membership/proposal.rs
@@ -1,6 +1,6 @@
 //! When the view should change, and to what.
 
-use guavacart_types::{InstanceId, Span, Timestamp, weight};
+use guavacart_types::{Span, Timestamp, weight};
 
 use super::{
     SILENCE_LIMIT,
@@ -16,6 +16,13 @@
 pub(super) const RETRY_SPAN: Span = Span::millis(500);
 /// How long each member waits for those that rank before it to propose.
 const TURN_SPAN: Span = Span::millis(500);
+/// Most earlier views that a record names; further changes wait until some are closed.
+const MAX_OPEN: usize = 16;
+/// How recently a majority must have been heard by the proposer.
+///
+/// Shorter than [`SILENCE_LIMIT`] by two heartbeats: an instance cut off from all others hears the
+/// last of some later than that of others, and must not propose in between.
+const FRESH_SPAN: Span = Span::millis(1_200);
 /// How long a newcomer listens before it founds a view of its own.
 const FOUND_SPAN: Span = Span::millis(800);
 
@@ -29,12 +36,13 @@
     pub(super) directory: &'a Directory,
     pub(super) leaving: bool,
     pub(super) started_at: Timestamp,
+    /// Since when the members differ from the wanted ones.
+    pub(super) wanted_since: Timestamp,
 }
 
-/// The view that should follow, if this instance is to propose one now.
-pub(super) fn propose(grounds: &Grounds<'_>) -> Option<View> {
-    let members = wanted(grounds);
-    if members == grounds.view.members || members.is_empty() {
+/// The view that should follow with `members`, if this instance is to propose one now.
+pub(super) fn propose(grounds: &Grounds<'_>, members: Vec<ViewMember>) -> Option<View> {
+    if members.is_empty() || grounds.view.open.len() >= MAX_OPEN {
         return None;
     }
     if !hears_majority(grounds) || !is_my_turn(grounds) {
@@ -48,7 +56,7 @@
 }
 
 /// The members that the next view should have, in order of id.
-fn wanted(grounds: &Grounds<'_>) -> Vec<ViewMember> {
+pub(super) fn wanted(grounds: &Grounds<'_>) -> Vec<ViewMember> {
     let keep = |m: &&ViewMember| m.member != grounds.me.member && stays(grounds, &m.member);
     let mut members: Vec<ViewMember> = grounds.view.members.iter().filter(keep).cloned().collect();
     let newcomers = grounds.peers.iter().filter(|peer| joins(grounds, peer));
@@ -70,7 +78,7 @@
     if peers.is_superseded(member) || peers.get(&member.id).is_some_and(|peer| peer.leaving) {
         return false;
     }
-    let Some(since) = peers.silent_since(&member.id) else {
+    let Some(since) = peers.silent_since(member) else {
         return false;
     };
     grounds.now.since(since) < SILENCE_LIMIT
@@ -91,15 +99,19 @@
         return true;
     }
     let counts = |m: &&ViewMember| {
-        let id: &InstanceId = &m.member.id;
         m.member == grounds.me.member
-            || grounds.peers.is_heard(id, grounds.now)
+            || is_fresh(grounds, &m.member)
             || grounds.peers.is_superseded(&m.member)
-            || grounds.peers.is_gone(id)
+            || grounds.peers.is_gone(&m.member)
     };
     view.members.iter().filter(counts).count() >= majority(view.members.len())
 }
 
+fn is_fresh(grounds: &Grounds<'_>, member: &Member) -> bool {
+    let heard = grounds.peers.get(&member.id).map(|peer| peer.heard_at);
+    heard.is_some_and(|at| grounds.now.since(at) < FRESH_SPAN)
+}
+
 /// Members propose in an order that differs from view to view; newcomers come last.
 fn is_my_turn(grounds: &Grounds<'_>) -> bool {
     let key = grounds.view.number.to_string();
@@ -111,7 +123,7 @@
     };
     if grounds.view.contains(&grounds.me.member) {
         let rank = grounds.view.members.iter().filter(before_me).count();
-        return rank == 0 || waited(grounds, TURN_SPAN * rank as u64);
+        return grounds.now.since(grounds.wanted_since) >= TURN_SPAN * rank as u64;
     }
     let live = |m: &&ViewMember| grounds.peers.is_heard(&m.member.id, grounds.now);
     let anyone_live = grounds.view.members.iter().any(|m| live(&m));
@@ -123,15 +135,6 @@
     grounds.now.since(grounds.started_at) >= patience
 }
 
-/// True if the reason for a change has stood for `span` longer than needed.
-fn waited(grounds: &Grounds<'_>, span: Span) -> bool {
-    let overdue = |m: &&ViewMember| {
-        let since = grounds.peers.silent_since(&m.member.id);
-        since.is_some_and(|at| grounds.now.since(at) > SILENCE_LIMIT + span)
-    };
-    grounds.view.members.iter().any(|m| overdue(&m))
-}
-
 fn still_open(grounds: &Grounds<'_>) -> Vec<EarlierView> {
     let view = grounds.view;
     let is_open = |e: &&EarlierView| !grounds.closures.is_closed(e.number);
--- a/crates/guavacart_scheduler/src/membership/right.rs
+++ b/crates/guavacart_scheduler/src/membership/right.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use guavacart_types::{InstanceId, Timestamp, ViewNumber};
+use guavacart_types::{Timestamp, ViewNumber};
 
 use super::{
     RIGHT_SPAN,
@@ -11,7 +11,7 @@
 };
 
 /// What a member last attested to this instance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Attestation {
     view: ViewNumber,
     /// This instance's clock when it sent the heartbeat that was echoed.
@@ -21,7 +21,8 @@
 /// Evidence for the view, and whether this instance may attest it to others.
 #[derive(Debug)]
 pub(super) struct Right {
-    attestations: BTreeMap<InstanceId, Attestation>,
+    /// By incarnation: a later one attests nothing for an earlier one.
+    attestations: BTreeMap<Member, Attestation>,
     store: Option<Attestation>,
     last_run: Timestamp,
     /// When the process ran again after a pause; evidence asked for before it proves nothing.
@@ -75,12 +76,18 @@
         if !view.contains(&heartbeat.from) {
             return;
         }
-        let id = heartbeat.from.id.clone();
         let attestation = Attestation {
             view: heartbeat.view_number,
             asked_at: echo.sent_at,
         };
-        self.attestations.insert(id, attestation);
+        let from = heartbeat.from.clone();
+        let newest = self.attestations.entry(from).or_insert(attestation);
+        *newest = attestation.max(*newest);
+    }
+
+    /// Forgets what was attested by incarnations that are no members of `view`.
+    pub(super) fn adopted(&mut self, view: &View) {
+        self.attestations.retain(|member, _| view.contains(member));
     }
 
     /// The end of the right to act in `view`, or none without evidence.
@@ -107,7 +114,7 @@
                 if m.member == *me {
                     return Some(now);
                 }
-                let seen = self.attestations.get(&m.member.id)?;
+                let seen = self.attestations.get(&m.member)?;
                 (seen.view == view.number).then_some(seen.asked_at)
             })
             .collect();
--- /dev/null
+++ b/crates/guavacart_scheduler/tests/membership/main.rs
@@ -0,0 +1,177 @@
+//! Single owner, monotone views and recovery, under random faults.
+
+mod fault;
+mod simulation;
+mod store;
+
+use fault::{Fault, Step, scripts};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, RngSeed, TestRunner},
+};
+use simulation::Simulation;
+use store::Condition;
+
+/// Longest time from the end of all faults until every key has an acting owner: list lag, a pause's
+/// rest, turns of all members, and twice the right's span where a majority is lost for good.
+const RECOVERY_LIMIT: u64 = 20_000;
+/// Longest time from one death until every key has an acting owner.
+const DEATH_LIMIT: u64 = 8_000;
+/// Longest pause that a script asks for.
+const LONGEST_PAUSE: u64 = 12_000;
+
+fn check(instances: usize, seed: u64, script: &[Step]) -> Result<(), TestCaseError> {
+    let mut sim = Simulation::start(instances, seed);
+    sim.run(3_000);
+    sim.run_script(script);
+    sim.inject(&Fault::Heal);
+    sim.run(LONGEST_PAUSE);
+    if sim.has_stayers() {
+        let settled = sim.settle(RECOVERY_LIMIT);
+        prop_assert!(settled.is_some(), "not settled\n{}", sim.describe());
+    }
+    Ok(())
+}
+
+fn runner(cases: u32, seed: u64) -> TestRunner {
+    let config = Config {
+        cases: std::env::var("PROPTEST_CASES")
+            .ok()
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(cases),
+        rng_seed: RngSeed::Fixed(
+            std::env::var("MODEL_SEED")
+                .ok()
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(seed),
+        ),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..Config::default()
+    };
+    TestRunner::new(config)
+}
+
+macro_rules! random_faults {
+    ($($name:ident: $instances:literal instances, $cases:literal cases;)*) => {$(
+        #[test]
+        fn $name() {
+            let strategy = (any::<u64>(), scripts($instances));
+            let run = |(seed, script): (u64, Vec<Step>)| check($instances, seed, &script);
+            let result = runner($cases, $instances).run(&strategy, run);
+            assert!(result.is_ok(), "{}", result.unwrap_err());
+        }
+    )*};
+}
+
+random_faults! {
+    one_instance: 1 instances, 64 cases;
+    two_instances: 2 instances, 64 cases;
+    three_instances: 3 instances, 64 cases;
+    five_instances: 5 instances, 48 cases;
+    eight_instances: 8 instances, 24 cases;
+}
+
+/// Runs a script on a settled deployment; the milliseconds until every key acts again.
+fn recovery(instances: usize, seed: u64, script: &[Step]) -> Option<u64> {
+    let mut sim = Simulation::start(instances, seed);
+    sim.run(20_000);
+    sim.run_script(script);
+    sim.settle(RECOVERY_LIMIT)
+}
+
+macro_rules! recovers_within {
+    ($($name:ident: $instances:literal instances, $limit:expr, $script:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 0..10 {
+                let took = recovery($instances, seed, &$script);
+                let in_time = took.is_some_and(|ms| ms <= $limit);
+                assert!(in_time, "seed {seed} took {took:?} ms");
+            }
+        }
+    )*};
+}
+
+recovers_within! {
+    one_death: 8 instances, DEATH_LIMIT, [(0, Fault::Kill(3))];
+    two_deaths_in_quick_succession: 8 instances, DEATH_LIMIT + 1_000, [(0, Fault::Kill(3)), (1_000, Fault::Kill(5))];
+    death_of_one_of_two: 2 instances, DEATH_LIMIT + 3_000, [(0, Fault::Kill(1))];
+    quick_restart: 8 instances, DEATH_LIMIT, [(0, Fault::Kill(3)), (300, Fault::Restart(3))];
+    restart_of_a_lone_instance: 1 instances, DEATH_LIMIT, [(0, Fault::Kill(0)), (300, Fault::Restart(0))];
+    restart_of_one_of_two: 2 instances, DEATH_LIMIT, [(0, Fault::Kill(1)), (300, Fault::Restart(1))];
+    death_while_half_of_the_members_are_cut_from_the_store: 8 instances, DEATH_LIMIT + 2_000, [(0, Fault::StoreCut(0b1111)), (0, Fault::Kill(3))];
+    death_while_the_store_loses_answers: 8 instances, DEATH_LIMIT + 4_000, [(0, Fault::Store(Condition::Losing)), (0, Fault::Kill(3))];
+    loss_of_a_data_centre: 9 instances, DEATH_LIMIT, [(0, Fault::Kill(0)), (0, Fault::Kill(3)), (0, Fault::Kill(6))];
+    loss_of_most_members: 5 instances, RECOVERY_LIMIT, [(0, Fault::Kill(0)), (0, Fault::Kill(1)), (0, Fault::Kill(2))];
+    restart_of_all: 8 instances, RECOVERY_LIMIT, [
+        (0, Fault::Kill(0)), (0, Fault::Kill(1)), (0, Fault::Kill(2)), (0, Fault::Kill(3)),
+        (0, Fault::Kill(4)), (0, Fault::Kill(5)), (0, Fault::Kill(6)), (0, Fault::Kill(7)),
+        (500, Fault::Restart(0)), (0, Fault::Restart(1)), (0, Fault::Restart(2)), (0, Fault::Restart(3)),
+        (0, Fault::Restart(4)), (0, Fault::Restart(5)), (0, Fault::Restart(6)), (0, Fault::Restart(7)),
+    ];
+    replacement_of_all_by_one: 3 instances, RECOVERY_LIMIT, [
+        (0, Fault::Kill(0)), (0, Fault::Kill(1)), (0, Fault::Kill(2)), (500, Fault::Restart(1)),
+    ];
+    store_outage: 8 instances, 0, [(0, Fault::Store(Condition::Down)), (60_000, Fault::Loss(5))];
+    graceful_stop: 8 instances, 1_500, [(0, Fault::Leave(2)), (700, Fault::Loss(0))];
+    stop_while_others_are_cut_from_the_store: 8 instances, DEATH_LIMIT, [(0, Fault::StoreCut(0b1111)), (0, Fault::Leave(7)), (6_000, Fault::Loss(0))];
+}
+
+/// The list goes empty while all instances live and hear each other.
+#[test]
+fn an_empty_list_changes_nothing() {
+    let mut sim = Simulation::start(8, 1);
+    sim.run(20_000);
+    let number = sim.view_number();
+    sim.inject(&Fault::EmptyList);
+    sim.run(30_000);
+    assert_eq!(sim.view_number(), number);
+    assert_eq!(sim.settle(0), Some(0));
+}
+
+/// No key of a living member rests while the store is out and another member dies.
+#[test]
+fn a_death_in_an_outage_rests_its_own_keys_only() {
+    let mut sim = Simulation::start(8, 1);
+    sim.run(20_000);
+    let dead = sim.owned_by(3);
+    let all = sim.acting_keys();
+    sim.run_script(&[
+        (0, Fault::Store(Condition::Down)),
+        (0, Fault::Kill(3)),
+        (30_000, Fault::Loss(0)),
+    ]);
+    assert_eq!(sim.acting_keys(), all & !dead);
+}
+
+/// A minority that has the store to itself does not take over; the majority acts on.
+#[test]
+fn a_minority_with_the_store_takes_nothing() {
+    let mut sim = Simulation::start(5, 1);
+    sim.run(20_000);
+    let number = sim.view_number();
+    let mine = sim.owned_by(0) | sim.owned_by(1);
+    sim.run_script(&[
+        (0, Fault::Partition(0b11)),
+        (0, Fault::StoreCut(0b11100)),
+        (30_000, Fault::Loss(0)),
+    ]);
+    assert_eq!(sim.view_number(), number);
+    assert_eq!(sim.owned_by(0) | sim.owned_by(1), mine);
+    assert_eq!(sim.settle(0), Some(0));
+}
+
+/// The record stays small while the membership changes without end.
+#[test]
+fn the_record_stays_small() {
+    let mut sim = Simulation::start(8, 1);
+    sim.run(5_000);
+    for round in 0..60 {
+        let index = round % 8;
+        sim.run_script(&[(300, Fault::Kill(index)), (400, Fault::Restart(index))]);
+        assert!(sim.open_views() <= 16, "{} earlier views", sim.open_views());
+    }
+    assert!(sim.settle(RECOVERY_LIMIT).is_some(), "{}", sim.describe());
+}
