--- a/crates/guavacart_entry/src/calls.rs
+++ b/crates/guavacart_entry/src/calls.rs
@@ -62,16 +62,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct Calls {
     pending: HashMap<CallId, Pending>,
-    forwarded: HashMap<(InstanceId, CallId), CallId>,
     dispatched: HashMap<DispatchId, EndpointAnswer>,
     forwards: HashMap<CallId, EndpointAnswer>,
 }
 
 impl Calls {
     pub(crate) fn open(&mut self, call: CallId, pending: Pending) {
-        if let Origin::Peer(peer, theirs) = &pending.origin {
-            self.forwarded.insert((peer.clone(), *theirs), call);
-        }
         self.pending.insert(call, pending);
     }
 
@@ -79,11 +75,6 @@
         self.pending.get(&call).map(|pending| &pending.body)
     }
 
-    /// This instance's id of a call that `peer` forwarded as `theirs`.
-    pub(crate) fn of_peer(&self, peer: &InstanceId, theirs: CallId) -> Option<CallId> {
-        self.forwarded.get(&(peer.clone(), theirs)).copied()
-    }
-
     pub(crate) fn dispatch_answered(&mut self, dispatch: DispatchId, answer: EndpointAnswer) {
         self.dispatched.insert(dispatch, answer);
     }
@@ -106,11 +97,7 @@
     /// Ends a call.
     pub(crate) fn close(&mut self, call: CallId) -> Option<Pending> {
         self.forwards.remove(&call);
-        let pending = self.pending.remove(&call)?;
-        if let Origin::Peer(peer, theirs) = &pending.origin {
-            self.forwarded.remove(&(peer.clone(), *theirs));
-        }
-        Some(pending)
+        self.pending.remove(&call)
     }
 }
 
--- a/crates/guavacart_entry/src/core.rs
+++ b/crates/guavacart_entry/src/core.rs
@@ -17,7 +17,7 @@
     calls::{Answer, Origin, Pending, RequestBody, answer_from_wire},
     clock::Clock,
     runner::Runner,
-    status,
+    status::{self, Roster},
 };
 
 /// What reaches the reducer's thread.
@@ -46,13 +46,13 @@
         end: DispatchEnd,
         answer: Option<EndpointAnswer>,
     },
-    /// A peer gave up a call that it had forwarded.
-    Cancelled { from: InstanceId, call: CallId },
     /// A question to be answered from memory, as JSON.
     Ask {
         question: Question,
         reply: oneshot::Sender<Vec<u8>>,
     },
+    /// Who could be asked, and the configuration in force here.
+    Roster { reply: oneshot::Sender<Roster> },
 }
 
 /// The reducer, its runner and what feeds them.
@@ -102,8 +102,11 @@
                 end,
                 answer,
             } => self.dispatch_ended(dispatch, end, answer),
-            Input::Cancelled { from, call } => self.cancelled(&from, call),
             Input::Ask { question, reply } => self.answer_question(question, reply),
+            Input::Roster { reply } => {
+                // The asker may have given up; then there is nobody to tell.
+                let _ = reply.send(Roster::of(&self.state));
+            }
         }
     }
 
@@ -137,17 +140,18 @@
     }
 
     fn forward_arrived(&mut self, call: CallId, from: InstanceId, wire: ForwardWire) {
-        let (theirs, head, body) = RequestBody::from_forward(wire);
+        let (remote, head, body) = RequestBody::from_forward(wire);
         let pending = Pending {
             head: head.clone(),
             body,
-            origin: Origin::Peer(from.clone(), theirs),
+            origin: Origin::Peer(from.clone(), remote),
             since: self.clock.now(),
         };
         self.runner.calls.open(call, pending);
         self.apply(Event::Request(RequestEvent::ForwardArrived {
             call,
             from,
+            remote,
             head,
         }));
     }
@@ -182,12 +186,6 @@
         self.apply(Event::Request(ended));
     }
 
-    fn cancelled(&mut self, from: &InstanceId, theirs: CallId) {
-        if let Some(call) = self.runner.calls.of_peer(from, theirs) {
-            self.apply(Event::Request(RequestEvent::CallerGone { call }));
-        }
-    }
-
     fn answer_question(&mut self, question: Question, reply: oneshot::Sender<Vec<u8>>) {
         let now = self.clock.now();
         let body = match question {
--- a/crates/guavacart_entry/src/front.rs
+++ b/crates/guavacart_entry/src/front.rs
@@ -36,7 +36,7 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 
 /// What serving a request needs.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct FrontContext {
     pub(crate) limits: Limits,
     pub(crate) access: Access,
--- a/crates/guavacart_entry/src/front/reply.rs
+++ b/crates/guavacart_entry/src/front/reply.rs
@@ -54,6 +54,11 @@
     reply
 }
 
+/// The token is missing or wrong.
+pub(super) fn unauthorized(reason: &str) -> Reply {
+    error(StatusCode::UNAUTHORIZED, "authorization", reason)
+}
+
 /// The path is known, the method is not.
 pub(super) fn method_not_allowed(allowed: &'static str) -> Reply {
     let mut reply = error(
--- a/crates/guavacart_entry/src/links/accept.rs
+++ b/crates/guavacart_entry/src/links/accept.rs
@@ -127,10 +127,10 @@
             wire,
         },
         Frame::Outcome(wire) => Input::Outcome { from, wire },
-        Frame::Request(wire) => match PeerRequest::from(wire) {
-            PeerRequest::Cancel { call } => Input::Cancelled { from, call },
-            message => Input::Event(Event::Request(RequestEvent::Peer { from, message })),
-        },
+        Frame::Request(wire) => {
+            let message = PeerRequest::from(wire);
+            Input::Event(Event::Request(RequestEvent::Peer { from, message }))
+        }
         Frame::Batch(_) => return,
         Frame::Ask { id, question } => {
             let (reply, rx) = oneshot::channel();
--- a/crates/guavacart_entry/src/status.rs
+++ b/crates/guavacart_entry/src/status.rs
@@ -1,5 +1,6 @@
 //! What an operator sees of one instance.
 
+use guavacart_config::Configuration;
 use guavacart_scheduler::State;
 use guavacart_types::{ConfigNumber, DataCentre, Incarnation, InstanceId, Timestamp, ViewNumber};
 use serde::{Deserialize, Serialize};
@@ -34,6 +35,28 @@
     queued: u32,
 }
 
+/// Who could be asked about the deployment, and the configuration in force here.
+#[derive(Debug)]
+pub(crate) struct Roster {
+    pub(crate) me: InstanceId,
+    /// The view's other members, heard or not.
+    pub(crate) others: Vec<InstanceId>,
+    pub(crate) configuration: Configuration,
+}
+
+impl Roster {
+    pub(crate) fn of(state: &State) -> Self {
+        let me = state.membership().me().id.clone();
+        let members = state.membership().view().members.iter();
+        let others = members.map(|m| m.member.id.clone());
+        Self {
+            others: others.filter(|id| *id != me).collect(),
+            configuration: state.config().current().clone(),
+            me,
+        }
+    }
+}
+
 /// The status as JSON.
 pub(crate) fn status(state: &State, now: Timestamp) -> Vec<u8> {
     encode(&describe(state, now))
--- a/crates/guavacart_scheduler/tests/membership/simulation.rs
+++ b/crates/guavacart_scheduler/tests/membership/simulation.rs
@@ -9,7 +9,7 @@
         Heartbeat, Member, MembershipEffect, MembershipEvent, Standing, Swap, TICK, View,
     },
 };
-use guavacart_types::{DataCentre, Incarnation, InstanceId, Revision, Timestamp, mix};
+use guavacart_types::{DataCentre, Incarnation, InstanceId, Revision, Span, Timestamp, mix};
 
 use crate::{
     fault::{Fault, Step},
@@ -271,6 +271,7 @@
             },
             data_centre: data_centre(index),
             now: Timestamp(self.now * rate / 1_000 + offset),
+            linger: Span::ZERO,
         };
         self.processes[index] = Some(Process {
             state: State::new(&start),
--- a/crates/guavacart_scheduler/tests/request/model.rs
+++ b/crates/guavacart_scheduler/tests/request/model.rs
@@ -162,6 +162,7 @@
             },
             data_centre: id("dc"),
             now: Timestamp(self.now),
+            linger: Span::ZERO,
         };
         let entry = &mut self.nodes[node];
         entry.state = Some(State::new(&start));
--- a/crates/guavacart_wire/src/heartbeat.rs
+++ b/crates/guavacart_wire/src/heartbeat.rs
@@ -25,8 +25,8 @@
     load: Vec<ServiceLoadWire>,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct MemberWire {
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct MemberWire {
     id: InstanceId,
     incarnation: u64,
 }
--- a/crates/guavacart_wire/src/request.rs
+++ b/crates/guavacart_wire/src/request.rs
@@ -2,15 +2,16 @@
 
 use guavacart_scheduler::{
     membership::Load,
-    request::{ClaimAnswer, PeerRequest, RequestHead},
+    request::{ClaimAnswer, HeldId, PeerRequest, RequestHead},
 };
 use guavacart_types::{
-    ByteSize, CallId, Class, Outcome, Reason, RequestId, ServiceName, Span, TeamName, ViewNumber,
+    ByteSize, CallId, Class, InstanceId, Outcome, Reason, RequestId, ServiceName, Span, TeamName,
+    ViewNumber,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::heartbeat::{ServiceLoadWire, load_from_wire, load_to_wire};
+use crate::heartbeat::{MemberWire, ServiceLoadWire, load_from_wire, load_to_wire};
 
 /// [`RequestHead`] as it travels.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -127,24 +128,60 @@
         call: u64,
     },
     Claim {
+        asker: MemberWire,
         call: u64,
         id: RequestId,
         view: u64,
     },
     Claimed {
         call: u64,
+        view: u64,
         answer: ClaimAnswerWire,
     },
     Release {
+        asker: MemberWire,
+        call: u64,
         id: RequestId,
     },
     Handover {
         view: u64,
-        ids: Vec<(RequestId, u64)>,
+        before: Vec<InstanceId>,
+        ids: Vec<HeldIdWire>,
         complete: bool,
     },
 }
 
+/// [`HeldId`] as it travels.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct HeldIdWire {
+    id: RequestId,
+    asker: MemberWire,
+    call: u64,
+    age_ms: u64,
+}
+
+impl From<HeldId> for HeldIdWire {
+    fn from(held: HeldId) -> Self {
+        Self {
+            id: held.id,
+            asker: held.asker.into(),
+            call: held.call.0,
+            age_ms: held.age.0,
+        }
+    }
+}
+
+impl From<HeldIdWire> for HeldId {
+    fn from(wire: HeldIdWire) -> Self {
+        Self {
+            id: wire.id,
+            asker: wire.asker.into(),
+            call: CallId(wire.call),
+            age: Span(wire.age_ms),
+        }
+    }
+}
+
 impl HeadWire {
     /// The head that travelled with a body of `size`.
     pub fn into_head(self, size: ByteSize) -> RequestHead {
@@ -209,23 +246,36 @@
     fn from(message: PeerRequest) -> Self {
         Self(match message {
             PeerRequest::Cancel { call } => PeerRequestKind::Cancel { call: call.0 },
-            PeerRequest::Claim { call, id, view } => PeerRequestKind::Claim {
+            PeerRequest::Claim {
+                asker,
+                call,
+                id,
+                view,
+            } => PeerRequestKind::Claim {
+                asker: asker.into(),
                 call: call.0,
                 id,
                 view: view.0,
             },
-            PeerRequest::Claimed { call, answer } => PeerRequestKind::Claimed {
+            PeerRequest::Claimed { call, view, answer } => PeerRequestKind::Claimed {
                 call: call.0,
+                view: view.0,
                 answer: answer.into(),
             },
-            PeerRequest::Release { id } => PeerRequestKind::Release { id },
+            PeerRequest::Release { asker, call, id } => PeerRequestKind::Release {
+                asker: asker.into(),
+                call: call.0,
+                id,
+            },
             PeerRequest::Handover {
                 view,
+                before,
                 ids,
                 complete,
             } => PeerRequestKind::Handover {
                 view: view.0,
-                ids: ids.into_iter().map(|(id, age)| (id, age.0)).collect(),
+                before,
+                ids: ids.into_iter().map(HeldIdWire::from).collect(),
                 complete,
             },
         })
@@ -236,23 +286,36 @@
     fn from(wire: PeerRequestWire) -> Self {
         match wire.0 {
             PeerRequestKind::Cancel { call } => Self::Cancel { call: CallId(call) },
-            PeerRequestKind::Claim { call, id, view } => Self::Claim {
+            PeerRequestKind::Claim {
+                asker,
+                call,
+                id,
+                view,
+            } => Self::Claim {
+                asker: asker.into(),
                 call: CallId(call),
                 id,
                 view: ViewNumber(view),
             },
-            PeerRequestKind::Claimed { call, answer } => Self::Claimed {
+            PeerRequestKind::Claimed { call, view, answer } => Self::Claimed {
                 call: CallId(call),
+                view: ViewNumber(view),
                 answer: answer.into(),
             },
-            PeerRequestKind::Release { id } => Self::Release { id },
+            PeerRequestKind::Release { asker, call, id } => Self::Release {
+                asker: asker.into(),
+                call: CallId(call),
+                id,
+            },
             PeerRequestKind::Handover {
                 view,
+                before,
                 ids,
                 complete,
             } => Self::Handover {
                 view: ViewNumber(view),
-                ids: ids.into_iter().map(|(id, age)| (id, Span(age))).collect(),
+                before,
+                ids: ids.into_iter().map(HeldId::from).collect(),
                 complete,
             },
         }
