--- a/crates/guavacart/src/cli.rs
+++ b/crates/guavacart/src/cli.rs
@@ -6,7 +6,7 @@
 use smol_str::format_smolstr;
 
 use crate::{
-    check,
+    burn, check,
     command::Command,
     config,
     exit::{EXIT_STATUSES, Failure},
@@ -23,6 +23,7 @@
     &jobs::SUBMIT,
     &jobs::CANCEL,
     &status::COMMAND,
+    &burn::COMMAND,
 ];
 
 /// Runs the subcommand that `args` name.
--- a/crates/guavacart/src/client.rs
+++ b/crates/guavacart/src/client.rs
@@ -162,9 +162,9 @@
 
     fn explanation(&self) -> SmolStr {
         let text = |key| self.body.get(key).and_then(Value::as_str);
-        let mut lines = match text("error") {
-            Some(error) => error.to_owned(),
-            None => format!("the entry instance answered with status {}", self.status),
+        let mut lines = match (text("key"), text("reason")) {
+            (Some(key), Some(reason)) => format!("{key}: {reason}"),
+            _ => format!("the entry instance answered with status {}", self.status),
         };
         for problem in self.list("problems") {
             let part = |key| problem.get(key).and_then(Value::as_str).unwrap_or("?");
@@ -172,10 +172,8 @@
             lines.push_str(&format!("\n  {key}: {reason}; {remedy}"));
         }
         for key in self.list("changed") {
-            lines.push_str(&format!(
-                "\n  changed since: {}",
-                key.as_str().unwrap_or("?")
-            ));
+            let key = key.as_str().unwrap_or("?");
+            lines.push_str(&format!("\n  changed since the base: {key}"));
         }
         SmolStr::from(lines)
     }
--- a/crates/guavacart/src/main.rs
+++ b/crates/guavacart/src/main.rs
@@ -1,5 +1,6 @@
 //! The guavacart command.
 
+mod burn;
 mod check;
 mod cli;
 mod client;
