Attack the request path with random faults and measure who gets the slots

Cause: the promises were checked by seven fixed scenarios only. A request may wait half its deadline at most; a full queue gives way to the smaller team; endpoints that were owned across an unseen view are probed again; handovers name only new holders' ids.

--- a/crates/guavacart_scheduler/src/request/admit.rs
+++ b/crates/guavacart_scheduler/src/request/admit.rs
@@ -19,6 +19,19 @@
 /// Time until a request that no instance can take now is tried again.
 const PARK_SPAN: Span = Span::millis(50);
 
+/// A request may wait for its deadline's time, less its service, divided by this: estimates err, and
+/// a shorter queue is gone sooner after a crest.
+const WAIT_SHARE: u64 = 2;
+
+/// Where a call should go.
+enum Plan {
+    Dispatch,
+    Enqueue,
+    Forward(InstanceId),
+    Park,
+    Refuse(Reason),
+}
+
 impl Requests {
     /// Takes a new call.
     pub(super) fn arrived(
@@ -43,7 +56,7 @@
         if service.is_none() || !known {
             self.refuse(cx, id, Reason::Unknown, effects);
         } else if claims {
-            self.start_claim(cx, id, effects);
+            self.claim_or_refuse(cx, id, effects);
         } else {
             self.route(cx, id, effects);
         }
@@ -54,34 +67,59 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        if cx.now >= call.deadline_at {
-            return self.refuse(cx, id, Reason::DeadlinePassed, effects);
-        }
         let Some(service) = cx.configuration.services.get(&call.head.service) else {
             return self.refuse(cx, id, Reason::Unknown, effects);
         };
-        let head = call.head.clone();
-        let left = call.deadline_at.since(cx.now);
-        let own = self.own_wait(cx, &head, service);
-        if own == Some(Span::ZERO) && self.dispatch(cx, id, effects) {
+        match self.plan(cx, id, service) {
+            Plan::Dispatch if self.dispatch(cx, id, effects) => {}
+            Plan::Dispatch | Plan::Enqueue => self.enqueue(cx, id, service, effects),
+            Plan::Forward(to) => self.forward(cx, id, to, effects),
+            Plan::Park => self.park(cx, id, effects),
+            Plan::Refuse(reason) => self.refuse(cx, id, reason, effects),
+        }
+    }
+
+    /// Claims the id of a call, unless the call is to be refused anyway.
+    fn claim_or_refuse(&mut self, cx: &Cx<'_>, id: CallId, effects: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(service) = cx.configuration.services.get(&call.head.service) else {
             return;
+        };
+        match self.plan(cx, id, service) {
+            Plan::Refuse(reason) => self.refuse(cx, id, reason, effects),
+            _ => self.start_claim(cx, id, effects),
+        }
+    }
+
+    /// Where a call should go now.
+    fn plan(&mut self, cx: &Cx<'_>, id: CallId, service: &Service) -> Plan {
+        let Some(call) = self.calls.get(&id) else {
+            return Plan::Park;
+        };
+        if cx.now >= call.deadline_at {
+            return Plan::Refuse(Reason::DeadlinePassed);
+        }
+        let left = call.deadline_at.since(cx.now);
+        let head = &call.head;
+        let own = self.own_wait(cx, head, service);
+        if own == Some(Span::ZERO) {
+            return Plan::Dispatch;
         }
-        let peer = self.best_peer(cx, id, service);
-        let wait = match (own, &peer) {
-            (None, None) => return self.park(cx, id, effects),
-            (Some(own), Some((_, there))) => own.min(*there),
-            (Some(own), None) => own,
-            (None, Some((_, there))) => *there,
+        let took = self.times.mean(head, service);
+        let peer = self.best_peer(cx, id, took);
+        let there = peer.as_ref().map(|(_, wait)| *wait);
+        let Some(wait) = own.into_iter().chain(there).min() else {
+            return Plan::Park;
         };
-        let took = self.times.mean(&head, service);
-        if service.admission && wait > Span::ZERO && wait + took > left {
-            return self.refuse(cx, id, Reason::Overloaded, effects);
+        let hopeless = wait > Span::ZERO && wait * WAIT_SHARE + took > left;
+        if service.admission && hopeless {
+            return Plan::Refuse(Reason::Overloaded);
         }
         match peer {
-            Some((to, there)) if own.is_none_or(|own| there < own) => {
-                self.forward(cx, id, to, effects);
-            }
-            _ => self.enqueue(cx, id, service, effects),
+            Some((to, there)) if own.is_none_or(|own| there < own) => Plan::Forward(to),
+            _ => Plan::Enqueue,
         }
     }
 
@@ -119,17 +157,11 @@
     }
 
     /// The better of two peers, drawn by the call's id, and the wait there.
-    fn best_peer(
-        &mut self,
-        cx: &Cx<'_>,
-        id: CallId,
-        service: &Service,
-    ) -> Option<(InstanceId, Span)> {
+    fn best_peer(&mut self, cx: &Cx<'_>, id: CallId, took: Span) -> Option<(InstanceId, Span)> {
         let call = self.calls.get(&id)?;
         if call.is_from_peer() || call.refused_by.len() >= MOST_REFUSALS {
             return None;
         }
-        let took = self.times.mean(&call.head, service);
         let live = cx.membership.live_members(cx.now);
         let fresh = |peer: &&InstanceId| !call.refused_by.contains(peer);
         let name = &call.head.service;
@@ -165,6 +197,7 @@
             return self.refuse(cx, id, Reason::NoEndpoint, effects);
         }
         call.place = Place::Waits;
+        call.refused_by.clear();
         self.timers.insert((cx.now + PARK_SPAN, id, Timer::Resume));
     }
 
@@ -181,19 +214,30 @@
             bytes: head.size.0,
             since: cx.now,
         };
-        let queue = self.queues.entry(head.service.clone()).or_default();
-        let full = queue.entries() >= service.queue_entries
-            || queue.bytes() + head.size.0 > service.queue_bytes.0;
-        if full {
-            return self.refuse(cx, id, Reason::QueueFull, effects);
-        }
         let team = lane_team(&head, service);
+        while self.is_full(&head, service) {
+            let queue = self.queues.get(&head.service);
+            let other = queue.and_then(|queue| queue.gives_way_to(&team));
+            self.refuse(cx, other.unwrap_or(id), Reason::QueueFull, effects);
+            if other.is_none() {
+                return;
+            }
+        }
+        let queue = self.queues.entry(head.service.clone()).or_default();
         queue.lane(long).push(&team, weight_of(cx, &head), waiting);
         if let Some(call) = self.calls.get_mut(&id) {
             call.place = Place::Queued { long, team };
         }
     }
 
+    /// True if one request more would pass the bounds of its service's queue.
+    fn is_full(&self, head: &RequestHead, service: &Service) -> bool {
+        let queue = self.queues.get(&head.service);
+        let entries = queue.map_or(0, |q| q.entries());
+        let bytes = queue.map_or(0, |q| q.bytes());
+        entries >= service.queue_entries || bytes + head.size.0 > service.queue_bytes.0
+    }
+
     fn forward(&mut self, cx: &Cx<'_>, id: CallId, to: InstanceId, effects: &mut Vec<Effect>) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
--- a/crates/guavacart_scheduler/src/request/dispatch.rs
+++ b/crates/guavacart_scheduler/src/request/dispatch.rs
@@ -16,8 +16,6 @@
 const LONGEST_PAUSE: Span = Span::millis(200);
 /// Wait after which long work goes before short work that came later.
 const AGEING_SPAN: Span = Span::millis(500);
-/// Share of the expected service time that must be left for a dispatch to be of use, in percent.
-const HOPE_PERCENT: u64 = 50;
 /// Most attempts at one call.
 const MOST_RETRIES: u32 = 8;
 
@@ -145,7 +143,7 @@
             call.place = Place::Waits;
             let left = call.deadline_at.since(cx.now).0;
             let took = self.times.mean(&call.head, service).0;
-            if service.admission && left * 100 < took * HOPE_PERCENT {
+            if service.admission && left < took {
                 self.refuse(cx, id, Reason::DeadlinePassed, effects);
             } else if !self.dispatch(cx, id, effects) {
                 self.route(cx, id, effects);
--- a/crates/guavacart_scheduler/src/request/ledger.rs
+++ b/crates/guavacart_scheduler/src/request/ledger.rs
@@ -193,17 +193,19 @@
             to: to.clone(),
             view: last.number,
             before: before.members.clone(),
-            ids: self.ids_for(now, to, last),
+            ids: self.ids_for(now, to, before, last),
             complete,
         };
         others.map(handover).collect()
     }
 
-    fn ids_for(&self, now: Timestamp, to: &InstanceId, era: &Era) -> Vec<HeldId> {
-        let theirs = self
-            .ids
-            .iter()
-            .filter(|(id, _)| holders(&era.members, id).contains(&to));
+    /// The ids that `to` is a holder of in `era` and was not in the one before.
+    fn ids_for(&self, now: Timestamp, to: &InstanceId, before: &Era, era: &Era) -> Vec<HeldId> {
+        let is_new = |id: &RequestId| {
+            let now_holds = holders(&era.members, id).contains(&to);
+            now_holds && !holders(&before.members, id).contains(&to)
+        };
+        let theirs = self.ids.iter().filter(|(id, _)| is_new(id));
         let held = |(id, held): (&RequestId, &Held)| HeldId {
             id: id.clone(),
             asker: held.asker.clone(),
--- a/crates/guavacart_scheduler/src/request/outcome.rs
+++ b/crates/guavacart_scheduler/src/request/outcome.rs
@@ -96,7 +96,9 @@
             }
             Outcome::NotRun(reason) => {
                 call.refused_by.push(from.clone());
-                call.refusal = Some(reason);
+                if reason != Reason::NoEndpoint {
+                    call.refusal = Some(reason);
+                }
                 self.route(cx, id, effects);
             }
         }
--- a/crates/guavacart_scheduler/src/request/pool.rs
+++ b/crates/guavacart_scheduler/src/request/pool.rs
@@ -52,10 +52,11 @@
         if !(changed || looked_for) {
             return;
         }
-        self.version = Some(version);
+        let before = self.version.replace(version).map(|(view, ..)| view);
+        let skipped = before.is_some_and(|before| view > before.next());
         self.pending = false;
         for (id, listed) in &cx.directory.endpoints {
-            self.review(cx, id, listed);
+            self.review(cx, id, listed, skipped);
         }
         self.forget_unlisted(cx);
     }
@@ -117,6 +118,15 @@
             .collect()
     }
 
+    /// Ends the probations that have lasted too long without a trial.
+    pub(super) fn lapse(&mut self, now: Timestamp) {
+        let groups = self.groups.values();
+        let all: Vec<EndpointId> = groups.flat_map(|g| &g.probation).cloned().collect();
+        for id in all {
+            self.with(&id, |e| e.probation.lapse(now));
+        }
+    }
+
     /// Puts an outlier on probation unless too many of its service are; true if it was.
     pub(super) fn put_on_probation(&mut self, id: &EndpointId, now: Timestamp) -> bool {
         let Some(endpoint) = self.endpoints.get(id) else {
@@ -143,7 +153,8 @@
         group.probation.iter().find(is_due).cloned()
     }
 
-    fn review(&mut self, cx: &Cx<'_>, id: &EndpointId, listed: &ListedEndpoint) {
+    /// Works out whether an endpoint is owned; `skipped` if another may have owned it unseen.
+    fn review(&mut self, cx: &Cx<'_>, id: &EndpointId, listed: &ListedEndpoint, skipped: bool) {
         let key = format!("endpoint/{id}");
         let standing = cx.membership.standing(&key, Some(&listed.data_centre));
         self.pending |= standing == Standing::Pending;
@@ -154,12 +165,13 @@
         let fresh = || Endpoint::new(listed.service.clone(), listed.address, cx.now);
         self.endpoints.entry(id.clone()).or_insert_with(fresh);
         self.with(id, |endpoint| {
+            let restarted = endpoint.address != listed.address;
             endpoint.address = listed.address;
-            endpoint.leaving |= listed.leaving;
+            endpoint.leaving = listed.leaving || (endpoint.leaving && !restarted);
             if let Some(service) = cx.configuration.services.get(&listed.service) {
                 endpoint.limit(service);
             }
-            if owned && !endpoint.owned {
+            if owned && (!endpoint.owned || skipped || restarted) {
                 endpoint.own(cx.now);
             }
             endpoint.owned = owned;
--- a/crates/guavacart_scheduler/src/request/probation.rs
+++ b/crates/guavacart_scheduler/src/request/probation.rs
@@ -41,6 +41,16 @@
         self.until = Some(now + self.rest);
     }
 
+    /// Ends a probation that no trial request came to end; one failure more renews it.
+    pub(super) fn lapse(&mut self, now: Timestamp) -> bool {
+        let lapsed = self.until.is_some_and(|at| now.since(at) > LONGEST_REST);
+        if lapsed {
+            self.until = None;
+            self.failures = FAILURES - 1;
+        }
+        lapsed
+    }
+
     /// Counts the end of a request that took `took` where `expected` is usual.
     pub(super) fn note(&mut self, now: Timestamp, failed: bool, took: Span, expected: Span) {
         let slow = took.0 > expected.0.max(1) * SLOW_FACTOR;
--- a/crates/guavacart_scheduler/src/request/queue.rs
+++ b/crates/guavacart_scheduler/src/request/queue.rs
@@ -78,6 +78,23 @@
         Some(waiting)
     }
 
+    /// The team with most requests waiting, and how many.
+    fn largest(&self) -> Option<(&SmolStr, usize)> {
+        let sizes = self.teams.iter().map(|(team, q)| (team, q.entries.len()));
+        sizes.max_by_key(|(_, len)| *len)
+    }
+
+    /// The request of a team that came last.
+    fn newest(&self, team: &str) -> Option<CallId> {
+        let queue = self.teams.get(team)?;
+        queue.entries.back().map(|waiting| waiting.call)
+    }
+
+    /// Requests of a team that wait.
+    fn len(&self, team: &str) -> usize {
+        self.teams.get(team).map_or(0, |q| q.entries.len())
+    }
+
     /// When the request that has waited longest came.
     pub(super) fn oldest(&self) -> Option<Timestamp> {
         let fronts = self.teams.values().filter_map(|q| q.entries.front());
@@ -138,6 +155,18 @@
         self.short.bytes + self.long.bytes
     }
 
+    /// The request that should give way to one of `team`: the last of a team that has more.
+    pub(super) fn gives_way_to(&self, team: &str) -> Option<CallId> {
+        let own = self.short.len(team) + self.long.len(team);
+        let lanes = [&self.short, &self.long];
+        let largest = lanes
+            .iter()
+            .filter_map(|lane| Some((*lane, lane.largest()?)));
+        let (lane, (largest, len)) = largest.max_by_key(|(_, (_, len))| *len)?;
+        let more = largest != team && len > own + 1;
+        more.then(|| lane.newest(largest)).flatten()
+    }
+
     pub(super) fn calls(&self) -> Vec<CallId> {
         let mut calls = self.short.calls();
         calls.extend(self.long.calls());
--- a/crates/guavacart_scheduler/src/request/reducer.rs
+++ b/crates/guavacart_scheduler/src/request/reducer.rs
@@ -104,6 +104,7 @@
     pub(crate) fn tick(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
         self.begin(cx, true, effects);
         self.probe(cx, effects);
+        self.pool.lapse(cx.now);
         self.lose_silent_peers(cx, effects);
         self.reroute(cx, effects);
         self.dirty.extend(self.queues.keys().cloned());
--- a/crates/guavacart_scheduler/tests/request/main.rs
+++ b/crates/guavacart_scheduler/tests/request/main.rs
@@ -1,6 +1,8 @@
 //! The request path of several instances under faults.
 
+mod faults;
 mod model;
+mod share;
 
 use guavacart_types::{Class, Outcome};
 
@@ -49,10 +51,13 @@
 }
 
 /// Every call was answered exactly once unless its instance died, and no promise was broken.
-fn assert_kept(model: &Model, died: bool) {
+fn assert_kept(model: &Model, died: bool, paused: bool) {
     assert_eq!(model.violations, Vec::<String>::new());
     let wrong = |s: &&model::Sent| s.answers.len() != 1 && !(died && s.answers.is_empty());
     assert_eq!(model.sent.iter().filter(wrong).count(), 0);
+    if paused {
+        return;
+    }
     let late = |s: &&model::Sent| s.answers.iter().any(|(at, _)| *at > s.at + 3_100);
     let late: Vec<_> = model.sent.iter().filter(late).collect();
     assert!(late.is_empty(), "{late:?}");
@@ -67,7 +72,7 @@
     model.start(0);
     load(&mut model, 8_000, 3, 50);
     model.run(model.now + 5_000);
-    assert_kept(&model, true);
+    assert_kept(&model, true, false);
     assert!(answered(&model) * 10 > model.sent.len() * 8);
 }
 
@@ -78,7 +83,7 @@
     model.pause(1, 10_000);
     load(&mut model, 15_000, 3, 50);
     model.run(model.now + 5_000);
-    assert_eq!(model.violations, Vec::<String>::new());
+    assert_kept(&model, false, true);
     assert!(answered(&model) * 10 > model.sent.len() * 6);
 }
 
@@ -91,7 +96,7 @@
     });
     load(&mut model, 20_000, 6, 50);
     model.run(model.now + 5_000);
-    assert_kept(&model, false);
+    assert_kept(&model, false, false);
     assert!(answered(&model) * 100 > model.sent.len() * 95);
 }
 
@@ -101,7 +106,7 @@
     model.leave_endpoint(2);
     load(&mut model, 3_000, 3, 50);
     model.run(model.now + 5_000);
-    assert_kept(&model, false);
+    assert_kept(&model, false, false);
     assert_eq!(answered(&model), model.sent.len());
 }
 
@@ -111,7 +116,7 @@
     model.store_down = true;
     load(&mut model, 20_000, 6, 50);
     model.run(model.now + 5_000);
-    assert_kept(&model, false);
+    assert_kept(&model, false, false);
     assert_eq!(answered(&model), model.sent.len());
 }
 
@@ -126,5 +131,5 @@
         model.run(model.now + 500);
     }
     assert_eq!(model.runs_by_id["once"], 1);
-    assert_kept(&model, false);
+    assert_kept(&model, false, false);
 }
