Let a leaving owner hand its keys on while the view cannot change

Cause: a stop during a store outage left one part in eight of the keys without an owner, and waited 10 s for a view that could not change. Change: after 2 s of leaving under an unchanged view, a member names the live members of that view in its heartbeats, once in its life, and acts no more in the view; they act by rendezvous order among themselves under their own right. Whoever waits for that owner's release waits for the holder's. That an owner was superseded no longer counts as its release, only towards closing the view, since what it delegated may be unheard. Unit tests of right, closure and proposal.

--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -1,6 +1,7 @@
 //! Who is in the deployment, who owns what, and who may act as owner now.
 
 mod closure;
+mod delegation;
 mod heartbeat;
 mod peers;
 mod proposal;
@@ -12,8 +13,9 @@
 };
 use serde::{Deserialize, Serialize};
 
-use self::{closure::Closures, peers::Peers, right::Right};
+use self::{closure::Closures, delegation::Delegated, peers::Peers, right::Right};
 pub use self::{
+    delegation::Delegation,
     heartbeat::{Echo, Heartbeat, Load, ServiceLoad},
     view::{EarlierView, Member, View, ViewMember},
 };
@@ -97,7 +99,7 @@
     Pending,
     /// Another member owns the key.
     Other(InstanceId),
-    /// The view has no members.
+    /// The view has no members, or all that the key was handed to have left.
     Nobody,
 }
 
@@ -110,6 +112,7 @@
     peers: Peers,
     right: Right,
     closures: Closures,
+    delegated: Delegated,
     load: Load,
     config: ConfigNumber,
     leaving_since: Option<Timestamp>,
@@ -135,6 +138,7 @@
             closures: Closures::default(),
             view: View::default(),
             revision: Revision::default(),
+            delegated: Delegated::default(),
             load: Load::default(),
             config: ConfigNumber::default(),
             leaving_since: None,
@@ -193,7 +197,8 @@
 
     /// How this instance stands to `key`, whose owner is sought in `preferred` first.
     pub fn standing(&self, key: &str, preferred: Option<&DataCentre>) -> Standing {
-        let Some(owner) = self.view.owner(key, preferred) else {
+        let members = &self.view.members;
+        let Some(owner) = self.holder(members, self.view.number, key, preferred) else {
             return Standing::Nobody;
         };
         if owner.member != self.me.member {
@@ -266,7 +271,8 @@
             return false;
         };
         let alone = self.view.members.len() <= 1;
-        !self.is_member() || alone || now.since(since) > LEAVE_LIMIT
+        let told = self.delegated.is_told(now);
+        !self.is_member() || alone || told || now.since(since) > LEAVE_LIMIT
     }
 
     /// True once a graceful stop was asked for.
@@ -298,6 +304,7 @@
         if now >= self.next_read {
             self.read_view(now, effects);
         }
+        self.delegate(now, effects);
         self.send_heartbeats(now, false, effects);
         self.review(now, directory, effects);
     }
@@ -448,7 +455,7 @@
         key: &str,
         preferred: Option<&DataCentre>,
     ) -> bool {
-        let Some(owner) = view::owner(&earlier.members, key, preferred) else {
+        let Some(owner) = self.holder(&earlier.members, earlier.number, key, preferred) else {
             return false;
         };
         if owner.member == self.me.member {
@@ -457,6 +464,39 @@
         !self.peers.has_released(&owner.member, earlier.number)
     }
 
+    /// The member that acts for `key` in a view, delegations followed.
+    fn holder<'a>(
+        &'a self,
+        members: &'a [ViewMember],
+        number: ViewNumber,
+        key: &str,
+        preferred: Option<&DataCentre>,
+    ) -> Option<&'a ViewMember> {
+        let ranked = |m: &ViewMember| view::rank(m, key, preferred);
+        let delegation = |member: &Member| {
+            if *member == self.me.member {
+                self.delegated.get()
+            } else {
+                self.peers.delegation(member)
+            }
+        };
+        delegation::holder(members, number, ranked, delegation)
+    }
+
+    /// Hands on what this instance owns if it leaves and the view does not change.
+    fn delegate(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let overdue = self
+            .leaving_since
+            .is_some_and(|since| now.since(since) >= delegation::DELEGATE_AFTER);
+        if !overdue || !self.may_act(now) {
+            return;
+        }
+        if self.delegated.make(now, &self.view, &self.peers) {
+            self.generation += 1;
+            self.send_heartbeats(now, true, effects);
+        }
+    }
+
     fn send_heartbeats(&mut self, now: Timestamp, at_once: bool, effects: &mut Vec<Effect>) {
         for to in self.peers.due(now, at_once, &self.view, &self.me.member.id) {
             self.send_heartbeat(now, &to, effects);
@@ -475,6 +515,7 @@
             view: behind.then(|| Box::new(self.view.clone())),
             attesting: self.right.is_attesting(),
             leaving: self.is_leaving(),
+            delegation: self.delegated.get().cloned(),
             config: self.config,
             load: self.load.clone(),
         };
--- a/crates/guavacart_scheduler/src/membership/closure.rs
+++ b/crates/guavacart_scheduler/src/membership/closure.rs
@@ -10,6 +10,9 @@
     view::{EarlierView, Member, View, majority},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Which earlier views are closed, as far as this instance can tell.
 #[derive(Debug, Default)]
 pub(super) struct Closures {
@@ -72,7 +75,7 @@
     number: ViewNumber,
     peers: &Peers,
 ) -> bool {
-    if member == me || peers.has_released(member, number) {
+    if member == me || peers.has_abandoned(member, number) {
         return true;
     }
     let silent = peers
--- a/crates/guavacart_scheduler/src/membership/heartbeat.rs
+++ b/crates/guavacart_scheduler/src/membership/heartbeat.rs
@@ -3,7 +3,10 @@
 use guavacart_types::{ConfigNumber, DataCentre, Incarnation, ServiceName, Timestamp, ViewNumber};
 use serde::{Deserialize, Serialize};
 
-use super::view::{Member, View};
+use super::{
+    delegation::Delegation,
+    view::{Member, View},
+};
 
 /// A heartbeat from one entry instance to one other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -24,6 +27,8 @@
     pub attesting: bool,
     /// True once the sender leaves.
     pub leaving: bool,
+    /// What the sender has delegated, from then on in every heartbeat.
+    pub delegation: Option<Delegation>,
     /// The configuration in force at the sender.
     pub config: ConfigNumber,
     /// What the sender has to spare.
--- a/crates/guavacart_scheduler/src/membership/peers.rs
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -6,6 +6,7 @@
 
 use super::{
     HEARTBEAT_INTERVAL, SILENCE_LIMIT,
+    delegation::Delegation,
     heartbeat::{Echo, Heartbeat, Load},
     view::{Member, View},
 };
@@ -23,6 +24,7 @@
     pub(super) view_number: ViewNumber,
     pub(super) attesting: bool,
     pub(super) leaving: bool,
+    delegation: Option<Delegation>,
     sent_at: Timestamp,
     config: ConfigNumber,
     load: Load,
@@ -75,7 +77,7 @@
 
     /// Takes a heartbeat, unless a later one or a later incarnation's came first.
     ///
-    /// True if the peer is in another view or incarnation than it was when last heard.
+    /// True if the peer's view, incarnation or delegation differs from what was last heard.
     pub(super) fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) -> bool {
         let id = heartbeat.from.id.clone();
         let order = (heartbeat.from.incarnation, heartbeat.sent_at);
@@ -93,13 +95,18 @@
             view_number: heartbeat.view_number,
             attesting: heartbeat.attesting,
             leaving: heartbeat.leaving,
+            delegation: heartbeat.delegation,
             sent_at: heartbeat.sent_at,
             config: heartbeat.config,
             load: heartbeat.load,
         };
-        let position = (peer.member.incarnation, peer.view_number);
-        let before = self.heard.insert(id, peer);
-        before.is_none_or(|p| (p.member.incarnation, p.view_number) != position)
+        let changed = self.heard.get(&id).is_none_or(|before| {
+            before.member != peer.member
+                || before.view_number != peer.view_number
+                || before.delegation != peer.delegation
+        });
+        self.heard.insert(id, peer);
+        changed
     }
 
     pub(super) fn get(&self, id: &InstanceId) -> Option<&Peer> {
@@ -145,13 +152,39 @@
             .is_some_and(|peer| peer.member.incarnation > member.incarnation)
     }
 
-    /// True if `member` is known to act no more in the view `number`.
+    /// True if `member` is known to attest the view `number` no more.
+    pub(super) fn has_abandoned(&self, member: &Member, number: ViewNumber) -> bool {
+        self.has_released(member, number) || self.is_superseded(member)
+    }
+
+    /// True if `member` itself told that it is in a later view than `number`.
+    ///
+    /// That it was superseded does not count: what it delegated before it ended may be unknown here.
     pub(super) fn has_released(&self, member: &Member, number: ViewNumber) -> bool {
-        let adopted = self
-            .heard
-            .get(&member.id)
-            .is_some_and(|peer| peer.member == *member && peer.view_number > number);
-        adopted || self.is_superseded(member)
+        let heard = self.heard_exactly(member);
+        heard.is_some_and(|peer| peer.view_number > number)
+    }
+
+    /// What `member` told of its delegation.
+    pub(super) fn delegation(&self, member: &Member) -> Option<&Delegation> {
+        self.heard_exactly(member)?.delegation.as_ref()
+    }
+
+    /// True if `member` could act for another in the view `number`.
+    pub(super) fn takes_delegation(
+        &self,
+        member: &Member,
+        number: ViewNumber,
+        now: Timestamp,
+    ) -> bool {
+        let heard = self.heard_exactly(member);
+        let fit = heard.is_some_and(|p| p.attesting && !p.leaving && p.view_number == number);
+        fit && self.is_heard(&member.id, now)
+    }
+
+    fn heard_exactly(&self, member: &Member) -> Option<&Peer> {
+        let peer = self.heard.get(&member.id)?;
+        (peer.member == *member).then_some(peer)
     }
 
     pub(super) fn view_number(&self, id: &InstanceId) -> Option<ViewNumber> {
--- a/crates/guavacart_scheduler/src/membership/proposal.rs
+++ b/crates/guavacart_scheduler/src/membership/proposal.rs
@@ -10,6 +10,9 @@
 };
 use crate::directory::Directory;
 
+#[cfg(test)]
+mod tests;
+
 /// Rest after a view was adopted, so that changes gather.
 pub(super) const SETTLE_SPAN: Span = Span::millis(400);
 /// Time until a proposal that got no answer is made again.
--- /dev/null
+++ b/crates/guavacart_scheduler/src/membership/proposal/tests.rs
@@ -0,0 +1,113 @@
+use std::net::SocketAddr;
+
+use guavacart_types::{DataCentre, Incarnation, InstanceId, ViewNumber};
+
+use super::*;
+use crate::{
+    directory::{ListedInstance, Role},
+    membership::{Heartbeat, Load},
+};
+
+const NOW: Timestamp = Timestamp(100_000);
+
+fn member(id: &str, incarnation: u64) -> ViewMember {
+    let id: InstanceId = id.parse().unwrap();
+    let incarnation = Incarnation(incarnation);
+    let data_centre: DataCentre = "dc".parse().unwrap();
+    ViewMember {
+        member: Member { id, incarnation },
+        data_centre,
+    }
+}
+
+fn heartbeat(from: ViewMember, leaving: bool) -> Heartbeat {
+    Heartbeat {
+        from: from.member,
+        data_centre: from.data_centre,
+        sent_at: Timestamp(1),
+        echo: None,
+        view_number: ViewNumber(5),
+        view: None,
+        attesting: true,
+        leaving,
+        delegation: None,
+        config: Default::default(),
+        load: Load::default(),
+    }
+}
+
+fn directory(ids: &[&str]) -> Directory {
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let entry = |id: &&str| ListedInstance {
+        data_centre: "dc".parse().unwrap(),
+        address,
+        leaving: false,
+        role: Role::Entry {
+            id: id.parse().unwrap(),
+        },
+    };
+    let mut directory = Directory::default();
+    directory.replace(NOW, ids.iter().map(entry).collect());
+    directory
+}
+
+/// What `a` wants for view 5 of `a`, `b` and `c`, and what it proposes, after `heard`.
+fn proposal(heard: &[(ViewMember, bool)], listed: &[&str], open: usize) -> Option<Vec<String>> {
+    let me = member("a", 1);
+    let earlier = |number| EarlierView {
+        number: ViewNumber(number as u64),
+        members: Vec::new(),
+    };
+    let view = View {
+        number: ViewNumber(5),
+        members: ["a", "b", "c"].map(|id| member(id, 1)).to_vec(),
+        open: (0..open).map(earlier).collect(),
+    };
+    let mut peers = Peers::new(me.member.clone());
+    peers.adopted(Timestamp(0), &view);
+    for (from, leaving) in heard {
+        peers.heard(NOW, heartbeat(from.clone(), *leaving));
+    }
+    let directory = directory(listed);
+    peers.listed(NOW, &directory);
+    let grounds = Grounds {
+        now: NOW,
+        me: &me,
+        view: &view,
+        peers: &peers,
+        closures: &Closures::default(),
+        directory: &directory,
+        leaving: false,
+        started_at: Timestamp(0),
+        wanted_since: Timestamp(0),
+    };
+    let members = wanted(&grounds);
+    if members == view.members {
+        return None;
+    }
+    let name = |m: &ViewMember| format!("{}#{}", m.member.id, m.member.incarnation);
+    propose(&grounds, members).map(|view| view.members.iter().map(name).collect())
+}
+
+macro_rules! proposes {
+    ($($name:ident: $heard:expr, $listed:expr, $open:expr => $members:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let wanted: Option<&[&str]> = $members;
+            let proposed = proposal(&$heard, &$listed, $open);
+            assert_eq!(proposed.as_deref(), wanted.map(|w| w.iter().map(|m| m.to_string()).collect::<Vec<_>>()).as_deref());
+        }
+    )*};
+}
+
+proposes! {
+    nothing_while_all_are_heard: [(member("b", 1), false), (member("c", 1), false)], ["a", "b", "c"], 0 => None;
+    removal_of_the_silent: [(member("b", 1), false)], ["a", "b", "c"], 0 => Some(&["a#1", "b#1"]);
+    removal_of_the_leaving: [(member("b", 1), false), (member("c", 1), true)], ["a", "b", "c"], 0 => Some(&["a#1", "b#1"]);
+    nothing_without_a_majority: [], ["a", "b", "c"], 0 => None;
+    removal_of_a_majority_that_is_gone: [], ["a"], 0 => Some(&["a#1"]);
+    a_listed_newcomer: [(member("b", 1), false), (member("c", 1), false), (member("d", 1), false)], ["a", "b", "c", "d"], 0 => Some(&["a#1", "b#1", "c#1", "d#1"]);
+    no_unlisted_newcomer: [(member("b", 1), false), (member("c", 1), false), (member("d", 1), false)], ["a", "b", "c"], 0 => None;
+    a_restarted_member: [(member("b", 1), false), (member("c", 2), false)], ["a", "b", "c"], 0 => Some(&["a#1", "b#1", "c#2"]);
+    nothing_while_too_many_views_are_open: [(member("b", 1), false)], ["a", "b", "c"], 16 => None;
+}
--- a/crates/guavacart_scheduler/src/membership/right.rs
+++ b/crates/guavacart_scheduler/src/membership/right.rs
@@ -10,6 +10,9 @@
     view::{Member, View, majority},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// What a member last attested to this instance.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Attestation {
--- a/crates/guavacart_scheduler/src/membership/view.rs
+++ b/crates/guavacart_scheduler/src/membership/view.rs
@@ -74,7 +74,8 @@
     members / 2 + 1
 }
 
-fn rank(member: &ViewMember, key: &str, preferred: Option<&DataCentre>) -> (bool, u64) {
+/// The member's place for `key`; the greatest owns it.
+pub(super) fn rank(member: &ViewMember, key: &str, preferred: Option<&DataCentre>) -> (bool, u64) {
     let near = preferred.is_some_and(|dc| *dc == member.data_centre);
     (near, weight(member.member.id.as_str(), key))
 }
--- a/crates/guavacart_scheduler/tests/membership/main.rs
+++ b/crates/guavacart_scheduler/tests/membership/main.rs
@@ -115,6 +115,9 @@
         (0, Fault::Kill(0)), (0, Fault::Kill(1)), (0, Fault::Kill(2)), (500, Fault::Restart(1)),
     ];
     store_outage: 8 instances, 0, [(0, Fault::Store(Condition::Down)), (60_000, Fault::Loss(5))];
+    stop_in_an_outage: 8 instances, 0, [(0, Fault::Store(Condition::Down)), (0, Fault::Leave(2)), (2_500, Fault::Loss(0)), (5_000, Fault::Loss(0))];
+    two_stops_in_an_outage: 8 instances, 0, [(0, Fault::Store(Condition::Down)), (0, Fault::Leave(2)), (0, Fault::Leave(6)), (8_000, Fault::Loss(0))];
+    stop_in_an_outage_that_ends: 8 instances, DEATH_LIMIT, [(0, Fault::Store(Condition::Down)), (0, Fault::Leave(2)), (2_600, Fault::Heal)];
     graceful_stop: 8 instances, 1_500, [(0, Fault::Leave(2)), (700, Fault::Loss(0))];
     stop_while_others_are_cut_from_the_store: 8 instances, DEATH_LIMIT, [(0, Fault::StoreCut(0b1111)), (0, Fault::Leave(7)), (6_000, Fault::Loss(0))];
 }
