--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -1,6 +1,7 @@
 //! Who is in the deployment, who owns what, and who may act as owner now.
 
 mod closure;
+mod delegation;
 mod heartbeat;
 mod peers;
 mod proposal;
@@ -12,8 +13,9 @@
 };
 use serde::{Deserialize, Serialize};
 
-use self::{closure::Closures, peers::Peers, right::Right};
+use self::{closure::Closures, delegation::Delegated, peers::Peers, right::Right};
 pub use self::{
+    delegation::Delegation,
     heartbeat::{Echo, Heartbeat, Load, ServiceLoad},
     view::{EarlierView, Member, View, ViewMember},
 };
@@ -97,7 +99,7 @@
     Pending,
     /// Another member owns the key.
     Other(InstanceId),
-    /// The view has no members.
+    /// The view has no members, or all that the key was handed to have left.
     Nobody,
 }
 
@@ -110,6 +112,7 @@
     peers: Peers,
     right: Right,
     closures: Closures,
+    delegated: Delegated,
     load: Load,
     config: ConfigNumber,
     leaving_since: Option<Timestamp>,
@@ -118,6 +121,9 @@
     next_proposal: Timestamp,
     swapping: bool,
     started_at: Timestamp,
+    generation: u64,
+    /// Since when the members differ from those that the view should have.
+    wanted_since: Option<Timestamp>,
 }
 
 impl Membership {
@@ -128,10 +134,11 @@
         };
         Self {
             right: Right::new(start.now),
-            peers: Peers::default(),
+            peers: Peers::new(start.member.clone()),
             closures: Closures::default(),
             view: View::default(),
             revision: Revision::default(),
+            delegated: Delegated::default(),
             load: Load::default(),
             config: ConfigNumber::default(),
             leaving_since: None,
@@ -140,6 +147,8 @@
             next_proposal: start.now,
             swapping: false,
             started_at: start.now,
+            generation: 0,
+            wanted_since: None,
             me,
         }
     }
@@ -179,9 +188,17 @@
         self.right_until(now).is_some()
     }
 
+    /// Changes whenever [`Self::standing`] may have changed for some key, so that callers may cache it.
+    ///
+    /// The right to act ends by time alone and is no part of it; check [`Self::may_act`] each time.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// How this instance stands to `key`, whose owner is sought in `preferred` first.
     pub fn standing(&self, key: &str, preferred: Option<&DataCentre>) -> Standing {
-        let Some(owner) = self.view.owner(key, preferred) else {
+        let members = &self.view.members;
+        let Some(owner) = self.holder(members, self.view.number, key, preferred) else {
             return Standing::Nobody;
         };
         if owner.member != self.me.member {
@@ -254,7 +271,8 @@
             return false;
         };
         let alone = self.view.members.len() <= 1;
-        !self.is_member() || alone || now.since(since) > LEAVE_LIMIT
+        let told = self.delegated.is_told(now);
+        !self.is_member() || alone || told || now.since(since) > LEAVE_LIMIT
     }
 
     /// True once a graceful stop was asked for.
@@ -286,6 +304,7 @@
         if now >= self.next_read {
             self.read_view(now, effects);
         }
+        self.delegate(now, effects);
         self.send_heartbeats(now, false, effects);
         self.review(now, directory, effects);
     }
@@ -332,7 +351,9 @@
         self.right.attested(&self.me.member, &self.view, &heartbeat);
         let behind = heartbeat.view_number < self.view.number;
         let from = heartbeat.from.id.clone();
-        self.peers.heard(now, heartbeat);
+        if self.peers.heard(now, heartbeat) {
+            self.generation += 1;
+        }
         if behind && self.peers.due_correction(&from, now) {
             self.send_heartbeat(now, &from, effects);
         }
@@ -374,7 +395,11 @@
             return;
         }
         self.view = view;
+        self.generation += 1;
+        self.wanted_since = None;
         self.closures.retain(&self.view);
+        self.right.adopted(&self.view);
+        self.peers.adopted(now, &self.view);
         self.next_proposal = now + proposal::SETTLE_SPAN;
         effects.push(MembershipEffect::ViewAdopted(self.view.number).into());
         self.send_heartbeats(now, true, effects);
@@ -382,12 +407,28 @@
 
     /// Looks at what time and news have changed: earlier views that closed, members that went.
     fn review(&mut self, now: Timestamp, directory: &Directory, effects: &mut Vec<Effect>) {
-        self.closures
+        let closed = self
+            .closures
             .review(now, &self.me.member, &self.view, &self.peers);
-        if self.swapping || now < self.next_proposal {
+        if closed {
+            self.generation += 1;
+        }
+        let may_propose = self.store_seen_at.is_some() && self.right.is_attesting();
+        if self.swapping || now < self.next_proposal || !may_propose {
             return;
         }
-        let proposal = proposal::propose(&proposal::Grounds {
+        let Some(view) = self.proposal(now, directory) else {
+            return;
+        };
+        self.swapping = true;
+        self.next_proposal = now + proposal::RETRY_SPAN;
+        let expect = self.revision;
+        let view = Box::new(view);
+        effects.push(MembershipEffect::SwapView { expect, view }.into());
+    }
+
+    fn proposal(&mut self, now: Timestamp, directory: &Directory) -> Option<View> {
+        let grounds = proposal::Grounds {
             now,
             me: &self.me,
             view: &self.view,
@@ -396,18 +437,15 @@
             directory,
             leaving: self.is_leaving(),
             started_at: self.started_at,
-        });
-        let Some(view) = proposal else {
-            return;
+            wanted_since: self.wanted_since.unwrap_or(now),
         };
-        if self.store_seen_at.is_none() {
-            return;
+        let members = proposal::wanted(&grounds);
+        if members == self.view.members {
+            self.wanted_since = None;
+            return None;
         }
-        self.swapping = true;
-        self.next_proposal = now + proposal::RETRY_SPAN;
-        let expect = self.revision;
-        let view = Box::new(view);
-        effects.push(MembershipEffect::SwapView { expect, view }.into());
+        self.wanted_since = Some(grounds.wanted_since);
+        proposal::propose(&grounds, members)
     }
 
     /// True if the owner of `key` in an earlier view may still act.
@@ -417,7 +455,7 @@
         key: &str,
         preferred: Option<&DataCentre>,
     ) -> bool {
-        let Some(owner) = view::owner(&earlier.members, key, preferred) else {
+        let Some(owner) = self.holder(&earlier.members, earlier.number, key, preferred) else {
             return false;
         };
         if owner.member == self.me.member {
@@ -426,6 +464,39 @@
         !self.peers.has_released(&owner.member, earlier.number)
     }
 
+    /// The member that acts for `key` in a view, delegations followed.
+    fn holder<'a>(
+        &'a self,
+        members: &'a [ViewMember],
+        number: ViewNumber,
+        key: &str,
+        preferred: Option<&DataCentre>,
+    ) -> Option<&'a ViewMember> {
+        let ranked = |m: &ViewMember| view::rank(m, key, preferred);
+        let delegation = |member: &Member| {
+            if *member == self.me.member {
+                self.delegated.get()
+            } else {
+                self.peers.delegation(member)
+            }
+        };
+        delegation::holder(members, number, ranked, delegation)
+    }
+
+    /// Hands on what this instance owns if it leaves and the view does not change.
+    fn delegate(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        let overdue = self
+            .leaving_since
+            .is_some_and(|since| now.since(since) >= delegation::DELEGATE_AFTER);
+        if !overdue || !self.may_act(now) {
+            return;
+        }
+        if self.delegated.make(now, &self.view, &self.peers) {
+            self.generation += 1;
+            self.send_heartbeats(now, true, effects);
+        }
+    }
+
     fn send_heartbeats(&mut self, now: Timestamp, at_once: bool, effects: &mut Vec<Effect>) {
         for to in self.peers.due(now, at_once, &self.view, &self.me.member.id) {
             self.send_heartbeat(now, &to, effects);
@@ -444,6 +515,7 @@
             view: behind.then(|| Box::new(self.view.clone())),
             attesting: self.right.is_attesting(),
             leaving: self.is_leaving(),
+            delegation: self.delegated.get().cloned(),
             config: self.config,
             load: self.load.clone(),
         };
--- a/crates/guavacart_scheduler/src/membership/closure.rs
+++ b/crates/guavacart_scheduler/src/membership/closure.rs
@@ -10,6 +10,9 @@
     view::{EarlierView, Member, View, majority},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Which earlier views are closed, as far as this instance can tell.
 #[derive(Debug, Default)]
 pub(super) struct Closures {
@@ -30,7 +33,15 @@
         self.closed.retain(is_open);
     }
 
-    pub(super) fn review(&mut self, now: Timestamp, me: &Member, view: &View, peers: &Peers) {
+    /// Looks for views that have become closed; true if there are any.
+    pub(super) fn review(
+        &mut self,
+        now: Timestamp,
+        me: &Member,
+        view: &View,
+        peers: &Peers,
+    ) -> bool {
+        let before = self.closed.len();
         for earlier in &view.open {
             if self.closed.contains(&earlier.number) {
                 continue;
@@ -43,6 +54,7 @@
                 self.closed.insert(earlier.number);
             }
         }
+        self.closed.len() != before
     }
 }
 
@@ -63,11 +75,11 @@
     number: ViewNumber,
     peers: &Peers,
 ) -> bool {
-    if member == me || peers.has_released(member, number) {
+    if member == me || peers.has_abandoned(member, number) {
         return true;
     }
     let silent = peers
-        .silent_since(&member.id)
+        .silent_since(member)
         .is_none_or(|at| now.since(at) > RIGHT_SPAN + DRIFT_MARGIN);
-    peers.is_gone(&member.id) && silent
+    peers.is_gone(member) && silent
 }
--- a/crates/guavacart_scheduler/src/membership/peers.rs
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -2,15 +2,19 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_types::{ConfigNumber, DataCentre, InstanceId, Timestamp, ViewNumber};
+use guavacart_types::{ConfigNumber, DataCentre, InstanceId, Span, Timestamp, ViewNumber};
 
 use super::{
     HEARTBEAT_INTERVAL, SILENCE_LIMIT,
+    delegation::Delegation,
     heartbeat::{Echo, Heartbeat, Load},
     view::{Member, View},
 };
 use crate::directory::Directory;
 
+/// Longest time that the instance list takes to show an instance that has started.
+const LIST_LAG: Span = Span::secs(10);
+
 /// One peer as last heard.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -20,35 +24,61 @@
     pub(super) view_number: ViewNumber,
     pub(super) attesting: bool,
     pub(super) leaving: bool,
+    delegation: Option<Delegation>,
     sent_at: Timestamp,
     config: ConfigNumber,
     load: Load,
 }
 
 /// All peers, whether heard yet or only listed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Peers {
+    me: Member,
     heard: BTreeMap<InstanceId, Peer>,
     listed: BTreeSet<InstanceId>,
-    is_listed: bool,
+    /// When the list was last read.
+    listed_at: Option<Timestamp>,
     last_sent: BTreeMap<InstanceId, Timestamp>,
-    /// When each id was first seen in a view or the list; the start of its silence if never heard.
-    known_since: BTreeMap<InstanceId, Timestamp>,
+    /// When each member of a view was first seen in one; the start of its silence if never heard.
+    known_since: BTreeMap<Member, Timestamp>,
 }
 
 impl Peers {
+    pub(super) fn new(me: Member) -> Self {
+        Self {
+            me,
+            heard: BTreeMap::new(),
+            listed: BTreeSet::new(),
+            listed_at: None,
+            last_sent: BTreeMap::new(),
+            known_since: BTreeMap::new(),
+        }
+    }
+
     pub(super) fn listed(&mut self, now: Timestamp, directory: &Directory) {
         self.listed = directory.entries.keys().cloned().collect();
-        self.is_listed = true;
-        for id in &self.listed {
-            self.known_since.entry(id.clone()).or_insert(now);
+        self.listed_at = Some(now);
+    }
+
+    /// Notes the members that an adopted view names, its earlier views' included.
+    pub(super) fn adopted(&mut self, now: Timestamp, view: &View) {
+        let earlier = view.open.iter().flat_map(|e| &e.members);
+        let named: BTreeSet<&Member> = view
+            .members
+            .iter()
+            .chain(earlier)
+            .map(|m| &m.member)
+            .collect();
+        self.known_since.retain(|member, _| named.contains(member));
+        for member in named {
+            self.known_since.entry(member.clone()).or_insert(now);
         }
-        let listed = &self.listed;
-        self.known_since.retain(|id, _| listed.contains(id));
     }
 
     /// Takes a heartbeat, unless a later one or a later incarnation's came first.
-    pub(super) fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+    ///
+    /// True if the peer's view, incarnation or delegation differs from what was last heard.
+    pub(super) fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) -> bool {
         let id = heartbeat.from.id.clone();
         let order = (heartbeat.from.incarnation, heartbeat.sent_at);
         let stale = self
@@ -56,7 +86,7 @@
             .get(&id)
             .is_some_and(|peer| (peer.member.incarnation, peer.sent_at) >= order);
         if stale {
-            return;
+            return false;
         }
         let peer = Peer {
             member: heartbeat.from,
@@ -65,11 +95,18 @@
             view_number: heartbeat.view_number,
             attesting: heartbeat.attesting,
             leaving: heartbeat.leaving,
+            delegation: heartbeat.delegation,
             sent_at: heartbeat.sent_at,
             config: heartbeat.config,
             load: heartbeat.load,
         };
+        let changed = self.heard.get(&id).is_none_or(|before| {
+            before.member != peer.member
+                || before.view_number != peer.view_number
+                || before.delegation != peer.delegation
+        });
         self.heard.insert(id, peer);
+        changed
     }
 
     pub(super) fn get(&self, id: &InstanceId) -> Option<&Peer> {
@@ -86,33 +123,68 @@
             .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
     }
 
-    /// True if the platform no longer lists `id`.
-    pub(super) fn is_gone(&self, id: &InstanceId) -> bool {
-        self.is_listed && !self.listed.contains(id)
+    /// True if the platform no longer lists `member`.
+    ///
+    /// A list that may have been made before the member started says nothing of it.
+    pub(super) fn is_gone(&self, member: &Member) -> bool {
+        let Some((listed_at, known_since)) = self.listed_at.zip(self.known_since.get(member))
+        else {
+            return false;
+        };
+        !self.listed.contains(&member.id) && listed_at.since(*known_since) > LIST_LAG
     }
 
-    /// When `id` was last heard, or first known if never heard.
-    pub(super) fn silent_since(&self, id: &InstanceId) -> Option<Timestamp> {
-        match self.heard.get(id) {
-            Some(peer) => Some(peer.heard_at),
-            None => self.known_since.get(id).copied(),
+    /// When `member` was last heard, or first known if never heard.
+    pub(super) fn silent_since(&self, member: &Member) -> Option<Timestamp> {
+        match self.heard.get(&member.id) {
+            Some(peer) if peer.member == *member => Some(peer.heard_at),
+            _ => self.known_since.get(member).copied(),
         }
     }
 
-    /// True if a later start of the same instance was heard, so that `member` has ended.
+    /// True if a later start of the same instance is known, so that `member` has ended.
     pub(super) fn is_superseded(&self, member: &Member) -> bool {
+        if member.id == self.me.id {
+            return self.me.incarnation > member.incarnation;
+        }
         self.heard
             .get(&member.id)
             .is_some_and(|peer| peer.member.incarnation > member.incarnation)
     }
 
-    /// True if `member` is known to act no more in the view `number`.
+    /// True if `member` is known to attest the view `number` no more.
+    pub(super) fn has_abandoned(&self, member: &Member, number: ViewNumber) -> bool {
+        self.has_released(member, number) || self.is_superseded(member)
+    }
+
+    /// True if `member` itself told that it is in a later view than `number`.
+    ///
+    /// That it was superseded does not count: what it delegated before it ended may be unknown here.
     pub(super) fn has_released(&self, member: &Member, number: ViewNumber) -> bool {
-        let adopted = self
-            .heard
-            .get(&member.id)
-            .is_some_and(|peer| peer.member == *member && peer.view_number > number);
-        adopted || self.is_superseded(member)
+        let heard = self.heard_exactly(member);
+        heard.is_some_and(|peer| peer.view_number > number)
+    }
+
+    /// What `member` told of its delegation.
+    pub(super) fn delegation(&self, member: &Member) -> Option<&Delegation> {
+        self.heard_exactly(member)?.delegation.as_ref()
+    }
+
+    /// True if `member` could act for another in the view `number`.
+    pub(super) fn takes_delegation(
+        &self,
+        member: &Member,
+        number: ViewNumber,
+        now: Timestamp,
+    ) -> bool {
+        let heard = self.heard_exactly(member);
+        let fit = heard.is_some_and(|p| p.attesting && !p.leaving && p.view_number == number);
+        fit && self.is_heard(&member.id, now)
+    }
+
+    fn heard_exactly(&self, member: &Member) -> Option<&Peer> {
+        let peer = self.heard.get(&member.id)?;
+        (peer.member == *member).then_some(peer)
     }
 
     pub(super) fn view_number(&self, id: &InstanceId) -> Option<ViewNumber> {
