--- a/crates/guavacart_scheduler/benches/request.rs
+++ b/crates/guavacart_scheduler/benches/request.rs
@@ -93,6 +93,7 @@
         member,
         data_centre: id("dc"),
         now,
+        linger: Span::ZERO,
     });
     let config = ConfigEvent::Read(configuration());
     state.apply(now, Event::Config(config));
--- a/crates/guavacart_wire/src/heartbeat.rs
+++ b/crates/guavacart_wire/src/heartbeat.rs
@@ -1,7 +1,7 @@
 //! A heartbeat as it travels.
 
 use guavacart_scheduler::membership::{
-    EarlierView, Echo, Heartbeat, Load, Member, ServiceLoad, View, ViewMember,
+    Delegation, EarlierView, Echo, Heartbeat, Load, Member, ServiceLoad, View, ViewMember,
 };
 use guavacart_types::{
     ConfigNumber, DataCentre, Incarnation, InstanceId, ServiceName, Timestamp, ViewNumber,
@@ -21,6 +21,7 @@
     view: Option<ViewWire>,
     attesting: bool,
     leaving: bool,
+    delegation: Option<(u64, Vec<InstanceId>)>,
     config: u64,
     load: Vec<ServiceLoadWire>,
 }
@@ -64,6 +65,7 @@
             view: heartbeat.view.map(|view| (*view).into()),
             attesting: heartbeat.attesting,
             leaving: heartbeat.leaving,
+            delegation: heartbeat.delegation.map(|d| (d.view.0, d.to)),
             config: heartbeat.config.0,
             load: load_to_wire(heartbeat.load),
         }
@@ -92,6 +94,10 @@
             view: view.map(Box::new),
             attesting: wire.attesting,
             leaving: wire.leaving,
+            delegation: wire.delegation.map(|(view, to)| Delegation {
+                view: ViewNumber(view),
+                to,
+            }),
             config: ConfigNumber(wire.config),
             load: load_from_wire(wire.load),
         })
--- a/crates/guavacart_wire/tests/messages.rs
+++ b/crates/guavacart_wire/tests/messages.rs
@@ -3,7 +3,9 @@
 #![allow(clippy::unwrap_used)]
 
 use guavacart_scheduler::{
-    membership::{EarlierView, Echo, Heartbeat, Load, Member, ServiceLoad, View, ViewMember},
+    membership::{
+        Delegation, EarlierView, Echo, Heartbeat, Load, Member, ServiceLoad, View, ViewMember,
+    },
     request::{ClaimAnswer, HeldId, PeerRequest, RequestHead},
 };
 use guavacart_types::{
@@ -51,7 +53,11 @@
         view_number: ViewNumber(5),
         view: Some(Box::new(view())),
         attesting: true,
-        leaving: false,
+        leaving: true,
+        delegation: Some(Delegation {
+            view: ViewNumber(5),
+            to: vec!["b".parse().unwrap()],
+        }),
         config: ConfigNumber(2),
         load: Load {
             services: vec![ServiceLoad {
