Add the lab's cluster, callers, jobs, checks and demo

Cause: the demo and every scenario need real processes, load and a join of the ledgers. Change: guavacart-lab with demo, run and scenarios; summary, targets and violations from ledgers.

--- /dev/null
+++ b/crates/guavacart_lab/src/main.rs
@@ -0,0 +1,192 @@
+//! `guavacart-lab`: the demo and the scenarios.
+//!
+//! Exit codes: 0, no promise was broken; 1, a promise was broken; 2, the command line is wrong;
+//! 3, the run could not be made.
+
+use std::{
+    io::{self, IsTerminal, Write},
+    path::PathBuf,
+    process::ExitCode,
+    time::Duration,
+};
+
+use getopts::{Matches, Options};
+use guavacart_lab::scenario::{SCENARIOS, Scenario, ScenarioCx, ScenarioError, find};
+use thiserror::Error;
+use tracing_subscriber::EnvFilter;
+
+/// A promise was broken.
+const BROKEN_PROMISE: u8 = 1;
+/// The command line is wrong.
+const USAGE: u8 = 2;
+/// The run could not be made.
+const NO_RUN: u8 = 3;
+/// Seconds of a run unless others are asked for.
+const DEFAULT_SECONDS: u64 = 20;
+/// Seed of a run unless another is asked for.
+const DEFAULT_SEED: u64 = 1;
+
+const HELP: &str = "\
+Usage: guavacart-lab COMMAND [OPTIONS]
+
+Commands:
+    demo          Run the demo
+    run SCENARIO  Run a scenario
+    scenarios     List the scenarios
+
+Exit codes: 0 no promise was broken, 1 a promise was broken, 2 wrong command line,
+3 the run could not be made. The last line on stdout is the summary as JSON.
+`guavacart-lab COMMAND --help` lists the options of a command.
+";
+
+/// Why there is no summary.
+#[derive(Debug, Error)]
+enum LabError {
+    #[error("{0}; see `guavacart-lab --help`")]
+    Options(#[from] getopts::Fail),
+    #[error("{0:?} is not a command; see `guavacart-lab --help`")]
+    Command(String),
+    #[error("{0:?} is not a scenario; see `guavacart-lab scenarios`")]
+    Scenario(String),
+    #[error("--{option} {value:?} is not a whole number")]
+    Number { option: &'static str, value: String },
+    #[error("{0}")]
+    Run(#[from] ScenarioError),
+    #[error("the run was interrupted")]
+    Interrupted,
+    #[error("no runtime or no output: {0}")]
+    Io(#[from] io::Error),
+    #[error("the summary could not be written as JSON: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+impl LabError {
+    fn exit_code(&self) -> u8 {
+        match self {
+            Self::Options(_) | Self::Command(_) | Self::Scenario(_) | Self::Number { .. } => USAGE,
+            Self::Run(ScenarioError::Baseline { .. }) => USAGE,
+            Self::Run(_) | Self::Interrupted | Self::Io(_) | Self::Json(_) => NO_RUN,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(EnvFilter::try_from_default_env().unwrap_or_else(|_| "warn".into()))
+        .with_writer(io::stderr)
+        .init();
+    match command(std::env::args().skip(1).collect()) {
+        Ok(code) => code,
+        Err(err) => {
+            // Nothing is left to be done if stderr is closed.
+            let _ = writeln!(io::stderr(), "guavacart-lab: {err}");
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
+
+fn command(mut args: Vec<String>) -> Result<ExitCode, LabError> {
+    if args.is_empty() {
+        return print(HELP);
+    }
+    let command = args.remove(0);
+    match command.as_str() {
+        "--help" | "-h" | "help" => print(HELP),
+        "--version" | "-V" => print(&version()),
+        "demo" | "run" | "scenarios" => subcommand(&command, &args),
+        _ => Err(LabError::Command(command)),
+    }
+}
+
+fn subcommand(command: &str, args: &[String]) -> Result<ExitCode, LabError> {
+    let options = options(command != "scenarios");
+    let matches = options.parse(args)?;
+    if matches.opt_present("help") {
+        let arguments = if command == "run" { " SCENARIO" } else { "" };
+        let brief = format!("Usage: guavacart-lab {command}{arguments} [OPTIONS]");
+        return print(&options.usage(&brief));
+    }
+    if matches.opt_present("version") {
+        return print(&version());
+    }
+    match (command, matches.free.as_slice()) {
+        ("scenarios", []) => list(),
+        ("demo", []) => run(named("demo")?, &matches),
+        ("run", [name]) => run(named(name)?, &matches),
+        (_, free) => Err(LabError::Command(free.join(" "))),
+    }
+}
+
+fn options(runs: bool) -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    if runs {
+        options.optopt("", "seconds", "how long load is offered (20)", "N");
+        options.optopt("", "seed", "seed of all that is random (1)", "N");
+        options.optopt("", "baseline", "run with this baseline", "NAME");
+        options.optopt("", "logs", "directory for the logs of the instances", "DIR");
+    }
+    options
+}
+
+fn named(name: &str) -> Result<&'static Scenario, LabError> {
+    find(name).ok_or_else(|| LabError::Scenario(name.to_owned()))
+}
+
+fn number(matches: &Matches, option: &'static str, default: u64) -> Result<u64, LabError> {
+    match matches.opt_str(option) {
+        Some(value) => value
+            .parse()
+            .map_err(|_| LabError::Number { option, value }),
+        None => Ok(default),
+    }
+}
+
+fn run(scenario: &Scenario, matches: &Matches) -> Result<ExitCode, LabError> {
+    let cx = ScenarioCx {
+        seed: number(matches, "seed", DEFAULT_SEED)?,
+        length: Duration::from_secs(number(matches, "seconds", DEFAULT_SECONDS)?),
+        baseline: matches.opt_str("baseline").map(Into::into),
+        logs: matches.opt_str("logs").map(PathBuf::from),
+        progress: io::stderr().is_terminal(),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    // Dropping the scenario ends every process that it started.
+    let summary = runtime.block_on(async {
+        tokio::select! {
+            summary = scenario.start(cx) => summary.map_err(LabError::from),
+            _ = tokio::signal::ctrl_c() => Err(LabError::Interrupted),
+        }
+    })?;
+    print(&format!("{}\n", serde_json::to_string(&summary)?))?;
+    Ok(match summary.violations.none() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(BROKEN_PROMISE),
+    })
+}
+
+fn list() -> Result<ExitCode, LabError> {
+    let line = |s: &Scenario| match s.baselines {
+        [] => format!("{:<16}{}\n", s.name, s.about),
+        known => format!(
+            "{:<16}{} (baselines: {})\n",
+            s.name,
+            s.about,
+            known.join(", ")
+        ),
+    };
+    print(&SCENARIOS.iter().map(line).collect::<String>())
+}
+
+fn version() -> String {
+    format!("guavacart-lab {}\n", env!("CARGO_PKG_VERSION"))
+}
+
+fn print(text: &str) -> Result<ExitCode, LabError> {
+    io::stdout().write_all(text.as_bytes())?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -0,0 +1,168 @@
+//! The demo: three instances, four agencies, a batch job, a death, a graceful stop and a patch.
+
+use std::{sync::Arc, time::Duration};
+
+use guavacart_types::{ByteSize, Class, Processors, Resources};
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::{task::JoinSet, time::sleep};
+
+use super::{Scenario, ScenarioCx, ScenarioError, ScenarioRun};
+use crate::{
+    caller::{self, CallerSpec, Form, Schedule},
+    cluster::{Cluster, ClusterSpec, team_token},
+    jobs::JobSpec,
+    progress::Progress,
+    summary::{Summary, Target},
+};
+
+/// Short requests of one agency in a second.
+const SHORT_RATE: f64 = 60.0;
+/// Long requests of one agency in a second.
+const LONG_RATE: f64 = 1.5;
+/// Service time of a short request.
+const SHORT_WORK: Duration = Duration::from_millis(20);
+/// Service time of a long request.
+const LONG_WORK: Duration = Duration::from_millis(400);
+/// Tasks of the batch job.
+const TASKS: u32 = 60;
+/// Run time of a task, in milliseconds.
+const TASK_MS: u64 = 500;
+/// Time for the batch job to end after the load.
+const SETTLE: Duration = Duration::from_secs(30);
+/// Longest wait for the job to be accepted.
+const SUBMIT: Duration = Duration::from_secs(20);
+
+pub(super) const SCENARIO: Scenario = Scenario {
+    name: "demo",
+    about: "3 instances at a tenth of Pamoja's size; one is killed, one stops, a patch is in flight",
+    baselines: &[],
+    run,
+};
+
+fn run(cx: ScenarioCx) -> ScenarioRun {
+    Box::pin(demo(cx))
+}
+
+async fn demo(cx: ScenarioCx) -> Result<Summary, ScenarioError> {
+    let spec = ClusterSpec {
+        logs: cx.logs.clone(),
+        ..ClusterSpec::small(cx.seed)
+    };
+    let cluster = Arc::new(Cluster::open(spec).await?);
+    let progress = cx.progress.then(|| Progress::spawn(Arc::clone(&cluster)));
+    let mut callers = JoinSet::new();
+    for (i, spec) in caller_specs(&cluster.spec).into_iter().enumerate() {
+        let seed = guavacart_types::mix(cx.seed, i as u64);
+        let record = cluster.record.clone();
+        callers.spawn(caller::run(
+            spec,
+            cluster.entrances(),
+            cx.length,
+            seed,
+            record,
+        ));
+    }
+    let submitter = tokio::spawn(submit(Arc::clone(&cluster), cx.seed));
+    disturb(&cluster, cx.length).await?;
+    while let Some(ended) = callers.join_next().await {
+        ended?;
+    }
+    submitter.await?;
+    let finished = cluster.jobs.wait_finished(SETTLE).await;
+    drop(progress);
+    Ok(summarise(&cx, &cluster, finished).await)
+}
+
+fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
+    let mut specs = Vec::new();
+    for team in &cluster.teams {
+        specs.push(caller(cluster, team, Class::Short, SHORT_RATE, SHORT_WORK));
+        specs.push(caller(cluster, team, Class::Long, LONG_RATE, LONG_WORK));
+    }
+    specs
+}
+
+fn caller(
+    cluster: &ClusterSpec,
+    team: &SmolStr,
+    class: Class,
+    rate: f64,
+    work: Duration,
+) -> CallerSpec {
+    CallerSpec {
+        name: format_smolstr!("{team}-{class}"),
+        form: Form::Entry,
+        service: cluster.service.clone(),
+        team: team.clone(),
+        token: Some(team_token(team)),
+        class,
+        schedule: Schedule::constant(rate),
+        idempotent: 0.5,
+        deadline: Duration::from_secs(2),
+        work,
+        request_bytes: 2_000,
+        answer_bytes: 4_000,
+        repeats: 0.5,
+        gives_up: 0.01,
+        gives_up_after: Duration::from_millis(10),
+    }
+}
+
+async fn submit(cluster: Arc<Cluster>, seed: u64) {
+    let Ok(id) = format!("demo-{seed}").parse() else {
+        return;
+    };
+    let spec = JobSpec {
+        id,
+        team: cluster.spec.teams[0].clone(),
+        class: "deck".into(),
+        tasks: TASKS,
+        resources: Resources {
+            processors: Processors::cores(2),
+            memory: ByteSize::gib(4),
+            ..Resources::default()
+        },
+        expected_ms: TASK_MS,
+        priority: "batch".into(),
+        payload: json!({ "run_ms": TASK_MS }),
+    };
+    let submitted = cluster.jobs.submit(&spec, SUBMIT).await;
+    tracing::info!(?submitted, "the batch job was submitted");
+}
+
+/// A patch at a quarter, a death at 0.4, a graceful stop at 0.6 of the run.
+async fn disturb(cluster: &Cluster, length: Duration) -> Result<(), ScenarioError> {
+    sleep(length.mul_f64(0.25)).await;
+    let change = json!({ "services": { "engine": { "queue_entries": 1_500 } } });
+    cluster.patch(1, "lab-2", &change).await?;
+    sleep(length.mul_f64(0.15)).await;
+    cluster.kill("e2").await?;
+    cluster.start_instance("e4", 1).await?;
+    sleep(length.mul_f64(0.2)).await;
+    cluster.start_instance("e5", 2).await?;
+    cluster.stop("e3").await?;
+    Ok(())
+}
+
+async fn summarise(cx: &ScenarioCx, cluster: &Cluster, finished: bool) -> Summary {
+    let attempts = cluster.record.attempts();
+    let mut summary = Summary::of_attempts(SCENARIO.name, cx.seed, &attempts);
+    let batch = cluster.batch.counts();
+    summary.tasks_submitted = cluster.jobs.tasks_submitted();
+    summary.tasks_finished = batch.finished;
+    summary.evictions = batch.evictions;
+    summary.violations = cluster.violations().await;
+    let answered = summary.answered as f64 / (summary.requests as f64).max(1.0);
+    let unclean = cluster.unclean_stops() as f64;
+    summary.targets = vec![
+        Target::at_least("min_answered_share", 0.95, answered),
+        Target::at_least("min_batch_job_finished", 1.0, f64::from(u8::from(finished))),
+        Target::at_most("graceful_stops_without_exit_0", 0.0, unclean),
+    ];
+    let endpoints = cluster.requests.counts();
+    summary.detail("endpoint_runs", endpoints.runs as f64);
+    summary.detail("peak_busy", f64::from(endpoints.peak_busy));
+    summary.detail("task_starts", batch.starts as f64);
+    summary
+}
--- a/crates/guavacart_lab/src/worker/tasks.rs
+++ b/crates/guavacart_lab/src/worker/tasks.rs
@@ -5,6 +5,7 @@
 use guavacart_platform::worker::{Start, TaskReport, TaskState, TaskUsage};
 use guavacart_types::{Attempt, Resources, TaskId, WorkerId};
 use serde::Deserialize;
+use serde_json::Value;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::{
@@ -40,6 +41,17 @@
     }
 }
 
+impl Payload {
+    /// Reads a payload that came as JSON, or as JSON within a text.
+    fn of(value: &Value) -> Self {
+        let read = match value {
+            Value::String(text) => serde_json::from_str(text),
+            value => Self::deserialize(value),
+        };
+        read.unwrap_or_default()
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     class: SmolStr,
@@ -127,7 +139,7 @@
     }
 
     fn running_from(&self, start: &Start, now: u64, fails: bool) -> Running {
-        let payload = Payload::deserialize(&start.payload).unwrap_or_default();
+        let payload = Payload::of(&start.payload);
         let saved = start
             .checkpoint
             .as_deref()
