--- a/crates/guavacart_lab/src/caller/record.rs
+++ b/crates/guavacart_lab/src/caller/record.rs
@@ -13,6 +13,8 @@
 
 /// Significant digits of latencies.
 const DIGITS: u8 = 3;
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 600_000_000;
 
 /// How an attempt ended for its caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -118,7 +120,8 @@
 
 impl Default for Latencies {
     fn default() -> Self {
-        let histogram = Histogram::new(DIGITS).expect("three digits are within 0 to 5");
+        let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_US, DIGITS)
+            .expect("three digits are within 0 to 5, and the greatest is twice the least");
         Self { histogram }
     }
 }
--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -34,7 +34,7 @@
     checks::{StopWindow, Violations},
     client,
     clock::now_us,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, LEAVING_GRACE},
     fault::Network,
     host::{Host, SharedInterference},
     instance::{AccessSettings, Instance, InstanceError, InstanceSettings, binary},
@@ -102,10 +102,6 @@
     pub list: InstanceList,
     /// The balancer.
     pub balancer: Balancer,
-    /// The endpoints.
-    pub endpoints: Vec<Endpoint>,
-    /// The workers.
-    pub workers: Vec<Worker>,
     /// How work on one machine slows other work there.
     pub interference: SharedInterference,
     /// What endpoints ran.
@@ -120,6 +116,8 @@
     pub network: Option<Arc<Network>>,
     binary: PathBuf,
     dir: TempDir,
+    endpoints: Mutex<Vec<Arc<Endpoint>>>,
+    workers: Mutex<Vec<Arc<Worker>>>,
     instances: tokio::sync::Mutex<BTreeMap<SmolStr, Instance>>,
     callers: Mutex<BTreeMap<SmolStr, SocketAddr>>,
     views: Mutex<Vec<ListView>>,
@@ -151,7 +149,7 @@
         let interference = SharedInterference::default();
         let batch = BatchLedger::default();
         let requests = RequestLedger::default();
-        let mut cluster = Self {
+        let cluster = Self {
             binary: binary()?,
             dir: tempfile::tempdir()?,
             network: spec.network.then(|| Arc::new(Network::open(spec.seed))),
@@ -159,8 +157,8 @@
             store,
             list,
             balancer,
-            endpoints: Vec::new(),
-            workers: Vec::new(),
+            endpoints: Mutex::default(),
+            workers: Mutex::default(),
             interference,
             requests,
             batch,
@@ -178,31 +176,74 @@
     }
 
     /// Binds workers and endpoints; endpoint `i` runs on worker `i` as far as there are workers.
-    async fn bind_workers(&mut self) -> Result<(), ClusterError> {
+    async fn bind_workers(&self) -> Result<(), ClusterError> {
         let processors = self.spec.capacity.processors.0;
         let hosts: Vec<Arc<Host>> = (0..self.spec.workers.max(self.spec.endpoints))
             .map(|_| Host::open(processors, Arc::clone(&self.interference)))
             .collect();
         for (i, host) in hosts.iter().enumerate().take(self.spec.workers) {
-            let id = format!("w{}", i + 1).parse()?;
-            let worker =
-                Worker::bind(id, self.spec.capacity, Arc::clone(host), self.batch.clone()).await?;
-            self.list
-                .register(self.spec.worker_line(i, worker.address()));
-            self.workers.push(worker);
+            self.start_worker(i, Arc::clone(host)).await?;
         }
         for (i, host) in hosts.iter().enumerate().take(self.spec.endpoints) {
-            let id = format!("p{}", i + 1).parse()?;
-            let service = self.spec.service.as_str().parse()?;
-            let endpoint =
-                Endpoint::bind(id, service, Arc::clone(host), self.requests.clone()).await?;
-            self.list
-                .register(self.spec.endpoint_line(i, endpoint.address()));
-            self.endpoints.push(endpoint);
+            self.start_endpoint(i, Arc::clone(host)).await?;
         }
         Ok(())
     }
 
+    /// Starts worker `i` on a machine.
+    pub async fn start_worker(&self, i: usize, host: Arc<Host>) -> Result<(), ClusterError> {
+        let id = format!("w{}", i + 1).parse()?;
+        let worker = Worker::bind(id, self.spec.capacity, host, self.batch.clone()).await?;
+        let line = self.spec.worker_line(i, worker.address());
+        self.list.register(line);
+        lock(&self.workers).push(Arc::new(worker));
+        Ok(())
+    }
+
+    /// Starts endpoint `i` on a machine.
+    pub async fn start_endpoint(&self, i: usize, host: Arc<Host>) -> Result<(), ClusterError> {
+        let id = format!("p{}", i + 1).parse()?;
+        let service = self.spec.service.as_str().parse()?;
+        let endpoint = Endpoint::bind(id, service, host, self.requests.clone()).await?;
+        let line = self.spec.endpoint_line(i, endpoint.address());
+        self.list.register(line);
+        lock(&self.endpoints).push(Arc::new(endpoint));
+        Ok(())
+    }
+
+    /// The endpoints that run.
+    pub fn endpoints(&self) -> Vec<Arc<Endpoint>> {
+        lock(&self.endpoints).clone()
+    }
+
+    /// The workers that run.
+    pub fn workers(&self) -> Vec<Arc<Worker>> {
+        lock(&self.workers).clone()
+    }
+
+    /// Replaces endpoint by endpoint as the platform does: it is announced to leave, is gone from
+    /// the list once it is idle, and ends. `refuses` says whether it refuses new work itself.
+    pub async fn leave_endpoint(&self, id: &str, refuses: bool) -> Result<(), ClusterError> {
+        let found = self.endpoints().into_iter().find(|e| e.id() == id);
+        let endpoint = found.ok_or_else(|| not_running(id))?;
+        endpoint.leave(refuses);
+        self.list.announce_leaving(id);
+        tokio::time::sleep(LEAVING_GRACE).await;
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        while endpoint.busy() > 0 && Instant::now() < deadline {
+            tokio::time::sleep(PAUSE).await;
+        }
+        self.list.remove(id);
+        lock(&self.endpoints).retain(|e| e.id() != id);
+        Ok(())
+    }
+
+    /// Kills a worker with all its tasks; the list drops it after its lag.
+    pub fn kill_worker(&self, id: &str) {
+        self.list.remove(id);
+        lock(&self.workers).retain(|w| w.id().as_str() != id);
+    }
+
     /// Starts an instance; `place` decides its data centre.
     pub async fn start_instance(&self, name: &str, place: usize) -> Result<(), ClusterError> {
         let settings = self.settings(name, place).await?;
@@ -338,6 +379,13 @@
         instances.values().map(Instance::pid).collect()
     }
 
+    /// Processor time that each running instance has used, in seconds.
+    pub async fn cpu_seconds(&self) -> BTreeMap<SmolStr, f64> {
+        let instances = self.instances.lock().await;
+        let used = |(name, i): (&SmolStr, &Instance)| Some((name.clone(), i.cpu_seconds()?));
+        instances.iter().filter_map(used).collect()
+    }
+
     /// Callers' way in: the balancer.
     pub fn entrances(&self) -> Entrances {
         Entrances::open(vec![self.balancer.address()])
@@ -418,7 +466,7 @@
                     .await;
                 ready &= status.is_some_and(|(_, body)| {
                     body["config"].as_u64() >= Some(number)
-                        && body["endpoints_listed"].as_u64() >= Some(self.endpoints.len() as u64)
+                        && body["endpoints_listed"].as_u64() >= Some(self.endpoints().len() as u64)
                         && !body["right_ms"].is_null()
                 });
             }
--- a/crates/guavacart_lab/src/fault/tcp.rs
+++ b/crates/guavacart_lab/src/fault/tcp.rs
@@ -108,8 +108,11 @@
     mut faults: watch::Receiver<Faults>,
 ) -> Result<(), Reset> {
     let end = pass_chunks(from, to, fate, limit(fate, answer), &mut faults).await;
-    if let Ok(End::Reset) = end {
-        return Err(Reset);
+    match (end, fate) {
+        // The near side hears nothing more, not even the end; when it gives up, all ends.
+        (_, Fate::HalfOpen) if answer => return std::future::pending().await,
+        (_, Fate::HalfOpen) | (Ok(End::Reset), _) => return Err(Reset),
+        _ => {}
     }
     if to.shutdown().await.is_err() {
         tracing::trace!("the other side was closed already");
--- a/crates/guavacart_lab/src/instance.rs
+++ b/crates/guavacart_lab/src/instance.rs
@@ -20,6 +20,8 @@
 
 /// How long a process may take to listen.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// Clock ticks in a second, as Linux counts processor time for all programs.
+const CLOCK_TICKS: f64 = 100.0;
 /// How often an awaited exit is looked for.
 const EXIT_POLL: Duration = Duration::from_millis(20);
 
@@ -216,6 +218,17 @@
         self.child.id()
     }
 
+    /// Processor time that it has used, in seconds; none once it has ended.
+    pub fn cpu_seconds(&self) -> Option<f64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.pid())).ok()?;
+        // The name in brackets may hold blanks; user and system time are fields 14 and 15.
+        let (_, fields) = stat.rsplit_once(')')?;
+        let mut fields = fields.split_ascii_whitespace().skip(11);
+        let user: f64 = fields.next()?.parse().ok()?;
+        let system: f64 = fields.next()?.parse().ok()?;
+        Some((user + system) / CLOCK_TICKS)
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         // Both fail only if the process has ended already.
--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -69,9 +69,10 @@
         ended?;
     }
     submitter.await?;
-    let finished = cluster.jobs.wait_finished(SETTLE).await;
+    // The summary says what is left if the time is up first.
+    cluster.jobs.wait_finished(SETTLE).await;
     drop(progress);
-    Ok(summarise(&cx, &cluster, finished).await)
+    Ok(summarise(&cx, &cluster).await)
 }
 
 fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
@@ -145,7 +146,7 @@
     Ok(())
 }
 
-async fn summarise(cx: &ScenarioCx, cluster: &Cluster, finished: bool) -> Summary {
+async fn summarise(cx: &ScenarioCx, cluster: &Cluster) -> Summary {
     let attempts = cluster.record.attempts();
     let mut summary = Summary::of_attempts(SCENARIO.name, cx.seed, &attempts);
     let batch = cluster.batch.counts();
@@ -157,9 +158,14 @@
     let unclean = cluster.unclean_stops() as f64;
     summary.targets = vec![
         Target::at_least("min_answered_share", 0.95, answered),
-        Target::at_least("min_batch_job_finished", 1.0, f64::from(u8::from(finished))),
+        Target::at_least(
+            "min_tasks_finished",
+            f64::from(TASKS),
+            batch.finished as f64,
+        ),
         Target::at_most("graceful_stops_without_exit_0", 0.0, unclean),
     ];
+    summary.add_reasons(&attempts);
     let endpoints = cluster.requests.counts();
     summary.detail("endpoint_runs", endpoints.runs as f64);
     summary.detail("peak_busy", f64::from(endpoints.peak_busy));
--- a/crates/guavacart_lab/src/summary.rs
+++ b/crates/guavacart_lab/src/summary.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::{
     caller::{Attempt, Ending, latencies},
@@ -112,6 +112,21 @@
         }
     }
 
+    /// Adds how often each reason was given.
+    pub fn add_reasons(&mut self, attempts: &[Attempt]) {
+        for attempt in attempts {
+            let name = match &attempt.ending {
+                Ending::NotRun(reason) => format_smolstr!("not_run_{reason}"),
+                Ending::MayHaveRun(reason) => format_smolstr!("may_have_run_{reason}"),
+                Ending::NoOutcome(status) => format_smolstr!("no_outcome_{status}"),
+                Ending::NotSent => "not_sent".into(),
+                Ending::Broken => "broken".into(),
+                _ => continue,
+            };
+            *self.details.entry(name).or_default() += 1.0;
+        }
+    }
+
     /// Adds a figure.
     pub fn detail(&mut self, name: &str, value: f64) {
         self.details.insert(name.into(), value);
--- /dev/null
+++ b/crates/guavacart_lab/tests/endpoint.rs
@@ -0,0 +1,245 @@
+//! The stand-in endpoint through the real client, and the callers' checks.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use guavacart_lab::{
+    caller::{self, CallerSpec, Ending, Entrances, Form, Record, Schedule},
+    checks::{StopWindow, Violations},
+    endpoint::{Endpoint, SLOTS, WorkDone},
+    host::{Host, SharedInterference},
+    request_ledger::RequestLedger,
+};
+use guavacart_platform::endpoint::{
+    Dispatch, EndpointAnswer, EndpointError, Endpoints, HttpEndpoints,
+};
+use guavacart_types::Class;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+struct Fixture {
+    endpoint: Endpoint,
+    client: HttpEndpoints,
+    ledger: RequestLedger,
+}
+
+impl Fixture {
+    async fn open() -> Self {
+        let ledger = RequestLedger::default();
+        let host = Host::open(4_000, SharedInterference::default());
+        let (id, service) = ("p1".parse().unwrap(), "engine".parse().unwrap());
+        let endpoint = Endpoint::bind(id, service, host, ledger.clone())
+            .await
+            .unwrap();
+        let client = HttpEndpoints::open();
+        Self {
+            endpoint,
+            client,
+            ledger,
+        }
+    }
+
+    async fn run(&self, id: &str, work_us: u64) -> Result<EndpointAnswer, EndpointError> {
+        let body = format!("{{\"work_us\":{work_us},\"nonce\":7,\"answer_bytes\":100}}");
+        let dispatch = Dispatch {
+            id: id.parse().unwrap(),
+            body: Bytes::from(body),
+            content_type: None,
+            connections: 60,
+            timeout: TIMEOUT,
+        };
+        let address = self.endpoint.address();
+        self.client.run(address, dispatch, || true).await
+    }
+}
+
+#[tokio::test]
+async fn answers_whole_and_own() {
+    let f = Fixture::open().await;
+    let answer = f.run("r1", 10).await.unwrap();
+    let done: WorkDone = serde_json::from_slice(&answer.body).unwrap();
+    assert!(done.is_right("r1", 7, 100));
+    assert!(!done.is_right("r2", 7, 100));
+    assert!(!done.is_right("r1", 8, 100));
+    assert!(!done.is_right("r1", 7, 99));
+    assert_eq!(f.ledger.runs("r1").len(), 1);
+}
+
+#[tokio::test]
+async fn ninth_request_is_counted_and_refused() {
+    let f = Arc::new(Fixture::open().await);
+    let mut running = Vec::new();
+    for i in 0..SLOTS {
+        let f = Arc::clone(&f);
+        running.push(tokio::spawn(async move {
+            f.run(&format!("r{i}"), 1_000_000).await
+        }));
+    }
+    while f.endpoint.busy() < SLOTS {
+        tokio::task::yield_now().await;
+    }
+    let err = f.run("ninth", 10).await.unwrap_err();
+    assert!(matches!(err, EndpointError::Busy { .. }), "{err}");
+    for task in running {
+        task.await.unwrap().unwrap();
+    }
+    let counts = f.ledger.counts();
+    assert_eq!((counts.slots_exceeded, counts.peak_busy), (1, SLOTS));
+    assert!(f.ledger.runs("ninth").is_empty());
+}
+
+#[tokio::test]
+async fn work_goes_on_after_its_connection_broke() {
+    let f = Arc::new(Fixture::open().await);
+    let running = tokio::spawn({
+        let f = Arc::clone(&f);
+        async move { f.run("r1", 1_000_000).await }
+    });
+    while f.endpoint.busy() == 0 {
+        tokio::task::yield_now().await;
+    }
+    f.endpoint.drop_connections();
+    let err = running.await.unwrap().unwrap_err();
+    assert!(matches!(err, EndpointError::Broken { .. }), "{err}");
+    while f.endpoint.busy() > 0 {
+        tokio::task::yield_now().await;
+    }
+    assert!(f.ledger.runs("r1")[0].end_us.is_some());
+}
+
+#[tokio::test]
+async fn leaving_refuses_and_late_work_is_counted() {
+    let f = Fixture::open().await;
+    f.endpoint.leave(true);
+    let err = f.run("r1", 10).await.unwrap_err();
+    assert!(matches!(err, EndpointError::Leaving { .. }), "{err}");
+    let health = f
+        .client
+        .health(f.endpoint.address(), TIMEOUT)
+        .await
+        .unwrap();
+    assert!(health.leaving);
+    f.endpoint.leave(false);
+    f.run("r2", 10).await.unwrap();
+    assert_eq!(f.ledger.counts().late_new_work, 0);
+    f.endpoint.switch(|s| s.leaving_since_us = Some(0));
+    while f.ledger.counts().late_new_work == 0 {
+        f.run("r3", 10).await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn failing_and_slow() {
+    let f = Fixture::open().await;
+    f.endpoint.switch(|s| s.fails = true);
+    assert_eq!(f.run("r1", 10).await.unwrap().status, 500);
+    f.endpoint.switch(|s| s.slow = 100.0);
+    f.run("r2", 1_000).await.unwrap();
+    let run = &f.ledger.runs("r2")[0];
+    assert!(run.end_us.unwrap() - run.start_us >= 100_000);
+}
+
+fn spec(repeats: f64) -> CallerSpec {
+    CallerSpec {
+        name: "c".into(),
+        form: Form::Direct,
+        service: "engine".into(),
+        team: "t".into(),
+        token: None,
+        class: Class::Short,
+        schedule: Schedule::constant(200.0),
+        idempotent: 0.0,
+        deadline: TIMEOUT,
+        work: Duration::from_micros(10),
+        request_bytes: 500,
+        answer_bytes: 100,
+        repeats,
+        gives_up: 0.0,
+        gives_up_after: TIMEOUT,
+    }
+}
+
+#[tokio::test]
+async fn callers_record_what_they_saw() {
+    let f = Fixture::open().await;
+    let entrances = Entrances::open(vec![f.endpoint.address()]);
+    let record = Record::default();
+    let length = Duration::from_millis(200);
+    caller::run(spec(0.0), entrances, length, 1, record.clone()).await;
+    let attempts = record.attempts();
+    assert!(attempts.len() > 10);
+    assert!(attempts.iter().all(|a| a.ending == Ending::Answered));
+    let mut violations = Violations::default();
+    violations.add_attempts(&attempts, &f.ledger);
+    assert!(violations.none());
+}
+
+#[tokio::test]
+async fn joined_ledgers_show_each_broken_promise() {
+    let f = Fixture::open().await;
+    let entrances = Entrances::open(vec![f.endpoint.address()]);
+    let record = Record::default();
+    caller::run(
+        spec(0.0),
+        entrances,
+        Duration::from_millis(100),
+        1,
+        record.clone(),
+    )
+    .await;
+    let mut attempts = record.attempts();
+    attempts.truncate(4);
+    let mut count = |change: &dyn Fn(&mut caller::Attempt)| {
+        change(&mut attempts[0]);
+        let mut violations = Violations::default();
+        violations.add_attempts(&attempts, &f.ledger);
+        let stop = StopWindow {
+            instance: "e1".into(),
+            from_us: 0,
+            to_us: u64::MAX,
+        };
+        violations.add_stops(&attempts, &[stop], |_| Some("e1".into()));
+        violations
+    };
+    let none = Violations::default();
+    let says = |ending: Ending| move |a: &mut caller::Attempt| a.ending = ending.clone();
+    let found = count(&says(Ending::NotRun("overloaded".into())));
+    assert_eq!(
+        found,
+        Violations {
+            false_not_run: 1,
+            ..none
+        }
+    );
+    let found = count(&says(Ending::MayHaveRun("peer_lost".into())));
+    assert_eq!(found, none);
+    let found = count(&says(Ending::Wrong));
+    assert_eq!(
+        found,
+        Violations {
+            partial_or_foreign_answer: 1,
+            ..none
+        }
+    );
+    let found = count(&says(Ending::Broken));
+    assert_eq!(
+        found,
+        Violations {
+            cut_off_by_shutdown: 1,
+            ..none
+        }
+    );
+    f.run(&record.attempts()[0].id, 10).await.unwrap();
+    let found = count(&says(Ending::Answered));
+    assert_eq!(
+        found,
+        Violations {
+            duplicate_non_idempotent: 1,
+            ..none
+        }
+    );
+    let found = count(&|a| a.idempotent = true);
+    assert_eq!(found, none);
+}
--- /dev/null
+++ b/crates/guavacart_lab/tests/network.rs
@@ -0,0 +1,214 @@
+//! The instance list, the balancer and the fault proxies.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use guavacart_lab::{
+    balancer::Balancer,
+    fault::{FaultProxy, Faults, Network},
+    instance_list::InstanceList,
+    server::{Answer, Handler, Hangup, Server, answer},
+};
+use guavacart_platform::instance_list::{
+    HttpInstanceList, InstanceList as _, ListedInstanceWire, RoleWire,
+};
+use guavacart_scheduler::directory::ListedInstance;
+use hyper::{Request, StatusCode};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
+};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const ANSWER_BYTES: usize = 50_000;
+
+fn entry(id: &str, address: SocketAddr) -> ListedInstanceWire {
+    ListedInstanceWire {
+        data_centre: "dc1".into(),
+        address,
+        leaving: false,
+        role: RoleWire::Entry { id: id.into() },
+    }
+}
+
+async fn read(address: SocketAddr) -> Vec<ListedInstance> {
+    let list = HttpInstanceList::open(address, TIMEOUT);
+    tokio::task::spawn_blocking(move || list.read().unwrap())
+        .await
+        .unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn list_tells_late() {
+    let list = InstanceList::bind(Duration::from_millis(500))
+        .await
+        .unwrap();
+    let at = SocketAddr::from(([127, 0, 0, 1], 7));
+    list.register(entry("e1", at));
+    assert_eq!(list.entries().len(), 1);
+    assert!(read(list.address()).await.is_empty());
+    while read(list.address()).await.is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    list.announce_leaving("e1");
+    assert!(!read(list.address()).await[0].leaving);
+    while !read(list.address()).await[0].leaving {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    list.remove("e1");
+    while !read(list.address()).await.is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn list_view_leads_through_proxies_but_for_oneself() {
+    let list = InstanceList::bind(Duration::ZERO).await.unwrap();
+    let network = Arc::new(Network::open(1));
+    let (at1, at2) = (echo().await, echo().await);
+    list.register(entry("e1", at1));
+    list.register(entry("e2", at2));
+    let view = list.bind_view("e1", Arc::clone(&network)).await.unwrap();
+    let seen = read(view.address()).await;
+    assert_eq!(seen[0].address, at1);
+    assert_ne!(seen[1].address, at2);
+    assert_eq!(exchange(seen[1].address).await.unwrap(), ANSWER_BYTES);
+    network.cut(&["e1".into()], &["e2".into()]).await;
+    let cut = tokio::time::timeout(Duration::from_millis(100), exchange(seen[1].address)).await;
+    assert!(cut.is_err());
+    network.heal().await;
+    assert_eq!(exchange(seen[1].address).await.unwrap(), ANSWER_BYTES);
+}
+
+/// A health check that says what it is told.
+struct Entry(StatusCode);
+
+impl Handler for Entry {
+    async fn handle(&self, _: Request<Bytes>) -> Result<Answer, Hangup> {
+        Ok(answer(self.0, "x"))
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancer_leads_to_healthy_instances_only() {
+    let balancer = Balancer::bind().await.unwrap();
+    let serving = Server::bind(Arc::new(Entry(StatusCode::OK))).await.unwrap();
+    let stopping = Server::bind(Arc::new(Entry(StatusCode::SERVICE_UNAVAILABLE)))
+        .await
+        .unwrap();
+    balancer.add("e1", serving.address());
+    balancer.add("e2", stopping.address());
+    while balancer.healthy().is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(balancer.address()).await.unwrap();
+        let get = b"GET / HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n";
+        stream.write_all(get).await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        let local = stream.local_addr().unwrap();
+        assert_eq!(balancer.backend_of(local).as_deref(), Some("e1"));
+    }
+    drop(serving);
+    while !balancer.healthy().is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Answers one byte with many, then closes.
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                if stream.read_u8().await.is_ok() {
+                    // The other side may be gone by design.
+                    let _ = stream.write_all(&vec![b'x'; ANSWER_BYTES]).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Length of the answer to one byte.
+async fn exchange(address: SocketAddr) -> io::Result<usize> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(b"?").await?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await
+}
+
+async fn proxied(change: impl FnOnce(&mut Faults)) -> FaultProxy {
+    let proxy = FaultProxy::bind(echo().await, 1).await.unwrap();
+    proxy.set_faults(change);
+    proxy
+}
+
+#[tokio::test]
+async fn proxy_passes() {
+    let proxy = proxied(|_| ()).await;
+    assert_eq!(exchange(proxy.address()).await.unwrap(), ANSWER_BYTES);
+    assert_eq!(proxy.counts(), (1, 0));
+}
+
+#[tokio::test]
+async fn proxy_resets() {
+    let proxy = proxied(|f| f.reset = 1.0).await;
+    let err = exchange(proxy.address()).await.unwrap_err();
+    assert_eq!(err.kind(), io::ErrorKind::ConnectionReset);
+    assert_eq!(proxy.counts(), (1, 1));
+}
+
+#[tokio::test]
+async fn proxy_truncates() {
+    let proxy = proxied(|f| f.truncate = 1.0).await;
+    assert!(exchange(proxy.address()).await.unwrap() < ANSWER_BYTES);
+}
+
+#[tokio::test]
+async fn proxy_swallows_answers_and_delays() {
+    let proxy = proxied(|f| f.half_open = 1.0).await;
+    let wait = Duration::from_millis(100);
+    let swallowed = tokio::time::timeout(wait, exchange(proxy.address())).await;
+    assert!(swallowed.is_err(), "{swallowed:?}");
+    let proxy = proxied(|f| f.delay = Duration::from_millis(30)).await;
+    let start = tokio::time::Instant::now();
+    exchange(proxy.address()).await.unwrap();
+    assert!(start.elapsed() >= Duration::from_millis(60));
+}
+
+#[tokio::test]
+async fn proxy_passes_and_loses_datagrams() {
+    let far = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let proxy = FaultProxy::bind(far.local_addr().unwrap(), 1)
+        .await
+        .unwrap();
+    let near = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    near.connect(proxy.address()).await.unwrap();
+    near.send(b"one").await.unwrap();
+    let mut buf = [0; 16];
+    let (n, from) = far.recv_from(&mut buf).await.unwrap();
+    assert_eq!(&buf[..n], b"one");
+    far.send_to(b"back", from).await.unwrap();
+    let n = near.recv(&mut buf).await.unwrap();
+    assert_eq!(&buf[..n], b"back");
+    proxy.set_faults(|f| f.cut = true);
+    near.send(b"lost").await.unwrap();
+    let wait = Duration::from_millis(50);
+    assert!(
+        tokio::time::timeout(wait, far.recv_from(&mut buf))
+            .await
+            .is_err()
+    );
+    proxy.set_faults(|f| f.cut = false);
+    near.send(b"two").await.unwrap();
+    let (n, _) = far.recv_from(&mut buf).await.unwrap();
+    assert_eq!(&buf[..n], b"two");
+}
