Test batch work with a model of the store and the workers

The first random run failed because the model worker kept silent about an attempt that it refused, where docs/PLATFORM.md says that it reports it; the model now does.

--- /dev/null
+++ b/crates/guavacart_scheduler/tests/batch_random.rs
@@ -0,0 +1,93 @@
+//! Random faults against the promises of batch work.
+
+#[path = "support/batch_model.rs"]
+mod batch_model;
+
+use batch_model::{Fault, Setup, World, job};
+use guavacart_scheduler::batch::{BatchEvent, call::JobReply};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let at = 3_000..60_000_u64;
+    let which = 0..8_usize;
+    prop_oneof![
+        (at.clone(), 500..20_000_u64).prop_map(|(at, ms)| Fault::Outage { at, ms }),
+        (at.clone(), which.clone(), 100..15_000_u64).prop_map(|(at, node, ms)| Fault::Pause {
+            at,
+            node,
+            ms
+        }),
+        (at.clone(), which.clone(), 100..15_000_u64).prop_map(|(at, node, ms)| Fault::Kill {
+            at,
+            node,
+            ms
+        }),
+        (at.clone(), which.clone(), 100..60_000_u64)
+            .prop_map(|(at, worker, ms)| Fault::WorkerPause { at, worker, ms }),
+        (at, which, 100..30_000_u64).prop_map(|(at, worker, ms)| Fault::WorkerKill {
+            at,
+            worker,
+            ms
+        }),
+    ]
+}
+
+fn setup() -> impl Strategy<Value = Setup> {
+    let faults = vec(fault(), 0..10);
+    (
+        any::<u64>(),
+        1..4_usize,
+        1..6_usize,
+        1..3_usize,
+        0..8_u64,
+        faults,
+    )
+        .prop_map(
+            |(seed, nodes, workers, cells, lost_percent, faults)| Setup {
+                seed,
+                nodes,
+                workers: workers * cells,
+                cells,
+                lost_percent,
+                faults,
+                ..Setup::default()
+            },
+        )
+}
+
+fn check(setup: Setup) {
+    let mut world = World::new(setup);
+    let jobs: Vec<_> = (0..8)
+        .map(|n| job(&format!("job{n}"), 6 + n * 3, 1 + u64::from(n % 4), 900))
+        .collect();
+    for job in &jobs {
+        world.submit(job);
+    }
+    let ids: Vec<_> = jobs.iter().map(|job| job.id.clone()).collect();
+    world.finish(&ids, 600_000);
+    for spec in &jobs {
+        let job = spec.id.clone();
+        let reply = world.ask(60_000, |call| BatchEvent::Queried {
+            call,
+            job: job.clone(),
+        });
+        let JobReply::Status(status) = reply else {
+            panic!("{reply:?}");
+        };
+        assert_eq!(status.summary.counts.finished, spec.tasks, "{status:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_task_finishes_once_in_one_place_within_capacity(setup in setup()) {
+        check(setup);
+    }
+}
--- /dev/null
+++ b/crates/guavacart_scheduler/tests/support/batch_model.rs
@@ -0,0 +1,846 @@
+//! Instances, a store and workers in one simulated time line, with faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use guavacart_config::{BatchRule, Cell, Configuration, Team};
+use guavacart_scheduler::{
+    Effect, Event, Start, State,
+    batch::{
+        BatchEffect, BatchEvent, RecordRead,
+        call::JobReply,
+        job::{JobSpec, Priority},
+        journal::{Appended, Record, Snapshot, Stored},
+        worker::{AttemptId, AttemptState, WorkerAnswer, WorkerCommand, WorkerReport, WorkerSync},
+    },
+    config::{ConfigEffect, ConfigEvent},
+    directory::{ListedInstance, Role},
+    membership::{Member, MembershipEffect, MembershipEvent, Swap, View},
+};
+use guavacart_types::{
+    Accelerators, ByteSize, CallId, CellId, Epoch, Incarnation, InstanceId, JobId, Processors,
+    Resources, Revision, Span, TaskId, Timestamp, WorkerId, mix,
+};
+
+/// Something that goes wrong.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// The store answers nothing for a while.
+    Outage { at: u64, ms: u64 },
+    /// An instance does nothing for a while.
+    Pause { at: u64, node: usize, ms: u64 },
+    /// An instance dies; a new incarnation starts later.
+    Kill { at: u64, node: usize, ms: u64 },
+    /// A worker hears nothing for a while.
+    WorkerPause { at: u64, worker: usize, ms: u64 },
+    /// A worker dies with all that it holds; it comes back empty later.
+    WorkerKill { at: u64, worker: usize, ms: u64 },
+}
+
+impl Fault {
+    /// When it begins, in milliseconds.
+    pub(crate) fn at(&self) -> u64 {
+        match self {
+            Self::Outage { at, .. }
+            | Self::Pause { at, .. }
+            | Self::Kill { at, .. }
+            | Self::WorkerPause { at, .. }
+            | Self::WorkerKill { at, .. } => *at,
+        }
+    }
+}
+
+/// How the world behaves beside the faults.
+#[derive(Clone, Debug)]
+pub(crate) struct Setup {
+    pub(crate) seed: u64,
+    pub(crate) nodes: usize,
+    pub(crate) workers: usize,
+    pub(crate) cells: usize,
+    /// Share of store and worker answers lost after the effect, in percent.
+    pub(crate) lost_percent: u64,
+    /// Workers that fail every task.
+    pub(crate) failing: BTreeSet<usize>,
+    pub(crate) faults: Vec<Fault>,
+    pub(crate) quota: Option<Resources>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            nodes: 1,
+            workers: 4,
+            cells: 1,
+            lost_percent: 0,
+            failing: BTreeSet::new(),
+            faults: Vec::new(),
+            quota: None,
+        }
+    }
+}
+
+pub(crate) fn shape(cores: u64) -> Resources {
+    Resources {
+        processors: Processors::cores(cores),
+        memory: ByteSize::gib(cores),
+        accelerators: Accelerators(0),
+    }
+}
+
+pub(crate) fn job(id: &str, tasks: u32, cores: u64, run_ms: u64) -> JobSpec {
+    JobSpec {
+        id: id.parse().unwrap(),
+        team: "team".parse().unwrap(),
+        class: "recode".parse().unwrap(),
+        resources: shape(cores),
+        tasks,
+        run_time: Span::millis(run_ms),
+        priority: Priority::Normal,
+        deadline: None,
+        payload: "".into(),
+    }
+}
+
+#[derive(Debug, Default)]
+struct StoredCell {
+    records: BTreeMap<u64, Record>,
+    snapshot: Snapshot,
+    revision: u64,
+}
+
+#[derive(Debug)]
+struct Attempted {
+    state: AttemptState,
+    resources: Resources,
+    lease_until: u64,
+    ends_at: u64,
+}
+
+#[derive(Debug, Default)]
+struct Worker {
+    epoch: Epoch,
+    attempts: BTreeMap<AttemptId, Attempted>,
+    newest: BTreeMap<TaskId, AttemptId>,
+    paused_until: u64,
+    down_until: u64,
+}
+
+#[derive(Debug)]
+struct Node {
+    id: InstanceId,
+    incarnation: u64,
+    state: State,
+    paused_until: u64,
+    down: bool,
+}
+
+#[derive(Debug)]
+enum Action {
+    Tick(usize),
+    Deliver(usize, u64, Box<Event>),
+    Store(usize, u64, BatchEffect),
+    View(usize, u64, MembershipEffect, Timestamp),
+    Call(usize, u64, BatchEffect),
+    Restart(usize),
+    Fault(Fault),
+}
+
+/// The whole world.
+pub(crate) struct World {
+    setup: Setup,
+    pub(crate) now: u64,
+    agenda: BTreeMap<(u64, u64), Action>,
+    count: u64,
+    draws: u64,
+    nodes: Vec<Node>,
+    workers: Vec<Worker>,
+    cells: BTreeMap<CellId, StoredCell>,
+    view: Option<View>,
+    view_revision: u64,
+    outage_until: u64,
+    next_call: u64,
+    pub(crate) replies: BTreeMap<CallId, JobReply>,
+    pub(crate) starts: Vec<u64>,
+    pub(crate) store_writes: u64,
+}
+
+const WORKER_CORES: u64 = 8;
+
+impl World {
+    pub(crate) fn new(setup: Setup) -> Self {
+        let mut world = Self {
+            now: 1_000,
+            agenda: BTreeMap::new(),
+            count: 0,
+            draws: 0,
+            nodes: Vec::new(),
+            workers: (0..setup.workers).map(|_| Worker::default()).collect(),
+            cells: BTreeMap::new(),
+            view: None,
+            view_revision: 0,
+            outage_until: 0,
+            next_call: 0,
+            replies: BTreeMap::new(),
+            starts: vec![0; setup.workers],
+            store_writes: 0,
+            setup,
+        };
+        for index in 0..world.setup.nodes {
+            let id = format!("n{index}").parse().unwrap();
+            world.nodes.push(Node {
+                state: start(&id, 1, 1_000),
+                id,
+                incarnation: 1,
+                paused_until: 0,
+                down: false,
+            });
+            world.boot(index);
+        }
+        for fault in world.setup.faults.clone() {
+            world.plan(fault.at(), Action::Fault(fault));
+        }
+        world
+    }
+
+    fn boot(&mut self, node: usize) {
+        let incarnation = self.nodes[node].incarnation;
+        let configuration = Box::new(self.configuration());
+        let read = Event::Config(ConfigEvent::Read(configuration));
+        let listed = Event::Listed(self.listing());
+        for event in [read, listed] {
+            let action = Action::Deliver(node, incarnation, Box::new(event));
+            self.plan(self.now, action);
+        }
+        self.plan(self.now + 1, Action::Tick(node));
+    }
+
+    fn configuration(&self) -> Configuration {
+        let cells = self.setup.cells;
+        let racks = |cell: usize| vec![format!("r{cell}").parse().unwrap()];
+        let cells = (0..cells).map(|c| (cell_id(c), Cell { racks: racks(c) }));
+        let rule = BatchRule {
+            checkpoints: true,
+            throttled_percent: 25,
+        };
+        let team = Team {
+            quota: self.setup.quota,
+            ..Team::default()
+        };
+        Configuration {
+            number: guavacart_types::ConfigNumber(1),
+            cells: cells.collect(),
+            teams: BTreeMap::from([("team".parse().unwrap(), team)]),
+            batch_classes: BTreeMap::from([("recode".parse().unwrap(), rule)]),
+            ..Configuration::default()
+        }
+    }
+
+    fn listing(&self) -> Vec<ListedInstance> {
+        let listed = |role| ListedInstance {
+            data_centre: "dc1".parse().unwrap(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            leaving: false,
+            role,
+        };
+        let entries = self.nodes.iter().map(|n| Role::Entry { id: n.id.clone() });
+        let cells = self.setup.cells;
+        let workers = (0..self.workers.len()).map(|w| Role::Worker {
+            id: worker_id(w),
+            rack: format!("r{}", w % cells).parse().unwrap(),
+            capacity: shape(WORKER_CORES),
+        });
+        entries.chain(workers).map(listed).collect()
+    }
+
+    fn plan(&mut self, at: u64, action: Action) {
+        self.count += 1;
+        self.agenda.insert((at.max(self.now), self.count), action);
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.draws += 1;
+        mix(self.setup.seed, self.draws) % below
+    }
+
+    fn loses(&mut self) -> bool {
+        self.draw(100) < self.setup.lost_percent
+    }
+
+    /// Hands a call of a submitter to an instance.
+    pub(crate) fn call(&mut self, node: usize, event: impl FnOnce(CallId) -> BatchEvent) -> CallId {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        let incarnation = self.nodes[node].incarnation;
+        let event = Box::new(Event::Batch(event(call)));
+        self.plan(self.now, Action::Deliver(node, incarnation, event));
+        call
+    }
+
+    /// Submits a job until it is accepted, at any instance that runs.
+    pub(crate) fn submit(&mut self, spec: &JobSpec) {
+        let reply = self.ask(60_000, |call| BatchEvent::Submitted {
+            call,
+            spec: Box::new(spec.clone()),
+        });
+        assert!(matches!(reply, JobReply::Accepted(_)), "{reply:?}");
+    }
+
+    /// Repeats a call until it gets an answer that settles it.
+    pub(crate) fn ask(&mut self, limit: u64, event: impl Fn(CallId) -> BatchEvent) -> JobReply {
+        let end = self.now + limit;
+        loop {
+            let node = self.draw(self.nodes.len() as u64) as usize;
+            let call = self.call(node, &event);
+            let wait = self.now + 8_000;
+            self.run_while(wait, |world| !world.replies.contains_key(&call));
+            match self.replies.remove(&call) {
+                Some(JobReply::NotAccepted(_) | JobReply::Unknown) | None => {}
+                Some(reply) => return reply,
+            }
+            assert!(self.now < end, "no answer within {limit} ms");
+            let pause = self.now + 200;
+            self.run_while(pause, |_| true);
+        }
+    }
+
+    /// Runs until `goes_on` is false or the time is `end`; true if it became false.
+    pub(crate) fn run_while(&mut self, end: u64, goes_on: impl Fn(&Self) -> bool) -> bool {
+        while goes_on(self) {
+            let Some((key, action)) = self.agenda.pop_first() else {
+                return false;
+            };
+            if key.0 > end {
+                self.agenda.insert(key, action);
+                self.now = end;
+                return false;
+            }
+            self.now = key.0;
+            self.act(action);
+            self.check();
+        }
+        true
+    }
+
+    /// Waits until every task of the jobs has finished.
+    pub(crate) fn finish(&mut self, jobs: &[JobId], limit: u64) {
+        let end = self.now + limit;
+        for job in jobs {
+            loop {
+                let reply = self.ask(limit, |call| BatchEvent::Queried {
+                    call,
+                    job: job.clone(),
+                });
+                let JobReply::Status(status) = reply else {
+                    panic!("{reply:?}");
+                };
+                let counts = status.summary.counts;
+                if counts.queued + counts.placed == 0 {
+                    break;
+                }
+                assert!(self.now < end, "not finished in time: {status:#?}");
+                let pause = self.now + 500;
+                self.run_while(pause, |_| true);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Tick(node) => {
+                if !self.nodes[node].down {
+                    self.plan(self.now + 50, Action::Tick(node));
+                    self.deliver(node, self.nodes[node].incarnation, Event::Tick);
+                }
+            }
+            Action::Deliver(node, incarnation, event) => self.deliver(node, incarnation, *event),
+            Action::Store(node, incarnation, effect) => self.store(node, incarnation, effect),
+            Action::View(node, incarnation, effect, asked) => {
+                self.view(node, incarnation, effect, asked);
+            }
+            Action::Call(node, incarnation, effect) => self.worker_call(node, incarnation, effect),
+            Action::Restart(node) => {
+                let id = self.nodes[node].id.clone();
+                self.nodes[node].incarnation += 1;
+                self.nodes[node].down = false;
+                let incarnation = self.nodes[node].incarnation;
+                self.nodes[node].state = start(&id, incarnation, self.now);
+                self.boot(node);
+            }
+            Action::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Outage { ms, .. } => self.outage_until = self.now + ms,
+            Fault::Pause { node, ms, .. } => {
+                let node = node % self.nodes.len();
+                self.nodes[node].paused_until = self.now + ms;
+            }
+            Fault::Kill { node, ms, .. } => {
+                let node = node % self.nodes.len();
+                if !self.nodes[node].down {
+                    self.nodes[node].down = true;
+                    self.plan(self.now + ms, Action::Restart(node));
+                }
+            }
+            Fault::WorkerPause { worker, ms, .. } => {
+                let worker = worker % self.workers.len();
+                self.workers[worker].paused_until = self.now + ms;
+            }
+            Fault::WorkerKill { worker, ms, .. } => {
+                let worker = worker % self.workers.len();
+                let epoch = self.workers[worker].epoch;
+                let newest = std::mem::take(&mut self.workers[worker].newest);
+                self.workers[worker] = Worker {
+                    epoch,
+                    newest,
+                    down_until: self.now + ms,
+                    ..Worker::default()
+                };
+            }
+        }
+    }
+
+    fn deliver(&mut self, node: usize, incarnation: u64, event: Event) {
+        let n = &mut self.nodes[node];
+        if n.down || n.incarnation != incarnation {
+            return;
+        }
+        if n.paused_until > self.now {
+            let at = n.paused_until;
+            if event != Event::Tick {
+                self.plan(at, Action::Deliver(node, incarnation, Box::new(event)));
+            }
+            return;
+        }
+        let effects = n.state.apply(Timestamp(self.now), event);
+        for effect in effects {
+            self.carry_out(node, effect);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, effect: Effect) {
+        let incarnation = self.nodes[node].incarnation;
+        let delay = 1 + self.draw(6);
+        match effect {
+            Effect::Membership(MembershipEffect::SendHeartbeat { to, heartbeat }) => {
+                if let Some(to) = self.nodes.iter().position(|n| n.id == to) {
+                    let event = Event::Membership(MembershipEvent::Heartbeat(heartbeat));
+                    let incarnation = self.nodes[to].incarnation;
+                    let action = Action::Deliver(to, incarnation, Box::new(event));
+                    self.plan(self.now + delay, action);
+                }
+            }
+            Effect::Membership(MembershipEffect::ViewAdopted(_)) => {}
+            Effect::Membership(effect) => {
+                let asked = Timestamp(self.now);
+                let action = Action::View(node, incarnation, effect, asked);
+                self.plan(self.now + delay, action);
+            }
+            Effect::Config(ConfigEffect::ReadStore | ConfigEffect::ReadPeer(_)) => {
+                let event = Event::Config(ConfigEvent::Unchanged);
+                let action = Action::Deliver(node, incarnation, Box::new(event));
+                self.plan(self.now + delay, action);
+            }
+            Effect::Batch(effect) => self.carry_out_batch(node, effect, delay),
+            _ => {}
+        }
+    }
+
+    fn carry_out_batch(&mut self, node: usize, effect: BatchEffect, delay: u64) {
+        let incarnation = self.nodes[node].incarnation;
+        match effect {
+            BatchEffect::Reply { call, reply } => {
+                self.replies.insert(call, reply);
+            }
+            BatchEffect::Tell { to, message } => {
+                let from = self.nodes[node].id.clone();
+                if let Some(to) = self.nodes.iter().position(|n| n.id == to) {
+                    let event = Event::Batch(BatchEvent::Peer { from, message });
+                    let incarnation = self.nodes[to].incarnation;
+                    let action = Action::Deliver(to, incarnation, Box::new(event));
+                    self.plan(self.now + delay, action);
+                }
+            }
+            BatchEffect::Sync { .. } => {
+                self.plan(self.now + delay, Action::Call(node, incarnation, effect));
+            }
+            BatchEffect::Note { .. } => {}
+            _ => self.plan(self.now + delay, Action::Store(node, incarnation, effect)),
+        }
+    }
+
+    fn answer(&mut self, node: usize, incarnation: u64, event: BatchEvent) {
+        let delay = 1 + self.draw(6);
+        let event = Box::new(Event::Batch(event));
+        let action = Action::Deliver(node, incarnation, event);
+        self.plan(self.now + delay, action);
+    }
+
+    fn view(&mut self, node: usize, incarnation: u64, effect: MembershipEffect, asked: Timestamp) {
+        let out = self.now < self.outage_until;
+        let lost = self.loses();
+        let event = match effect {
+            MembershipEffect::ReadView if out || lost => MembershipEvent::ViewUnread,
+            MembershipEffect::ReadView => MembershipEvent::ViewRead {
+                asked_at: asked,
+                view: self.view.clone(),
+                revision: Revision(self.view_revision),
+            },
+            MembershipEffect::SwapView { .. } if out => MembershipEvent::ViewSwapped(Swap::Unknown),
+            MembershipEffect::SwapView { expect, view } => {
+                let swap = if expect.0 == self.view_revision {
+                    self.view_revision += 1;
+                    self.view = Some(*view.clone());
+                    Swap::Written(view, Revision(self.view_revision))
+                } else {
+                    Swap::Conflict
+                };
+                MembershipEvent::ViewSwapped(if lost { Swap::Unknown } else { swap })
+            }
+            _ => return,
+        };
+        let action = Action::Deliver(node, incarnation, Box::new(Event::Membership(event)));
+        self.plan(self.now + 2, action);
+    }
+
+    fn store(&mut self, node: usize, incarnation: u64, effect: BatchEffect) {
+        let out = self.now < self.outage_until;
+        let lost = self.loses();
+        let event = match effect {
+            BatchEffect::ReadCell { cell, read } => {
+                let result = match out || lost {
+                    true => Err(guavacart_scheduler::batch::ReadError::Unavailable),
+                    false => Ok(Box::new(self.stored(&cell))),
+                };
+                BatchEvent::CellRead { cell, read, result }
+            }
+            BatchEffect::Append {
+                cell,
+                number,
+                record,
+                ..
+            } => {
+                let sequence = record.sequence;
+                let result = self.append(&cell, number, *record, out, lost);
+                BatchEvent::Appended {
+                    cell,
+                    sequence,
+                    result,
+                }
+            }
+            BatchEffect::ReadRecord {
+                cell,
+                number,
+                sequence,
+            } => {
+                let stored = self.cells.entry(cell.clone()).or_default();
+                let result = match stored.records.get(&number) {
+                    _ if out => RecordRead::Unread,
+                    Some(record) => RecordRead::Found(Box::new(record.clone())),
+                    None => RecordRead::Absent,
+                };
+                BatchEvent::RecordRead {
+                    cell,
+                    sequence,
+                    result,
+                }
+            }
+            BatchEffect::WriteSnapshot {
+                cell,
+                snapshot,
+                expect,
+                ..
+            } => {
+                let through = snapshot.through;
+                let stored = self.cells.entry(cell.clone()).or_default();
+                let written = !out && stored.revision == expect.0;
+                if written {
+                    self.store_writes += 1;
+                    stored.snapshot = *snapshot;
+                    stored.revision += 1;
+                }
+                let revision = Revision(stored.revision);
+                let revision = (written && !lost).then_some(revision);
+                BatchEvent::SnapshotWritten {
+                    cell,
+                    through,
+                    revision,
+                }
+            }
+            BatchEffect::DeleteRecords { cell, through, .. } => {
+                let stored = self.cells.entry(cell).or_default();
+                stored.records.retain(|number, _| *number > through);
+                return;
+            }
+            _ => return,
+        };
+        self.answer(node, incarnation, event);
+    }
+
+    fn stored(&mut self, cell: &CellId) -> Stored {
+        let stored = self.cells.entry(cell.clone()).or_default();
+        let through = stored.snapshot.through;
+        let after = stored.records.range(through + 1..);
+        Stored {
+            snapshot: stored.snapshot.clone(),
+            revision: Revision(stored.revision),
+            records: after.map(|(n, r)| (*n, r.clone())).collect(),
+        }
+    }
+
+    fn append(
+        &mut self,
+        cell: &CellId,
+        number: u64,
+        record: Record,
+        out: bool,
+        lost: bool,
+    ) -> Appended {
+        if out {
+            return Appended::Unavailable;
+        }
+        let stored = self.cells.entry(cell.clone()).or_default();
+        let free = !stored.records.contains_key(&number);
+        if free {
+            self.store_writes += 1;
+            stored.records.insert(number, record);
+        }
+        match (lost, free) {
+            (true, _) => Appended::Unknown,
+            (false, true) => Appended::Written,
+            (false, false) => Appended::Taken,
+        }
+    }
+
+    fn worker_call(&mut self, node: usize, incarnation: u64, effect: BatchEffect) {
+        let BatchEffect::Sync {
+            cell,
+            worker,
+            sync,
+            call,
+            ..
+        } = effect
+        else {
+            return;
+        };
+        let index: usize = worker.as_str()[1..].parse().unwrap();
+        let answer = self.worker_answer(index, &call, node, incarnation, &cell, sync);
+        let report = WorkerReport {
+            worker,
+            sync,
+            answer,
+        };
+        self.answer(
+            node,
+            incarnation,
+            BatchEvent::WorkerAnswered { cell, report },
+        );
+    }
+
+    fn worker_answer(
+        &mut self,
+        index: usize,
+        call: &WorkerSync,
+        node: usize,
+        incarnation: u64,
+        cell: &CellId,
+        sync: u64,
+    ) -> WorkerAnswer {
+        if self.workers[index].down_until > self.now {
+            return WorkerAnswer::NotSent;
+        }
+        let paused_until = self.workers[index].paused_until;
+        if paused_until > self.now {
+            let effect = BatchEffect::Sync {
+                cell: cell.clone(),
+                worker: worker_id(index),
+                address: "127.0.0.1:9".parse().unwrap(),
+                sync,
+                call: Box::new(call.clone()),
+                valid_until: Timestamp(self.now),
+            };
+            self.plan(paused_until, Action::Call(node, incarnation, effect));
+            return WorkerAnswer::Unknown;
+        }
+        let lost = self.loses();
+        let fails = self.setup.failing.contains(&index);
+        self.settle(index);
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        if call.epoch < worker.epoch {
+            return WorkerAnswer::Deposed(worker.epoch);
+        }
+        worker.epoch = call.epoch;
+        for id in &call.renew {
+            if let Some(attempt) = worker.attempts.get_mut(id) {
+                attempt.lease_until = now + call.lease.0;
+            }
+        }
+        for command in &call.commands {
+            let started = worker.obey(now, command, fails);
+            self.starts[index] += u64::from(started);
+        }
+        let attempts = worker.attempts.iter();
+        let attempts = attempts.map(|(id, a)| (id.clone(), a.state.clone()));
+        let report = WorkerAnswer::Report {
+            attempts: attempts.collect(),
+            usage: Vec::new(),
+        };
+        if lost { WorkerAnswer::Unknown } else { report }
+    }
+
+    /// Ends what has run out or lapsed on a worker by now.
+    fn settle(&mut self, index: usize) {
+        let now = self.now;
+        for attempt in self.workers[index].attempts.values_mut() {
+            if !matches!(attempt.state, AttemptState::Running { .. }) {
+                continue;
+            }
+            if attempt.ends_at <= now.min(attempt.lease_until) {
+                attempt.state = AttemptState::Finished;
+            } else if attempt.lease_until <= now {
+                attempt.state = AttemptState::Lapsed;
+            }
+        }
+    }
+
+    /// The promises that hold after every event.
+    fn check(&self) {
+        let mut running: BTreeMap<&TaskId, &AttemptId> = BTreeMap::new();
+        for worker in &self.workers {
+            let mut used = Resources::default();
+            for (id, attempt) in &worker.attempts {
+                let ends = attempt.ends_at.min(attempt.lease_until);
+                let runs = matches!(attempt.state, AttemptState::Running { .. });
+                if !runs || self.now >= ends {
+                    continue;
+                }
+                used = used.plus(&attempt.resources);
+                let other = running.insert(&id.task, id);
+                assert!(other.is_none(), "{id:?} and {other:?} run at {}", self.now);
+            }
+            assert!(used.fits_in(&shape(WORKER_CORES)), "{used} on one worker");
+        }
+    }
+
+    /// The records that the store holds of a cell, for checks of one history.
+    pub(crate) fn records(&self, cell: usize) -> Vec<&Record> {
+        let stored = self.cells.get(&cell_id(cell));
+        stored.map_or(Vec::new(), |s| s.records.values().collect())
+    }
+
+    /// Attempts that run now.
+    pub(crate) fn running(&self) -> usize {
+        let attempts = self.workers.iter().flat_map(|w| w.attempts.values());
+        let runs = |a: &&Attempted| {
+            matches!(a.state, AttemptState::Running { .. })
+                && self.now < a.ends_at.min(a.lease_until)
+        };
+        attempts.filter(runs).count()
+    }
+
+    /// True if an attempt of the job runs now.
+    pub(crate) fn runs(&self, job: &JobId) -> usize {
+        let attempts = self.workers.iter().flat_map(|w| w.attempts.iter());
+        let runs = |(id, a): &(&AttemptId, &Attempted)| {
+            id.task.job == *job
+                && matches!(a.state, AttemptState::Running { .. })
+                && self.now < a.ends_at.min(a.lease_until)
+        };
+        attempts.filter(runs).count()
+    }
+}
+
+impl Worker {
+    /// Carries out one command; true if it started an attempt.
+    fn obey(&mut self, now: u64, command: &WorkerCommand, fails: bool) -> bool {
+        match command {
+            WorkerCommand::Start {
+                id,
+                resources,
+                run_time,
+                lease,
+                checkpoint,
+                ..
+            } => {
+                let newest = self.newest.get(&id.task);
+                if newest.is_some_and(|newest| newest.attempt >= id.attempt) {
+                    self.attempts.entry(id.clone()).or_insert(Attempted {
+                        state: AttemptState::Refused,
+                        resources: Resources::default(),
+                        lease_until: now,
+                        ends_at: now,
+                    });
+                    return false;
+                }
+                self.newest.insert(id.task.clone(), id.clone());
+                let run = if checkpoint.is_some() {
+                    run_time.0 / 2
+                } else {
+                    run_time.0
+                };
+                let state = match fails {
+                    true => AttemptState::Failed,
+                    false => AttemptState::Running { progress_ppm: 0 },
+                };
+                let attempt = Attempted {
+                    state,
+                    resources: *resources,
+                    lease_until: now + lease.0,
+                    ends_at: now + run,
+                };
+                self.attempts.insert(id.clone(), attempt);
+                true
+            }
+            WorkerCommand::Stop { id, checkpoint } => {
+                let newest = self.newest.get(&id.task);
+                if newest.is_none_or(|newest| newest.attempt <= id.attempt) {
+                    self.newest.insert(id.task.clone(), id.clone());
+                }
+                let stopped = AttemptState::Stopped {
+                    checkpoint: checkpoint.then(|| "saved".into()),
+                };
+                let attempt = self.attempts.entry(id.clone()).or_insert(Attempted {
+                    state: AttemptState::Stopped { checkpoint: None },
+                    resources: Resources::default(),
+                    lease_until: now,
+                    ends_at: now,
+                });
+                if matches!(attempt.state, AttemptState::Running { .. }) {
+                    attempt.state = stopped;
+                }
+                false
+            }
+            WorkerCommand::Acknowledge(id) => {
+                let ended = self.attempts.get(id);
+                if ended.is_some_and(|a| !matches!(a.state, AttemptState::Running { .. })) {
+                    self.attempts.remove(id);
+                }
+                false
+            }
+            WorkerCommand::Throttle { .. } => false,
+        }
+    }
+}
+
+fn start(id: &InstanceId, incarnation: u64, now: u64) -> State {
+    State::new(&Start {
+        member: Member {
+            id: id.clone(),
+            incarnation: Incarnation(incarnation),
+        },
+        data_centre: "dc1".parse().unwrap(),
+        now: Timestamp(now),
+        linger: Span::ZERO,
+    })
+}
+
+fn cell_id(index: usize) -> CellId {
+    format!("c{index}").parse().unwrap()
+}
+
+pub(crate) fn worker_id(index: usize) -> WorkerId {
+    format!("w{index}").parse().unwrap()
+}
