--- a/crates/guavacart_scheduler/tests/batch.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -1,11 +1,8 @@
-//! Batch work through the whole reducer, with a model of the store and of workers.
-
-#[path = "support/batch_model.rs"]
-mod batch_model;
+//! One case for each promise and each fault.
 
 use std::collections::BTreeSet;
 
-use batch_model::{Fault, Setup, World, job, shape};
+use crate::model::{Fault, Setup, World, job, shape};
 use guavacart_scheduler::batch::{
     BatchEvent,
     call::{JobReply, RejectReason},
--- /dev/null
+++ b/crates/guavacart_scheduler/tests/batch/main.rs
@@ -0,0 +1,7 @@
+//! Batch work through whole reducers, with a model of the store and of workers.
+
+#![allow(clippy::unwrap_used)]
+
+mod cases;
+mod model;
+mod random;
--- a/crates/guavacart_scheduler/tests/batch_random.rs
+++ b/crates/guavacart_scheduler/tests/batch/random.rs
@@ -1,9 +1,6 @@
 //! Random faults against the promises of batch work.
 
-#[path = "support/batch_model.rs"]
-mod batch_model;
-
-use batch_model::{Fault, Setup, World, job};
+use crate::model::{Fault, Setup, World, job};
 use guavacart_scheduler::batch::{BatchEvent, call::JobReply};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
--- /dev/null
+++ b/crates/guavacart_wire/src/journal.rs
@@ -0,0 +1,241 @@
+//! Journal records and snapshots as they stand in the store: version, payload.
+
+mod job;
+
+use guavacart_scheduler::batch::journal::{Change, JournalError, Record, Snapshot};
+use guavacart_types::{Attempt, Epoch, JobId, TaskId, WorkerId};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use smol_str::format_smolstr;
+
+use self::job::{AttemptEndWire, JobWire, StopReasonWire};
+pub(crate) use self::job::{JobSpecWire, PriorityWire};
+use crate::{WireError, heartbeat::MemberWire};
+
+/// Version of journal records and snapshots.
+const JOURNAL_VERSION: u8 = 1;
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct TaskIdWire {
+    job: JobId,
+    index: u32,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+enum ChangeWire {
+    TakenOver(u64),
+    Admitted(JobSpecWire),
+    Cancelled(JobId),
+    Placed(TaskIdWire, u32, WorkerId),
+    Stopping(TaskIdWire, u32, StopReasonWire),
+    Ended(TaskIdWire, u32, AttemptEndWire),
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct RecordWire {
+    writer: MemberWire,
+    sequence: u64,
+    changes: Vec<ChangeWire>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct SnapshotWire {
+    through: u64,
+    epoch: u64,
+    next_order: u64,
+    next_ended: u64,
+    jobs: Vec<JobWire>,
+    failing: Vec<(WorkerId, u32)>,
+}
+
+/// What stands at a snapshot's key: the snapshot, or where its parts are.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Manifest {
+    /// Number of the last record that the snapshot includes.
+    pub through: u64,
+    /// Number of parts under keys of their own; 0 if the snapshot stands in `inline`.
+    pub parts: u32,
+    /// The encoded snapshot, if it fits into one value.
+    pub inline: Vec<u8>,
+}
+
+/// Encodes a journal record.
+///
+/// # Errors
+/// Returns [`WireError::Payload`] if the record cannot be encoded.
+pub fn encode_record(record: Record) -> Result<Vec<u8>, WireError> {
+    encode(&RecordWire::from(record))
+}
+
+/// Decodes the journal record at `key`.
+///
+/// # Errors
+/// Names the key of a damaged record or one of an unknown version.
+pub fn decode_record(key: &str, value: &[u8]) -> Result<Record, JournalError> {
+    let wire: RecordWire = decode(key, value)?;
+    Ok(wire.into())
+}
+
+/// Encodes a snapshot.
+///
+/// # Errors
+/// Returns [`WireError::Payload`] if the snapshot cannot be encoded.
+pub fn encode_snapshot(snapshot: Snapshot) -> Result<Vec<u8>, WireError> {
+    encode(&SnapshotWire::from(snapshot))
+}
+
+/// Decodes the snapshot whose manifest stands at `key`.
+///
+/// # Errors
+/// Names the key of a damaged snapshot or one of an unknown version.
+pub fn decode_snapshot(key: &str, value: &[u8]) -> Result<Snapshot, JournalError> {
+    let wire: SnapshotWire = decode(key, value)?;
+    Ok(wire.into())
+}
+
+/// Encodes a snapshot's manifest.
+///
+/// # Errors
+/// Returns [`WireError::Payload`] if the manifest cannot be encoded.
+pub fn encode_manifest(manifest: &Manifest) -> Result<Vec<u8>, WireError> {
+    encode(manifest)
+}
+
+/// Decodes the manifest at `key`.
+///
+/// # Errors
+/// Names the key of a damaged manifest or one of an unknown version.
+pub fn decode_manifest(key: &str, value: &[u8]) -> Result<Manifest, JournalError> {
+    decode(key, value)
+}
+
+fn encode<T: Serialize>(wire: &T) -> Result<Vec<u8>, WireError> {
+    Ok(postcard::to_extend(wire, vec![JOURNAL_VERSION])?)
+}
+
+fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, JournalError> {
+    let damaged = |cause| JournalError::Damaged {
+        key: key.into(),
+        cause,
+    };
+    let Some((&version, payload)) = value.split_first() else {
+        return Err(damaged("the value is empty".into()));
+    };
+    if version != JOURNAL_VERSION {
+        return Err(JournalError::UnknownVersion {
+            key: key.into(),
+            version: u32::from(version),
+        });
+    }
+    let taken = postcard::take_from_bytes(payload);
+    let (wire, rest) = taken.map_err(|err| damaged(format_smolstr!("{err}")))?;
+    if !rest.is_empty() {
+        return Err(damaged(format_smolstr!("{} bytes too many", rest.len())));
+    }
+    Ok(wire)
+}
+
+impl From<TaskId> for TaskIdWire {
+    fn from(id: TaskId) -> Self {
+        let TaskId { job, index } = id;
+        Self { job, index }
+    }
+}
+
+impl From<TaskIdWire> for TaskId {
+    fn from(wire: TaskIdWire) -> Self {
+        let TaskIdWire { job, index } = wire;
+        Self { job, index }
+    }
+}
+
+impl From<Change> for ChangeWire {
+    fn from(change: Change) -> Self {
+        match change {
+            Change::TakenOver(epoch) => Self::TakenOver(epoch.0),
+            Change::Admitted(spec) => Self::Admitted((*spec).into()),
+            Change::Cancelled(job) => Self::Cancelled(job),
+            Change::Placed {
+                task,
+                attempt,
+                worker,
+            } => Self::Placed(task.into(), attempt.0, worker),
+            Change::Stopping {
+                task,
+                attempt,
+                reason,
+            } => Self::Stopping(task.into(), attempt.0, reason.into()),
+            Change::Ended { task, attempt, end } => Self::Ended(task.into(), attempt.0, end.into()),
+        }
+    }
+}
+
+impl From<ChangeWire> for Change {
+    fn from(wire: ChangeWire) -> Self {
+        match wire {
+            ChangeWire::TakenOver(epoch) => Self::TakenOver(Epoch(epoch)),
+            ChangeWire::Admitted(spec) => Self::Admitted(Box::new(spec.into())),
+            ChangeWire::Cancelled(job) => Self::Cancelled(job),
+            ChangeWire::Placed(task, attempt, worker) => Self::Placed {
+                task: task.into(),
+                attempt: Attempt(attempt),
+                worker,
+            },
+            ChangeWire::Stopping(task, attempt, reason) => Self::Stopping {
+                task: task.into(),
+                attempt: Attempt(attempt),
+                reason: reason.into(),
+            },
+            ChangeWire::Ended(task, attempt, end) => Self::Ended {
+                task: task.into(),
+                attempt: Attempt(attempt),
+                end: end.into(),
+            },
+        }
+    }
+}
+
+impl From<Record> for RecordWire {
+    fn from(record: Record) -> Self {
+        Self {
+            writer: record.writer.into(),
+            sequence: record.sequence,
+            changes: record.changes.into_iter().map(ChangeWire::from).collect(),
+        }
+    }
+}
+
+impl From<RecordWire> for Record {
+    fn from(wire: RecordWire) -> Self {
+        Self {
+            writer: wire.writer.into(),
+            sequence: wire.sequence,
+            changes: wire.changes.into_iter().map(Change::from).collect(),
+        }
+    }
+}
+
+impl From<Snapshot> for SnapshotWire {
+    fn from(snapshot: Snapshot) -> Self {
+        Self {
+            through: snapshot.through,
+            epoch: snapshot.epoch.0,
+            next_order: snapshot.next_order,
+            next_ended: snapshot.next_ended,
+            jobs: snapshot.jobs.into_iter().map(JobWire::from).collect(),
+            failing: snapshot.failing,
+        }
+    }
+}
+
+impl From<SnapshotWire> for Snapshot {
+    fn from(wire: SnapshotWire) -> Self {
+        Self {
+            through: wire.through,
+            epoch: Epoch(wire.epoch),
+            next_order: wire.next_order,
+            next_ended: wire.next_ended,
+            jobs: wire.jobs.into_iter().map(Into::into).collect(),
+            failing: wire.failing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavacart_wire/src/journal/job.rs
@@ -0,0 +1,254 @@
+//! Jobs and tasks as they stand in the store and travel between entry instances.
+
+use guavacart_scheduler::batch::job::{
+    AttemptEnd, Job, JobSpec, ParkReason, Priority, StopReason, Task, TaskState,
+};
+use guavacart_types::{Attempt, BatchClass, CellId, JobId, Resources, Span, TeamName, WorkerId};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// [`Priority`] in a record.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum PriorityWire {
+    Urgent,
+    Normal,
+    Background,
+}
+
+/// [`JobSpec`] in a record.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct JobSpecWire {
+    id: JobId,
+    team: TeamName,
+    class: BatchClass,
+    resources: Resources,
+    tasks: u32,
+    run_time_ms: u64,
+    priority: PriorityWire,
+    deadline_ms: Option<u64>,
+    payload: SmolStr,
+}
+
+/// [`StopReason`] in a record.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum StopReasonWire {
+    Cancelled,
+    Displaced,
+    Interference,
+    WorkerLeaving,
+}
+
+/// [`AttemptEnd`] in a record.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum AttemptEndWire {
+    Finished,
+    Failed,
+    Stopped(Option<SmolStr>),
+    Lapsed,
+    Refused,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+enum ParkReasonWire {
+    FailedOn(Vec<WorkerId>),
+    FailedTimes(u32),
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+enum TaskStateWire {
+    Queued,
+    Placed(WorkerId, Option<StopReasonWire>),
+    Finished,
+    Cancelled,
+    Parked(ParkReasonWire),
+    HandedOff(CellId, bool),
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct TaskWire {
+    state: TaskStateWire,
+    attempt: u32,
+    checkpoint: Option<SmolStr>,
+    failed_on: Vec<WorkerId>,
+    failures: u32,
+}
+
+/// [`Job`] in a snapshot.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct JobWire {
+    spec: JobSpecWire,
+    order: u64,
+    cancelled: bool,
+    ended: Option<u64>,
+    tasks: Vec<TaskWire>,
+}
+
+macro_rules! same_variants {
+    ($domain:ident, $wire:ident: $($variant:ident),*) => {
+        impl From<$domain> for $wire {
+            fn from(value: $domain) -> Self {
+                match value {
+                    $($domain::$variant => Self::$variant,)*
+                }
+            }
+        }
+
+        impl From<$wire> for $domain {
+            fn from(wire: $wire) -> Self {
+                match wire {
+                    $($wire::$variant => Self::$variant,)*
+                }
+            }
+        }
+    };
+}
+
+same_variants!(Priority, PriorityWire: Urgent, Normal, Background);
+same_variants!(
+    StopReason, StopReasonWire: Cancelled, Displaced, Interference, WorkerLeaving
+);
+
+impl From<JobSpec> for JobSpecWire {
+    fn from(spec: JobSpec) -> Self {
+        Self {
+            id: spec.id,
+            team: spec.team,
+            class: spec.class,
+            resources: spec.resources,
+            tasks: spec.tasks,
+            run_time_ms: spec.run_time.0,
+            priority: spec.priority.into(),
+            deadline_ms: spec.deadline.map(|deadline| deadline.0),
+            payload: spec.payload,
+        }
+    }
+}
+
+impl From<JobSpecWire> for JobSpec {
+    fn from(wire: JobSpecWire) -> Self {
+        Self {
+            id: wire.id,
+            team: wire.team,
+            class: wire.class,
+            resources: wire.resources,
+            tasks: wire.tasks,
+            run_time: Span(wire.run_time_ms),
+            priority: wire.priority.into(),
+            deadline: wire.deadline_ms.map(Span),
+            payload: wire.payload,
+        }
+    }
+}
+
+impl From<AttemptEnd> for AttemptEndWire {
+    fn from(end: AttemptEnd) -> Self {
+        match end {
+            AttemptEnd::Finished => Self::Finished,
+            AttemptEnd::Failed => Self::Failed,
+            AttemptEnd::Stopped { checkpoint } => Self::Stopped(checkpoint),
+            AttemptEnd::Lapsed => Self::Lapsed,
+            AttemptEnd::Refused => Self::Refused,
+        }
+    }
+}
+
+impl From<AttemptEndWire> for AttemptEnd {
+    fn from(wire: AttemptEndWire) -> Self {
+        match wire {
+            AttemptEndWire::Finished => Self::Finished,
+            AttemptEndWire::Failed => Self::Failed,
+            AttemptEndWire::Stopped(checkpoint) => Self::Stopped { checkpoint },
+            AttemptEndWire::Lapsed => Self::Lapsed,
+            AttemptEndWire::Refused => Self::Refused,
+        }
+    }
+}
+
+impl From<TaskState> for TaskStateWire {
+    fn from(state: TaskState) -> Self {
+        match state {
+            TaskState::Queued => Self::Queued,
+            TaskState::Placed { worker, stopping } => {
+                Self::Placed(worker, stopping.map(StopReasonWire::from))
+            }
+            TaskState::Finished => Self::Finished,
+            TaskState::Cancelled => Self::Cancelled,
+            TaskState::Parked(ParkReason::FailedOn(workers)) => {
+                Self::Parked(ParkReasonWire::FailedOn(workers))
+            }
+            TaskState::Parked(ParkReason::FailedTimes(times)) => {
+                Self::Parked(ParkReasonWire::FailedTimes(times))
+            }
+            TaskState::HandedOff { to, acknowledged } => Self::HandedOff(to, acknowledged),
+        }
+    }
+}
+
+impl From<TaskStateWire> for TaskState {
+    fn from(wire: TaskStateWire) -> Self {
+        match wire {
+            TaskStateWire::Queued => Self::Queued,
+            TaskStateWire::Placed(worker, stopping) => {
+                let stopping = stopping.map(StopReason::from);
+                Self::Placed { worker, stopping }
+            }
+            TaskStateWire::Finished => Self::Finished,
+            TaskStateWire::Cancelled => Self::Cancelled,
+            TaskStateWire::Parked(ParkReasonWire::FailedOn(workers)) => {
+                Self::Parked(ParkReason::FailedOn(workers))
+            }
+            TaskStateWire::Parked(ParkReasonWire::FailedTimes(times)) => {
+                Self::Parked(ParkReason::FailedTimes(times))
+            }
+            TaskStateWire::HandedOff(to, acknowledged) => Self::HandedOff { to, acknowledged },
+        }
+    }
+}
+
+impl From<Task> for TaskWire {
+    fn from(task: Task) -> Self {
+        Self {
+            state: task.state.into(),
+            attempt: task.attempt.0,
+            checkpoint: task.checkpoint,
+            failed_on: task.failed_on,
+            failures: task.failures,
+        }
+    }
+}
+
+impl From<TaskWire> for Task {
+    fn from(wire: TaskWire) -> Self {
+        Self {
+            state: wire.state.into(),
+            attempt: Attempt(wire.attempt),
+            checkpoint: wire.checkpoint,
+            failed_on: wire.failed_on,
+            failures: wire.failures,
+        }
+    }
+}
+
+impl From<Job> for JobWire {
+    fn from(job: Job) -> Self {
+        Self {
+            spec: job.spec.into(),
+            order: job.order,
+            cancelled: job.cancelled,
+            ended: job.ended,
+            tasks: job.tasks.into_iter().map(TaskWire::from).collect(),
+        }
+    }
+}
+
+impl From<JobWire> for Job {
+    fn from(wire: JobWire) -> Self {
+        Self {
+            spec: wire.spec.into(),
+            order: wire.order,
+            cancelled: wire.cancelled,
+            ended: wire.ended,
+            tasks: wire.tasks.into_iter().map(Task::from).collect(),
+        }
+    }
+}
--- a/crates/guavacart_wire/src/lib.rs
+++ b/crates/guavacart_wire/src/lib.rs
@@ -1,17 +1,24 @@
 //! Messages between entry instances and journal records, versioned and encoded by `postcard`.
 
+mod batch;
 mod datagram;
 mod error;
 mod frame;
 mod heartbeat;
+mod journal;
 mod request;
 mod seal;
 mod view_record;
 
+pub use batch::{decode_peer_batch, encode_peer_batch};
 pub use datagram::{open_datagram, seal_datagram};
 pub use error::WireError;
 pub use frame::{Frame, MAX_FRAME_BYTES, Question};
 pub use heartbeat::HeartbeatWire;
+pub use journal::{
+    Manifest, decode_manifest, decode_record, decode_snapshot, encode_manifest, encode_record,
+    encode_snapshot,
+};
 pub use request::{AnswerWire, ForwardWire, HeadWire, OutcomeWire, PeerRequestWire};
 pub use seal::{Hello, LinkSeal, NONCE_BYTES, Nonce, TAG_BYTES, Welcome};
 pub use view_record::{decode_view, encode_view};
