Keep a whole session as a golden file

One instance from its start through a whole answer, a repeat, a broken and a busy endpoint, a deadline and a late answer to its graceful stop: every event and its effects, in order.

--- /dev/null
+++ b/crates/guavacart_scheduler/tests/session.rs
@@ -0,0 +1,186 @@
+//! A whole session of one instance, kept as a golden file: every event and the effects of each.
+
+use std::fmt::Write;
+
+use guavacart_config::{Configuration, Service, Team};
+use guavacart_scheduler::{
+    Effect, Event, Start, State,
+    config::{ConfigEffect, ConfigEvent},
+    directory::{ListedInstance, Role},
+    membership::{Member, MembershipEffect, MembershipEvent, Swap, TICK},
+    request::{DispatchEnd, EndpointReport, RequestEffect, RequestEvent, RequestHead},
+};
+use guavacart_types::{
+    ByteSize, CallId, Class, ConfigNumber, DispatchId, Incarnation, Revision, Span, Timestamp,
+};
+
+/// One instance, a platform that always answers, and what was said between them.
+struct Session {
+    state: State,
+    now: Timestamp,
+    revision: Revision,
+    record: String,
+}
+
+impl Session {
+    fn start() -> Self {
+        let member = Member {
+            id: "e1".parse().expect("an id"),
+            incarnation: Incarnation(1),
+        };
+        let start = Start {
+            member,
+            data_centre: "dc1".parse().expect("a data centre"),
+            now: Timestamp(0),
+            linger: Span::millis(200),
+        };
+        Self {
+            state: State::new(&start),
+            now: Timestamp(0),
+            revision: Revision(0),
+            record: String::new(),
+        }
+    }
+
+    /// Applies an event, writes it down with its effects and lets the platform answer them.
+    fn apply(&mut self, event: Event) {
+        let effects = self.state.apply(self.now, event.clone());
+        let is_news = event != Event::Tick || !effects.is_empty();
+        if is_news {
+            self.write('>', &event);
+        }
+        for effect in &effects {
+            self.write('<', effect);
+        }
+        let answers: Vec<Event> = effects.iter().filter_map(|e| self.answer(e)).collect();
+        answers.into_iter().for_each(|answer| self.apply(answer));
+    }
+
+    fn write<T: serde::Serialize>(&mut self, mark: char, what: &T) {
+        let line = serde_json::to_string(what).expect("events and effects have a JSON form");
+        writeln!(self.record, "{:>6} {mark} {line}", self.now.0).expect("a text takes any line");
+    }
+
+    /// Lets time pass, tick by tick.
+    fn wait(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + TICK;
+            self.apply(Event::Tick);
+        }
+    }
+
+    /// What the platform and the endpoint say to an effect.
+    fn answer(&mut self, effect: &Effect) -> Option<Event> {
+        match effect {
+            Effect::Membership(effect) => self.answer_membership(effect).map(Event::Membership),
+            Effect::Config(ConfigEffect::ReadStore) => {
+                let configuration = Box::new(configuration());
+                Some(Event::Config(ConfigEvent::Read(configuration)))
+            }
+            Effect::Request(RequestEffect::Probe { endpoint, .. }) => {
+                let report = EndpointReport {
+                    busy: 0,
+                    leaving: false,
+                };
+                Some(Event::Request(RequestEvent::Probed {
+                    endpoint: endpoint.clone(),
+                    asked_at: self.now,
+                    report: Some(report),
+                }))
+            }
+            _ => None,
+        }
+    }
+
+    fn answer_membership(&mut self, effect: &MembershipEffect) -> Option<MembershipEvent> {
+        match effect {
+            MembershipEffect::ReadView => Some(MembershipEvent::ViewRead {
+                asked_at: self.now,
+                view: (self.revision > Revision(0)).then(|| self.state.membership().view().clone()),
+                revision: self.revision,
+            }),
+            MembershipEffect::SwapView { view, .. } => {
+                self.revision = self.revision.next();
+                let written = Swap::Written(view.clone(), self.revision);
+                Some(MembershipEvent::ViewSwapped(written))
+            }
+            _ => None,
+        }
+    }
+
+    fn arrive(&mut self, call: u64, id: &str, idempotent: bool) {
+        let head = RequestHead {
+            service: "engine".parse().expect("a service"),
+            team: "north".parse().expect("a team"),
+            class: Class::Short,
+            id: id.parse().expect("a request id"),
+            idempotent,
+            deadline: Span::millis(500),
+            size: ByteSize(100),
+        };
+        let call = CallId(call);
+        self.apply(Event::Request(RequestEvent::Arrived { call, head }));
+    }
+
+    fn end(&mut self, dispatch: u64, end: DispatchEnd) {
+        let dispatch = DispatchId(dispatch);
+        self.apply(Event::Request(RequestEvent::DispatchEnded {
+            dispatch,
+            end,
+        }));
+    }
+}
+
+fn configuration() -> Configuration {
+    let mut configuration = Configuration {
+        number: ConfigNumber(1),
+        ..Configuration::default()
+    };
+    let service = "engine".parse().expect("a service");
+    configuration.services.insert(service, Service::default());
+    let team = "north".parse().expect("a team");
+    configuration.teams.insert(team, Team::default());
+    configuration
+}
+
+fn listed() -> Vec<ListedInstance> {
+    let line = |port, role| ListedInstance {
+        data_centre: "dc1".parse().expect("a data centre"),
+        address: ([127, 0, 0, 1], port).into(),
+        leaving: false,
+        role,
+    };
+    let entry = Role::Entry {
+        id: "e1".parse().expect("an id"),
+    };
+    let endpoint = Role::Endpoint {
+        id: "x1".parse().expect("an endpoint"),
+        service: "engine".parse().expect("a service"),
+        worker: None,
+    };
+    vec![line(1, entry), line(2, endpoint)]
+}
+
+#[test]
+fn one_instance_from_start_to_stop() {
+    let mut session = Session::start();
+    session.apply(Event::Listed(listed()));
+    session.wait(Span::millis(1_500));
+    session.arrive(1, "answered", false);
+    session.now = session.now + Span::millis(30);
+    session.end(1, DispatchEnd::Answered);
+    session.arrive(2, "answered", false);
+    session.arrive(3, "broken", false);
+    session.end(2, DispatchEnd::Broken);
+    session.arrive(4, "retried", true);
+    session.end(3, DispatchEnd::Busy);
+    session.wait(Span::millis(100));
+    session.end(4, DispatchEnd::Answered);
+    session.arrive(5, "late", true);
+    session.wait(Span::millis(600));
+    session.end(5, DispatchEnd::Answered);
+    session.apply(Event::StopRequested);
+    session.wait(Span::millis(300));
+    insta::assert_snapshot!(session.record);
+}
