--- /dev/null
+++ b/crates/guavacart_entry/src/jobs.rs
@@ -0,0 +1,162 @@
+//! Jobs as submitters write and read them over HTTP.
+
+use guavacart_scheduler::batch::{
+    call::{JobReply, JobStatus, JobSummary, NotAccepted, RejectReason},
+    job::{JobSpec, Priority},
+};
+use guavacart_types::{BatchClass, JobId, Resources, Span, TeamName};
+use hyper::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use smol_str::{SmolStr, ToSmolStr};
+use thiserror::Error;
+
+/// A job as a submitter writes it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SubmittedJob {
+    id: JobId,
+    class: BatchClass,
+    #[serde(default)]
+    resources: Resources,
+    #[serde(default = "one_task")]
+    tasks: u32,
+    run_time_ms: u64,
+    #[serde(default)]
+    priority: Priority,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    payload: Value,
+}
+
+fn one_task() -> u32 {
+    1
+}
+
+/// The body is not a job.
+#[derive(Debug, Error)]
+#[error("the body is not a job: {cause}; give id, class, resources, run_time_ms")]
+pub(crate) struct JobBodyError {
+    /// What the decoder said.
+    cause: SmolStr,
+}
+
+/// Decodes a submitted job of a team.
+///
+/// # Errors
+/// Says where the body is not a job.
+pub(crate) fn decode_job(team: &TeamName, body: &[u8]) -> Result<JobSpec, JobBodyError> {
+    let decoded: Result<SubmittedJob, _> = serde_json::from_slice(body);
+    let job = decoded.map_err(|err| JobBodyError {
+        cause: err.to_smolstr(),
+    })?;
+    Ok(JobSpec {
+        id: job.id,
+        team: team.clone(),
+        class: job.class,
+        resources: job.resources,
+        tasks: job.tasks,
+        run_time: Span(job.run_time_ms),
+        priority: job.priority,
+        deadline: job.deadline_ms.map(Span),
+        payload: job.payload.to_smolstr(),
+    })
+}
+
+/// The HTTP status and JSON body of an answer.
+pub(crate) fn encode_reply(reply: &JobReply) -> (StatusCode, Value) {
+    match reply {
+        JobReply::Accepted(job) => (StatusCode::OK, outcome("accepted", job_json(job))),
+        JobReply::Conflict(job) => (
+            StatusCode::CONFLICT,
+            outcome(
+                "conflict",
+                json!({"job": job, "detail": "another job has this id"}),
+            ),
+        ),
+        JobReply::Rejected(reason) => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            outcome("rejected", rejection(reason)),
+        ),
+        JobReply::NotAccepted(reason) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            outcome("not_accepted", json!({"detail": not_accepted(*reason)})),
+        ),
+        JobReply::Unknown => (
+            StatusCode::GATEWAY_TIMEOUT,
+            outcome(
+                "unknown",
+                json!({"detail": "it may have taken effect; repeat the call with the same id"}),
+            ),
+        ),
+        JobReply::Status(status) => (StatusCode::OK, status_json(status)),
+        JobReply::NotFound(job) => (
+            StatusCode::NOT_FOUND,
+            outcome("not_found", json!({"job": job})),
+        ),
+        JobReply::Cancelled(jobs) => (
+            StatusCode::OK,
+            outcome("cancelled", json!({"jobs": jobs_json(jobs)})),
+        ),
+        JobReply::Listing(jobs) => (StatusCode::OK, json!({"jobs": jobs_json(jobs)})),
+    }
+}
+
+fn outcome(word: &str, mut body: Value) -> Value {
+    body["outcome"] = word.into();
+    body
+}
+
+fn jobs_json(jobs: &[JobSummary]) -> Vec<Value> {
+    jobs.iter().map(job_json).collect()
+}
+
+fn job_json(job: &JobSummary) -> Value {
+    json!({
+        "job": job.id,
+        "team": job.team,
+        "priority": job.priority,
+        "cancelled": job.cancelled,
+        "tasks": job.counts,
+    })
+}
+
+fn status_json(status: &JobStatus) -> Value {
+    let mut body = job_json(&status.summary);
+    body["cell"] = json!(status.cell);
+    body["unfinished"] = json!(status.tasks);
+    body
+}
+
+fn rejection(reason: &RejectReason) -> Value {
+    match reason {
+        RejectReason::Tasks { limit } => {
+            json!({"detail": format!("a job has 1 to {limit} tasks")})
+        }
+        RejectReason::Payload { limit } => {
+            json!({"detail": format!("a payload has at most {limit} bytes")})
+        }
+        RejectReason::TooLarge { largest } => json!({
+            "detail": format!("no worker holds a task of this shape; {largest} would fit"),
+            "largest": largest,
+        }),
+        RejectReason::OverQuota { quota } => json!({
+            "detail": format!("one task passes the team's quota of {quota}"),
+            "quota": quota,
+        }),
+        RejectReason::UnknownTeam => {
+            json!({"detail": "the configuration names no such team"})
+        }
+    }
+}
+
+fn not_accepted(reason: NotAccepted) -> &'static str {
+    match reason {
+        NotAccepted::StoreUnavailable => "nothing was accepted: the store takes no writes now",
+        NotAccepted::NoOwner => "nothing was accepted: the job's cell has no owner yet",
+        NotAccepted::CellFull => "nothing was accepted: the job's cell is full",
+        NotAccepted::CellStopped => "nothing was accepted: the job's cell is stopped",
+        NotAccepted::NoCells => "nothing was accepted: no cells are configured",
+    }
+}
--- a/crates/guavacart_entry/src/lib.rs
+++ b/crates/guavacart_entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! A request travels so: `front` → [`Event::RequestArrived`](guavacart_scheduler::request) →
 //! the reducer → `runner` → the endpoint → the reducer → `front`.
 
+mod batch;
 mod calls;
 mod clock;
 mod core;
@@ -10,6 +11,7 @@
 mod error;
 mod front;
 mod heartbeats;
+mod jobs;
 mod links;
 mod listing;
 mod metrics;
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -46,8 +46,10 @@
     Found(Box<Record>),
     /// Nothing.
     Absent,
-    /// The store did not answer, or what stands there does not decode.
+    /// The store did not answer.
     Unread,
+    /// What stands there does not decode.
+    Damaged(JournalError),
 }
 
 /// What a cell wants done with the effects and the count of records.
@@ -401,6 +403,7 @@
                 in_flight.retry_at = Some(cx.now + STORE_RETRY);
                 true
             }
+            RecordRead::Damaged(_) => false,
         }
     }
 
--- a/crates/guavacart_scheduler/src/batch/journal.rs
+++ b/crates/guavacart_scheduler/src/batch/journal.rs
@@ -165,6 +165,11 @@
     Expired,
 }
 
+/// What the keys of a cell begin with.
+pub fn record_prefix(cell: &CellId) -> SmolStr {
+    format_smolstr!("cell/{cell}/")
+}
+
 /// The key of record `number`.
 pub fn record_key(cell: &CellId, number: u64) -> SmolStr {
     format_smolstr!("cell/{cell}/{number:012}")
