Learn interference from late reports and hold services by it

Change: scheduler::interference. The history of what ran meets reports 5 s late; one scalar Kalman filter for each pair of service and class, decaying to its prior in 300 s, reopened by reports that contradict it; decayed quantiles of demand; a leading signal of queue growth, taken slots and tail; prices that rise with what a worker bears and let an unknown pair be tried on one worker; a controller that throttles at once, lifts with hysteresis, and evicts only what throttling has not cured, under the cap, tasks close to done last. sharing.policy chooses learned, none, static or reactive. Every decision carries its reason.

--- a/crates/guavacart_config/src/configuration.rs
+++ b/crates/guavacart_config/src/configuration.rs
@@ -137,6 +137,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Sharing {
+    /// How batch work is held back for services.
+    pub policy: SharingPolicy,
     /// What the users weigh most.
     pub weights: Weights,
     /// Most evictions in one minute in one cell.
@@ -146,12 +148,28 @@
 impl Default for Sharing {
     fn default() -> Self {
         Self {
+            policy: SharingPolicy::default(),
             weights: Weights::default(),
             evictions_per_minute: 6,
         }
     }
 }
 
+/// How batch work is held back for services.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SharingPolicy {
+    /// By what was learned of each pair of service and batch class.
+    #[default]
+    Learned,
+    /// Not at all.
+    None,
+    /// A fixed share of each worker for batch work.
+    Static,
+    /// A task is evicted once a late report is bad.
+    Reactive,
+}
+
 /// Relative weights of the measures of the brief.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/guavacart_config/src/lib.rs
+++ b/crates/guavacart_config/src/lib.rs
@@ -4,6 +4,6 @@
 mod settings;
 
 pub use configuration::{
-    BatchRule, Cell, Configuration, Objectives, Service, Sharing, Team, Weights,
+    BatchRule, Cell, Configuration, Objectives, Service, Sharing, SharingPolicy, Team, Weights,
 };
 pub use settings::{Access, Limits, Secret, Settings};
--- /dev/null
+++ b/crates/guavacart_scheduler/src/interference/controller/simple.rs
@@ -0,0 +1,53 @@
+//! Simple policies that the learned one is compared with.
+
+use guavacart_types::{Span, WorkerId};
+
+use super::{Controller, Decision, Grounds, RunningTask, Why, thousandths};
+
+/// Share of its speed that every task has under the fixed split, in percent.
+const FIXED_PERCENT: u32 = 50;
+/// Added latency from which a report is bad, as a share.
+const BAD_EXCESS: f64 = 0.15;
+/// Age from which a report is acted on no more.
+const REPORT_AGE: Span = Span::secs(2);
+
+impl Controller {
+    /// Every task runs at one fixed share of its speed.
+    pub(super) fn fixed_share(
+        &mut self,
+        grounds: &Grounds<'_>,
+        tasks: &[&RunningTask],
+        decisions: &mut Vec<Decision>,
+    ) {
+        for task in tasks.iter().filter(|t| t.percent != FIXED_PERCENT) {
+            self.throttle(grounds.now, task, FIXED_PERCENT, Why::FixedShare, decisions);
+        }
+    }
+
+    /// The task with most pressure is evicted once a report is bad.
+    pub(super) fn reactive(
+        &mut self,
+        grounds: &Grounds<'_>,
+        worker: &WorkerId,
+        tasks: &[&RunningTask],
+        decisions: &mut Vec<Decision>,
+    ) {
+        let Some(reports) = self.reported.get_mut(worker) else {
+            return;
+        };
+        let bad = reports.iter_mut().find(|(_, report)| {
+            report.excess > BAD_EXCESS && grounds.now.since(report.at) < REPORT_AGE
+        });
+        let Some((service, report)) = bad else {
+            return;
+        };
+        let why = Why::Reported {
+            service: service.clone(),
+            added: thousandths(report.excess),
+        };
+        report.excess = 0.0;
+        if let Some(task) = tasks.iter().max_by_key(|t| t.pressure) {
+            self.evict(grounds, task, why, decisions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavacart_scheduler/src/interference/history.rs
@@ -0,0 +1,109 @@
+//! What ran on each worker and when, so that a late report meets what it describes.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    iter::Sum,
+};
+
+use guavacart_types::{BatchClass, Span, Timestamp, WorkerId};
+use serde::{Deserialize, Serialize};
+
+/// How far back a report may lie.
+const HISTORY_SPAN: Span = Span::secs(30);
+/// Most changes kept for one worker.
+const HISTORY_ENTRIES: usize = 256;
+
+/// Processors that tasks keep busy, in thousandths of all that a worker holds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Pressure(pub u32);
+
+impl Pressure {
+    /// The pressure as a share of the worker.
+    pub(super) fn share(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+impl Sum for Pressure {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        Self(iter.fold(0, |sum, p| sum.saturating_add(p.0)))
+    }
+}
+
+impl fmt::Display for Pressure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}‰", self.0)
+    }
+}
+
+/// The pressure of each class on one worker.
+pub(super) type Pressures = BTreeMap<BatchClass, Pressure>;
+
+/// What ran on each worker and when.
+#[derive(Debug, Default)]
+pub(super) struct History {
+    workers: BTreeMap<WorkerId, VecDeque<(Timestamp, Pressures)>>,
+}
+
+impl History {
+    pub(super) fn ran(
+        &mut self,
+        now: Timestamp,
+        worker: &WorkerId,
+        class: &BatchClass,
+        pressure: Pressure,
+    ) {
+        let entries = self.workers.entry(worker.clone()).or_default();
+        let mut next = entries.back().map(|(_, p)| p.clone()).unwrap_or_default();
+        let before = next.insert(class.clone(), pressure);
+        if before.unwrap_or_default() == pressure {
+            return;
+        }
+        next.retain(|_, pressure| *pressure > Pressure::default());
+        match entries.back_mut() {
+            Some((at, last)) if *at == now => *last = next,
+            _ => entries.push_back((now, next)),
+        }
+        forget(now, entries);
+    }
+
+    /// What pressed on `worker` at `at`; none if that is too long ago to be known.
+    pub(super) fn at(&self, worker: &WorkerId, at: Timestamp) -> Option<Pressures> {
+        let Some(entries) = self.workers.get(worker) else {
+            return Some(Pressures::default());
+        };
+        let entry = entries.iter().rev().find(|(since, _)| *since <= at);
+        match entry {
+            Some((_, pressures)) => Some(pressures.clone()),
+            None if entries.len() < HISTORY_ENTRIES => Some(Pressures::default()),
+            None => None,
+        }
+    }
+
+    /// What presses on `worker` now.
+    pub(super) fn current(&self, worker: &WorkerId) -> Option<&Pressures> {
+        let last = self.workers.get(worker).and_then(VecDeque::back)?;
+        Some(&last.1)
+    }
+
+    /// True if tasks of `class` run on `worker` now.
+    pub(super) fn is_running(&self, worker: &WorkerId, class: &BatchClass) -> bool {
+        let current = self.current(worker);
+        current.is_some_and(|pressures| pressures.contains_key(class))
+    }
+
+    /// Forgets workers that are not among `listed`.
+    pub(super) fn retain<T>(&mut self, listed: &BTreeMap<WorkerId, T>) {
+        self.workers.retain(|worker, _| listed.contains_key(worker));
+    }
+}
+
+/// Drops entries that ended before the span, and the oldest beyond the bound.
+fn forget(now: Timestamp, entries: &mut VecDeque<(Timestamp, Pressures)>) {
+    let start = now - HISTORY_SPAN;
+    while entries.len() > HISTORY_ENTRIES || entries.get(1).is_some_and(|(at, _)| *at <= start) {
+        entries.pop_front();
+    }
+}
