--- a/crates/guavacart_config/src/lib.rs
+++ b/crates/guavacart_config/src/lib.rs
@@ -11,7 +11,8 @@
 mod validate;
 
 pub use configuration::{
-    BatchRule, Cell, Configuration, Objectives, Queueing, Service, Sharing, Team, Weights,
+    BatchRule, Cell, Configuration, Objectives, Queueing, Service, Sharing, SharingPolicy, Team,
+    Weights,
 };
 pub use diagnostic::{Diagnostic, Place, SettingsFault};
 pub use diff::{Change, diff};
