--- a/crates/guavacart_entry/src/core.rs
+++ b/crates/guavacart_entry/src/core.rs
@@ -6,6 +6,7 @@
 use guavacart_platform::{endpoint::EndpointAnswer, store::Store};
 use guavacart_scheduler::{
     Effect, Event, State,
+    batch::{BatchEvent, call::JobReply},
     membership::TICK,
     request::{DispatchEnd, RequestEvent, RequestHead},
 };
@@ -46,6 +47,12 @@
         end: DispatchEnd,
         answer: Option<EndpointAnswer>,
     },
+    /// A submitter's call.
+    Job {
+        call: CallId,
+        event: BatchEvent,
+        reply: oneshot::Sender<JobReply>,
+    },
     /// A question to be answered from memory, as JSON.
     Ask {
         question: Question,
@@ -102,6 +109,10 @@
                 end,
                 answer,
             } => self.dispatch_ended(dispatch, end, answer),
+            Input::Job { call, event, reply } => {
+                self.runner.submitters.insert(call, reply);
+                self.apply(Event::Batch(event));
+            }
             Input::Ask { question, reply } => self.answer_question(question, reply),
             Input::Roster { reply } => {
                 // The asker may have given up; then there is nobody to tell.
--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! Starts an entry instance and waits for its end.
 
 use std::{
+    collections::HashMap,
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
@@ -10,7 +11,9 @@
 
 use flume::Sender;
 use guavacart_config::Settings;
-use guavacart_platform::{HttpStore, endpoint::HttpEndpoints, instance_list::HttpInstanceList};
+use guavacart_platform::{
+    HttpStore, endpoint::HttpEndpoints, instance_list::HttpInstanceList, worker::HttpWorkers,
+};
 use guavacart_report::Recorder;
 use guavacart_scheduler::{Event, Start, State, membership::Member};
 use guavacart_types::Incarnation;
@@ -18,6 +21,7 @@
 
 use crate::{
     EntryError,
+    batch::BatchRunner,
     calls::{CallIds, Calls},
     clock::Clock,
     core::{Core, Input},
@@ -114,6 +118,14 @@
                 inbox: inbox.clone(),
                 store: store.clone(),
                 endpoints: HttpEndpoints::open(),
+                batch: BatchRunner {
+                    store: store.clone(),
+                    workers: HttpWorkers::open(),
+                    clock,
+                    runtime: runtime.handle().clone(),
+                    inbox: inbox.clone(),
+                },
+                submitters: HashMap::new(),
                 links: links.clone(),
                 heartbeats,
                 metrics: metrics.clone(),
--- a/crates/guavacart_entry/src/front.rs
+++ b/crates/guavacart_entry/src/front.rs
@@ -1,6 +1,7 @@
 //! The callers' and operators' listener: HTTP/1.1 by `hyper`, one stream at a time.
 
 mod access;
+mod jobs;
 mod operators;
 mod reply;
 mod request;
--- a/crates/guavacart_entry/src/front/access.rs
+++ b/crates/guavacart_entry/src/front/access.rs
@@ -8,6 +8,11 @@
 /// What comes before the token.
 const SCHEME: &str = "Bearer ";
 
+/// True if any token is set at all.
+pub(super) fn is_guarded(access: &Access) -> bool {
+    !access.teams.is_empty() || access.reader.is_some() || access.writer.is_some()
+}
+
 /// True if the headers carry the team's token, or no team has one.
 pub(super) fn is_team(access: &Access, headers: &HeaderMap, team: &TeamName) -> bool {
     if access.teams.is_empty() {
@@ -22,18 +27,16 @@
     is_reader(access, headers) || access.teams.values().any(|token| carries(headers, token))
 }
 
-/// True if the headers carry a reader's or the writer's token, or neither is set.
+/// True if the headers carry a reader's or the writer's token, or no token is set at all.
 pub(super) fn is_reader(access: &Access, headers: &HeaderMap) -> bool {
-    let set: Vec<&Secret> = access.reader.iter().chain(&access.writer).collect();
-    set.is_empty() || set.into_iter().any(|token| carries(headers, token))
+    let mut tokens = access.reader.iter().chain(&access.writer);
+    !is_guarded(access) || tokens.any(|token| carries(headers, token))
 }
 
-/// True if the headers carry the writer's token, or none is set.
+/// True if the headers carry the writer's token, or no token is set at all.
 pub(super) fn is_writer(access: &Access, headers: &HeaderMap) -> bool {
-    access
-        .writer
-        .as_ref()
-        .is_none_or(|token| carries(headers, token))
+    let mut writer = access.writer.iter();
+    !is_guarded(access) || writer.any(|token| carries(headers, token))
 }
 
 fn carries(headers: &HeaderMap, token: &Secret) -> bool {
--- a/crates/guavacart_entry/src/front/reply.rs
+++ b/crates/guavacart_entry/src/front/reply.rs
@@ -54,6 +54,15 @@
     reply
 }
 
+/// No handler serves the path.
+pub(super) fn no_such_path() -> Reply {
+    error(
+        StatusCode::NOT_FOUND,
+        "path",
+        "no such path; docs/API.md lists them",
+    )
+}
+
 /// The token is missing or wrong.
 pub(super) fn unauthorized(reason: &str) -> Reply {
     error(StatusCode::UNAUTHORIZED, "authorization", reason)
--- a/crates/guavacart_entry/src/front/request.rs
+++ b/crates/guavacart_entry/src/front/request.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use guavacart_scheduler::request::RequestHead;
-use guavacart_types::{ByteSize, CallId, Class, Outcome, Reason, RequestId, Span};
+use guavacart_types::{ByteSize, CallId, Class, Outcome, Reason, RequestId, Span, TeamName};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{HeaderMap, Request, StatusCode, body::Incoming, header::CONTENT_TYPE};
 use smol_str::SmolStr;
@@ -99,7 +99,7 @@
         service: service
             .parse()
             .map_err(|err| BadRequest::Header("service", SmolStr::new(format!("{err}"))))?,
-        team: required(headers, TEAM)?,
+        team: team(headers)?,
         class,
         id: required::<RequestId>(headers, reply::REQUEST_ID)?,
         idempotent: parse::<bool>(headers, IDEMPOTENT)?.unwrap_or(false),
@@ -108,6 +108,11 @@
     })
 }
 
+/// The team that the headers name.
+pub(super) fn team(headers: &HeaderMap) -> Result<TeamName, BadRequest> {
+    required(headers, TEAM)
+}
+
 /// Reads a body within the settings' size and time.
 pub(super) async fn read_body(body: Incoming, cx: &FrontContext) -> Result<Bytes, BadRequest> {
     let limits = cx.limits;
--- a/crates/guavacart_entry/src/front/route.rs
+++ b/crates/guavacart_entry/src/front/route.rs
@@ -3,7 +3,7 @@
 use hyper::{Method, Request, StatusCode, body::Incoming};
 
 use super::{
-    FrontContext, operators,
+    FrontContext, jobs, operators,
     reply::{self, Reply},
     request,
 };
@@ -17,12 +17,9 @@
         (Method::GET, ["v1", "health"]) => health(stopping),
         (Method::POST, ["v1", "services", service]) => request::serve(req, service, cx).await,
         (_, ["v1", "services", _]) => reply::method_not_allowed("POST"),
+        (_, ["v1", "jobs", rest @ ..]) => jobs::serve(req, rest, cx).await,
         (_, ["v1", ..]) => operators::serve(req, &parts[1..], cx).await,
-        _ => reply::error(
-            StatusCode::NOT_FOUND,
-            "path",
-            "no such path; docs/API.md lists them",
-        ),
+        _ => reply::no_such_path(),
     }
 }
 
--- a/crates/guavacart_entry/src/jobs.rs
+++ b/crates/guavacart_entry/src/jobs.rs
@@ -16,12 +16,13 @@
 #[serde(deny_unknown_fields)]
 struct SubmittedJob {
     id: JobId,
+    team: TeamName,
     class: BatchClass,
     #[serde(default)]
     resources: Resources,
     #[serde(default = "one_task")]
     tasks: u32,
-    run_time_ms: u64,
+    expected_ms: u64,
     #[serde(default)]
     priority: Priority,
     #[serde(default)]
@@ -36,28 +37,28 @@
 
 /// The body is not a job.
 #[derive(Debug, Error)]
-#[error("the body is not a job: {cause}; give id, class, resources, run_time_ms")]
+#[error("the body is not a job: {cause}; give id, team, class, resources, expected_ms")]
 pub(crate) struct JobBodyError {
     /// What the decoder said.
     cause: SmolStr,
 }
 
-/// Decodes a submitted job of a team.
+/// Decodes a submitted job.
 ///
 /// # Errors
 /// Says where the body is not a job.
-pub(crate) fn decode_job(team: &TeamName, body: &[u8]) -> Result<JobSpec, JobBodyError> {
+pub(crate) fn decode_job(body: &[u8]) -> Result<JobSpec, JobBodyError> {
     let decoded: Result<SubmittedJob, _> = serde_json::from_slice(body);
     let job = decoded.map_err(|err| JobBodyError {
         cause: err.to_smolstr(),
     })?;
     Ok(JobSpec {
         id: job.id,
-        team: team.clone(),
+        team: job.team,
         class: job.class,
         resources: job.resources,
         tasks: job.tasks,
-        run_time: Span(job.run_time_ms),
+        run_time: Span(job.expected_ms),
         priority: job.priority,
         deadline: job.deadline_ms.map(Span),
         payload: job.payload.to_smolstr(),
--- a/crates/guavacart_entry/src/links/accept.rs
+++ b/crates/guavacart_entry/src/links/accept.rs
@@ -4,10 +4,11 @@
 
 use guavacart_scheduler::{
     Event,
+    batch::BatchEvent,
     request::{PeerRequest, RequestEvent},
 };
 use guavacart_types::InstanceId;
-use guavacart_wire::{Frame, Hello, LinkSeal, Nonce, Welcome, WireError};
+use guavacart_wire::{Frame, Hello, LinkSeal, Nonce, Welcome, WireError, decode_peer_batch};
 use tokio::{
     io::BufReader,
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
@@ -131,7 +132,14 @@
             let message = PeerRequest::from(wire);
             Input::Event(Event::Request(RequestEvent::Peer { from, message }))
         }
-        Frame::Batch(_) => return,
+        Frame::Batch(message) => match decode_peer_batch(&message) {
+            Ok(message) => Input::Event(Event::Batch(BatchEvent::Peer { from, message })),
+            Err(err) => {
+                cx.metrics.count("links.frames_refused");
+                debug!(event = "frame_refused", from = %peer, error = %err);
+                return;
+            }
+        },
         Frame::Ask { id, question } => {
             let (reply, rx) = oneshot::channel();
             let links = links.clone();
--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -3,21 +3,31 @@
 mod config;
 mod requests;
 
+use std::collections::HashMap;
+
 use flume::Sender;
 use guavacart_config::Configuration;
-use guavacart_platform::{endpoint::HttpEndpoints, store::Store};
+use guavacart_platform::{endpoint::HttpEndpoints, store::Store, worker::HttpWorkers};
 use guavacart_report::Recorder;
 use guavacart_scheduler::{
     Effect, Event,
+    batch::{BatchEffect, call::JobReply},
     membership::{Load, MembershipEffect, MembershipEvent},
 };
-use guavacart_types::Timestamp;
-use tokio::sync::watch;
+use guavacart_types::{CallId, Timestamp};
+use guavacart_wire::{Frame, encode_peer_batch};
+use tokio::sync::{oneshot, watch};
 use tracing::{info, warn};
 
 use crate::{
-    calls::Calls, clock::Clock, core::Input, heartbeats::HeartbeatSender, links::Links,
-    metrics::Metrics, view_store,
+    batch::{BatchRunner, Outward},
+    calls::Calls,
+    clock::Clock,
+    core::Input,
+    heartbeats::HeartbeatSender,
+    links::Links,
+    metrics::Metrics,
+    view_store,
 };
 
 /// What the effects need; owned by the reducer's thread.
@@ -28,6 +38,9 @@
     pub(crate) inbox: Sender<Input>,
     pub(crate) store: S,
     pub(crate) endpoints: HttpEndpoints,
+    pub(crate) batch: BatchRunner<S, HttpWorkers>,
+    /// Submitters that wait for an answer.
+    pub(crate) submitters: HashMap<CallId, oneshot::Sender<JobReply>>,
     pub(crate) links: Links,
     pub(crate) heartbeats: HeartbeatSender,
     pub(crate) metrics: Metrics,
@@ -42,7 +55,7 @@
             Effect::Membership(effect) => self.run_membership(effect),
             Effect::Request(effect) => self.run_request(effect, load),
             Effect::Config(effect) => self.run_config(effect, cfg),
-            Effect::Batch(_) => {}
+            Effect::Batch(effect) => self.run_batch(effect),
             Effect::Stopped => {
                 info!(event = "stopped", "all work is done");
                 self.stopped.send_replace(true);
@@ -59,6 +72,24 @@
         })
     }
 
+    fn run_batch(&mut self, effect: BatchEffect) {
+        match self.batch.run(effect) {
+            None => {}
+            Some(Outward::Reply { call, reply }) => {
+                if let Some(submitter) = self.submitters.remove(&call) {
+                    // The submitter may have gone; it learns of its job by asking again.
+                    let _ = submitter.send(reply);
+                }
+            }
+            Some(Outward::Tell { to, message }) => match encode_peer_batch(message) {
+                Ok(message) => self.links.send(&to, Frame::Batch(message)),
+                Err(err) => {
+                    warn!(event = "batch_message_unencoded", to = %to, error = %err, "a message about batch work has no wire form");
+                }
+            },
+        }
+    }
+
     fn run_membership(&mut self, effect: MembershipEffect) {
         match effect {
             MembershipEffect::SendHeartbeat { to, heartbeat } => {
