Submit the demo's job with a priority that exists

Cause: the lab sent the priority batch; an instance takes urgent, normal or background, so the job was refused (400) and no task ran.

--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -125,7 +125,7 @@
             ..Resources::default()
         },
         expected_ms: TASK_MS,
-        priority: "batch".into(),
+        priority: "normal".into(),
         payload: json!({ "run_ms": TASK_MS }),
     };
     let submitted = cluster.jobs.submit(&spec, SUBMIT).await;
