--- a/crates/guavacart_lab/src/jobs.rs
+++ b/crates/guavacart_lab/src/jobs.rs
@@ -45,7 +45,7 @@
     pub resources: Resources,
     /// Declared run time.
     pub expected_ms: u64,
-    /// `batch` or `urgent`.
+    /// `urgent`, `normal` or `background`.
     pub priority: SmolStr,
     /// Read by the stand-in workers.
     pub payload: Value,
@@ -224,6 +224,8 @@
             match self.call(method.clone(), path, id, body.clone()).await {
                 Ok(res) if res.status().is_success() => return Submitted::Accepted,
                 Ok(res) if res.status().is_client_error() && !repeats(res.status()) => {
+                    let said = String::from_utf8_lossy(res.body());
+                    tracing::warn!(path, status = %res.status(), %said, "rejected");
                     return Submitted::Rejected(res.status().as_u16());
                 }
                 _ if Instant::now() >= deadline => return Submitted::Unknown,
@@ -267,6 +269,5 @@
 }
 
 fn finished_count(body: &Value) -> Option<u64> {
-    let summary = body.get("summary").unwrap_or(body);
-    summary.get("finished")?.as_u64()
+    body.get("tasks")?.get("finished")?.as_u64()
 }
--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -125,7 +125,7 @@
             ..Resources::default()
         },
         expected_ms: TASK_MS,
-        priority: "batch".into(),
+        priority: "normal".into(),
         payload: json!({ "run_ms": TASK_MS }),
     };
     let submitted = cluster.jobs.submit(&spec, SUBMIT).await;
@@ -167,6 +167,10 @@
     ];
     summary.add_reasons(&attempts);
     let endpoints = cluster.requests.counts();
+    let (accepted, rejected, unknown) = cluster.jobs.counts();
+    summary.detail("jobs_accepted", accepted as f64);
+    summary.detail("jobs_rejected", rejected as f64);
+    summary.detail("jobs_unknown", unknown as f64);
     summary.detail("endpoint_runs", endpoints.runs as f64);
     summary.detail("peak_busy", f64::from(endpoints.peak_busy));
     summary.detail("task_starts", batch.starts as f64);
