--- a/crates/guavacart_lab/src/caller.rs
+++ b/crates/guavacart_lab/src/caller.rs
@@ -196,7 +196,8 @@
         let patience = self.spec.deadline + PATIENCE;
         let limit = call.give_up.unwrap_or(patience).min(patience);
         let mut local = None;
-        let exchange = self.exchange(call, turn, &mut local);
+        // A repeat takes a new connection, which a balancer leads to another instance.
+        let exchange = self.exchange(call, turn, number > 1, &mut local);
         let ending = match timeout(limit, exchange).await {
             Ok(ending) => ending,
             Err(_) if call.give_up.is_some() => Ending::Abandoned,
@@ -217,12 +218,18 @@
         ending
     }
 
-    async fn exchange(&self, call: &Call, turn: usize, local: &mut Option<SocketAddr>) -> Ending {
+    async fn exchange(
+        &self,
+        call: &Call,
+        turn: usize,
+        fresh: bool,
+        local: &mut Option<SocketAddr>,
+    ) -> Ending {
         let Some(address) = self.entrances.choose(turn) else {
             return Ending::NotSent;
         };
         // An idle connection may turn out closed before a byte was sent; a new one may not.
-        for fresh in [false, true] {
+        for fresh in [fresh, true] {
             let Ok(mut connection) = self.connection(address, fresh).await else {
                 return Ending::NotSent;
             };
@@ -258,7 +265,11 @@
         let mut idle = lock(&self.idle);
         let idle = idle.get_mut(&address)?;
         idle.retain(|connection| !connection.is_closed());
-        idle.pop()
+        // The one that has rested longest, so that all connections are used alike.
+        match idle.is_empty() {
+            true => None,
+            false => Some(idle.remove(0)),
+        }
     }
 
     fn keep(&self, address: SocketAddr, connection: Connection) {
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -1,5 +1,6 @@
 //! The table of scenarios.
 
+mod bad_network;
 mod demo;
 
 use std::{future::Future, path::PathBuf, pin::Pin, time::Duration};
@@ -62,7 +63,7 @@
 }
 
 /// All scenarios.
-pub const SCENARIOS: &[Scenario] = &[demo::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[demo::SCENARIO, bad_network::SCENARIO];
 
 /// The scenario of this name.
 pub fn find(name: &str) -> Option<&'static Scenario> {
--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -75,7 +75,8 @@
     Ok(summarise(&cx, &cluster).await)
 }
 
-fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
+/// Short and long requests of every team.
+pub(super) fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
     let mut specs = Vec::new();
     for team in &cluster.teams {
         specs.push(caller(cluster, team, Class::Short, SHORT_RATE, SHORT_WORK));
