Move the operators' calls of a run to a file of their own

Cause: the cluster's file had grown past its one job. Change: patches, status and waits are in cluster/operators.rs; nothing else changes.

--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -1,6 +1,7 @@
 //! All stand-ins and all entry instances of one run.
 
 mod config_watch;
+mod operators;
 mod spec;
 
 use std::{
@@ -12,15 +13,8 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use guavacart_config::CONFIG_KEY;
 use guavacart_platform::instance_list::{ListedInstanceWire, RoleWire};
-use http_body_util::Full;
-use hyper::{
-    Method, Request, StatusCode,
-    header::{AUTHORIZATION, CONTENT_TYPE, HOST},
-};
-use serde_json::Value;
 use smol_str::{SmolStr, format_smolstr};
 use tempfile::TempDir;
 use thiserror::Error;
@@ -32,7 +26,6 @@
     batch_ledger::BatchLedger,
     caller::{Entrances, Record},
     checks::{StopWindow, Violations},
-    client,
     clock::now_us,
     endpoint::{Endpoint, LEAVING_GRACE},
     fault::Network,
@@ -46,12 +39,8 @@
     worker::Worker,
 };
 
-/// Longest wait for all instances to be ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait for a graceful stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(60);
-/// Longest wait for one operators' call.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -391,97 +380,6 @@
         Entrances::open(vec![self.balancer.address()])
     }
 
-    /// Submits a patch until it is accepted, and returns its number.
-    pub async fn patch(&self, base: u64, id: &str, change: &Value) -> Result<u64, ClusterError> {
-        let path = format!("/v1/config?base={base}&id={id}");
-        let deadline = Instant::now() + READY_TIMEOUT;
-        let mut said = SmolStr::default();
-        while Instant::now() < deadline {
-            let body = change.to_string().into_bytes();
-            match self
-                .operate(self.balancer.address(), Method::PATCH, &path, body)
-                .await
-            {
-                Some((StatusCode::OK, body)) => {
-                    return Ok(body
-                        .get("number")
-                        .and_then(Value::as_u64)
-                        .unwrap_or_default());
-                }
-                Some((status, body)) if status.is_client_error() => {
-                    let (id, said) = (id.into(), format_smolstr!("{status} {body}"));
-                    return Err(ClusterError::Patch { id, said });
-                }
-                Some((status, body)) => said = format_smolstr!("{status} {body}"),
-                None => {}
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-        let id = id.into();
-        Err(ClusterError::Patch { id, said })
-    }
-
-    /// One operators' call; none if it was not answered.
-    pub async fn operate(
-        &self,
-        address: SocketAddr,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Option<(StatusCode, Value)> {
-        let req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, address.to_string())
-            .header(AUTHORIZATION, format!("Bearer {WRITER}"))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .ok()?;
-        let res = client::call(address, req, CALL_TIMEOUT).await.ok()?;
-        let body = serde_json::from_slice(res.body()).unwrap_or_default();
-        Some((res.status(), body))
-    }
-
-    /// Waits until the balancer finds `n` instances healthy.
-    pub async fn wait_healthy(&self, n: usize) -> Result<(), ClusterError> {
-        let deadline = Instant::now() + READY_TIMEOUT;
-        while self.balancer.healthy().len() < n {
-            if Instant::now() >= deadline {
-                return Err(timed_out(&format!("health of {n} instances")));
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-        Ok(())
-    }
-
-    /// Waits until every running instance has the configuration `number` in force and sees every
-    /// endpoint.
-    pub async fn wait_config(&self, number: u64) -> Result<(), ClusterError> {
-        let deadline = Instant::now() + READY_TIMEOUT;
-        loop {
-            let mut ready = true;
-            for (_, address) in self.running() {
-                let status = self
-                    .operate(address, Method::GET, "/v1/status", Vec::new())
-                    .await;
-                ready &= status.is_some_and(|(_, body)| {
-                    body["config"].as_u64() >= Some(number)
-                        && body["endpoints_listed"].as_u64() >= Some(self.endpoints().len() as u64)
-                        && !body["right_ms"].is_null()
-                });
-            }
-            if ready {
-                return Ok(());
-            }
-            if Instant::now() >= deadline {
-                return Err(timed_out(&format!(
-                    "configuration {number} in force everywhere"
-                )));
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-
     /// Graceful stops that did not end with exit code 0 in time.
     pub fn unclean_stops(&self) -> u64 {
         *lock(&self.unclean_stops)
@@ -507,10 +405,3 @@
 fn not_running(name: &str) -> ClusterError {
     ClusterError::NotRunning(name.into())
 }
-
-fn timed_out(what: &str) -> ClusterError {
-    ClusterError::TimedOut {
-        what: what.into(),
-        limit: READY_TIMEOUT,
-    }
-}
