--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -75,7 +75,8 @@
     Ok(summarise(&cx, &cluster).await)
 }
 
-fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
+/// Short and long requests of every team.
+pub(super) fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
     let mut specs = Vec::new();
     for team in &cluster.teams {
         specs.push(caller(cluster, team, Class::Short, SHORT_RATE, SHORT_WORK));
@@ -167,6 +168,10 @@
     ];
     summary.add_reasons(&attempts);
     let endpoints = cluster.requests.counts();
+    let (accepted, rejected, unknown) = cluster.jobs.counts();
+    summary.detail("jobs_accepted", accepted as f64);
+    summary.detail("jobs_rejected", rejected as f64);
+    summary.detail("jobs_unknown", unknown as f64);
     summary.detail("endpoint_runs", endpoints.runs as f64);
     summary.detail("peak_busy", f64::from(endpoints.peak_busy));
     summary.detail("task_starts", batch.starts as f64);
