--- a/crates/guavacart_config/src/record.rs
+++ b/crates/guavacart_config/src/record.rs
@@ -18,6 +18,8 @@
 pub const CONFIG_KEY: &str = "config/current";
 /// Longest record, in bytes: the longest value that the store takes.
 const MAX_RECORD_BYTES: usize = 1 << 20;
+/// Bytes between two configurations in the record.
+const SEPARATOR_BYTES: usize = 1;
 /// Most earlier configurations kept.
 const MAX_VERSIONS: usize = 64;
 /// Most patch ids kept.
@@ -109,15 +111,24 @@
 
     /// The bytes that the store keeps; the oldest versions go where they would not fit.
     pub fn encode(&self) -> Vec<u8> {
-        let mut record = self.clone();
-        loop {
-            let bytes = serde_json::to_vec(&record)
-                .expect("a record has only text keys and finite numbers");
-            if bytes.len() <= MAX_RECORD_BYTES || record.versions.is_empty() {
-                return bytes;
-            }
-            record.versions.pop_front();
+        let without = Self {
+            versions: VecDeque::new(),
+            ..self.clone()
+        };
+        let mut room = MAX_RECORD_BYTES.saturating_sub(json(&without).len());
+        let mut versions = VecDeque::new();
+        for version in self.versions.iter().rev() {
+            let len = json(version).len() + SEPARATOR_BYTES;
+            let Some(left) = room.checked_sub(len) else {
+                break;
+            };
+            room = left;
+            versions.push_front(version.clone());
         }
+        json(&Self {
+            versions,
+            ..without
+        })
     }
 
     /// Reads the bytes that the store keeps.
@@ -192,6 +203,10 @@
     }
 }
 
+fn json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("a record has only text keys and finite numbers")
+}
+
 impl AppliedPatch {
     fn repeated_by(&self, patch: &Patch) -> Result<Accepted, PatchError> {
         if self.digest == patch.digest() {
--- /dev/null
+++ b/crates/guavacart_config/tests/patches.rs
@@ -0,0 +1,94 @@
+//! Patches: what they make of a configuration, and why they are rejected.
+
+use guavacart_config::{Configuration, Patch, PatchError, diff};
+use guavacart_types::ConfigNumber;
+use serde_json::{Value, json};
+
+fn patch(base: u64, change: Value) -> Patch {
+    Patch {
+        id: "p1".parse().unwrap(),
+        base: ConfigNumber(base),
+        change,
+    }
+}
+
+fn start() -> Configuration {
+    let change = json!({
+        "services": {"engine": {}},
+        "teams": {"a": {"weight": 2}},
+        "cells": {"c1": {"racks": ["r1", "r2"]}},
+    });
+    patch(0, change).apply(&Configuration::default()).unwrap()
+}
+
+fn told(change: Value) -> String {
+    match patch(1, change).apply(&start()) {
+        Err(PatchError::Invalid { problems }) => {
+            let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            lines.join("\n")
+        }
+        other => panic!("expected an invalid patch, got {other:?}"),
+    }
+}
+
+#[test]
+fn a_patch_merges_and_counts_up() {
+    let change = json!({"services": {"engine": {"slots": 4}}, "teams": {"a": null, "b": {}}});
+    let next = patch(1, change).apply(&start()).unwrap();
+    assert_eq!(next.number, ConfigNumber(2));
+    let engine = &next.services[&"engine".parse().unwrap()];
+    assert_eq!((engine.slots, engine.connections), (4, 60));
+    assert_eq!(next.teams.len(), 1);
+    let told: Vec<String> = diff(&start(), &next)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    insta::assert_snapshot!("difference", told.join("\n"));
+}
+
+#[test]
+fn another_base_is_a_conflict() {
+    let err = patch(0, json!({})).apply(&start()).unwrap_err();
+    assert!(matches!(
+        err,
+        PatchError::Conflict {
+            base: ConfigNumber(0),
+            ..
+        }
+    ));
+}
+
+macro_rules! rejected {
+    ($($name:ident: $change:tt;)*) => {$(
+        #[test]
+        fn $name() {
+            insta::assert_snapshot!(concat!("rejected_", stringify!($name)), told(json!($change)));
+        }
+    )*};
+}
+
+rejected! {
+    not_an_object: [1];
+    number_is_set: {"number": 9};
+    unknown_section: {"service": {}};
+    unknown_key: {"services": {"engine": {"slot": 3, "queue": 4}}};
+    wrong_type: {"services": {"engine": {"slots": "x", "deadline": -1}}, "teams": 3};
+    bad_name: {"teams": {"a b": {}}};
+    quota_in_part: {"teams": {"a": {"quota": {"processors": 1}}}};
+    no_slots: {"services": {"engine": {"slots": 0}}};
+    all_slots_short: {"services": {"engine": {"short_slots": 8}}};
+    deadlines_out_of_order: {"services": {"engine": {"deadline": 70000, "long_time": 1}}};
+    objectives_out_of_bounds: {"services": {"engine": {"objectives": {"availability_ppm": 1000000, "latency": 0, "latency_ppm": 0}}}};
+    no_weight: {"teams": {"a": {"weight": 0}}};
+    percent_out_of_bounds: {"batch_classes": {"deck": {"throttled_percent": 101}}};
+    rack_in_two_cells: {"cells": {"c2": {"racks": ["r2"]}, "c3": {"racks": []}}};
+    rack_twice_in_one_cell: {"cells": {"c1": {"racks": ["r1", "r1"]}}};
+    all_weights_zero: {"sharing": {"weights": {"tail": 0, "crest": 0, "throughput": 0, "evictions": 0}}};
+}
+
+#[test]
+fn a_configuration_too_large_for_the_store_is_rejected() {
+    let racks: Vec<String> = (0..80_000).map(|n| format!("rack-{n}")).collect();
+    let change = json!({"cells": {"c1": {"racks": racks}}});
+    assert!(told(change).contains("remove services, teams, classes or cells"));
+}
