--- a/crates/guavacart_report/src/latencies.rs
+++ b/crates/guavacart_report/src/latencies.rs
@@ -36,16 +36,22 @@
 
 impl Latencies {
     pub(crate) fn record(&mut self, latency: Span) {
-        self.0.saturating_record(latency.0.min(GREATEST.0));
+        self.add(latency.0.min(GREATEST.0), 1);
     }
 
     pub(crate) fn merge(&mut self, other: &Self) {
         for step in other.0.iter_recorded() {
-            self.0
-                .saturating_record_n(step.value_iterated_to(), step.count_at_value());
+            self.add(step.value_iterated_to(), step.count_at_value());
         }
     }
 
+    /// Grows the histogram as needed, unlike the library's saturating calls.
+    fn add(&mut self, value: u64, count: u64) {
+        self.0
+            .record_n(value, count)
+            .expect("a histogram that resizes takes every latency of up to a day");
+    }
+
     /// Answers recorded.
     pub fn count(&self) -> u64 {
         self.0.len()
