--- /dev/null
+++ b/crates/guavacart/tests/command.rs
@@ -0,0 +1,239 @@
+//! The command as an operator sees it: help, faults, exit statuses.
+
+use std::{
+    fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    process::{Command, Output},
+    sync::mpsc,
+    thread,
+};
+
+use tempfile::TempDir;
+
+struct Run {
+    status: i32,
+    stdout: String,
+    stderr: String,
+}
+
+impl From<Output> for Run {
+    fn from(output: Output) -> Self {
+        Self {
+            status: output.status.code().unwrap(),
+            stdout: String::from_utf8(output.stdout).unwrap(),
+            stderr: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
+fn guavacart(dir: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_guavacart"));
+    command.current_dir(dir).env_clear();
+    command
+}
+
+fn run(args: &[&str]) -> Run {
+    let dir = TempDir::new().unwrap();
+    guavacart(dir.path()).args(args).output().unwrap().into()
+}
+
+macro_rules! helps {
+    ($($name:ident: $($arg:literal)*;)*) => {$(
+        #[test]
+        fn $name() {
+            let run = run(&[$($arg,)* "--help"]);
+            assert_eq!((run.status, run.stderr.as_str()), (0, ""));
+            insta::assert_snapshot!(stringify!($name), run.stdout);
+            let version = self::run(&[$($arg,)* "--version"]);
+            assert_eq!(version.status, 0);
+            assert!(version.stdout.ends_with(concat!(" ", env!("CARGO_PKG_VERSION"), "\n")));
+        }
+    )*};
+}
+
+helps! {
+    help:;
+    help_serve: "serve";
+    help_check: "check";
+    help_patch: "patch";
+    help_config_show: "config" "show";
+    help_config_diff: "config" "diff";
+    help_config_wait: "config" "wait";
+    help_submit: "submit";
+    help_cancel: "cancel";
+    help_status: "status";
+    help_report_burn: "report" "burn";
+}
+
+macro_rules! wrong_lines {
+    ($($name:ident: $($arg:literal)*;)*) => {$(
+        #[test]
+        fn $name() {
+            let run = run(&[$($arg),*]);
+            assert_eq!((run.status, run.stdout.as_str()), (2, ""));
+            insta::assert_snapshot!(stringify!($name), run.stderr);
+        }
+    )*};
+}
+
+wrong_lines! {
+    wrong_nothing:;
+    wrong_command: "config" "shows";
+    wrong_option: "check" "--setting" "x";
+    wrong_no_settings: "check";
+    wrong_no_entry: "status";
+    wrong_entry: "status" "--entry" "localhost";
+    wrong_base: "patch" "--base" "x" "f";
+    wrong_no_base: "patch" "f";
+    wrong_numbers: "config" "diff" "1";
+    wrong_task: "status" "--entry" "127.0.0.1:1" "--why" "3";
+    wrong_task_of_another_job: "status" "--entry" "127.0.0.1:1" "--why" "j/3" "k";
+}
+
+#[test]
+fn check_names_each_fault() {
+    let dir = TempDir::new().unwrap();
+    let text = "instance = 'e1'\ndata_centre = 'dc1'\ncallers = '127.0.0.1:0'\n\
+                peers = '127.0.0.1'\nstores = '127.0.0.1:1'\ninstance_list = '127.0.0.1:2'\n\
+                [limits]\nbody = '1MB'\n[access]\npeer_key = { env = 'KEY' }\n";
+    fs::write(dir.path().join("settings.toml"), text).unwrap();
+    let mut command = guavacart(dir.path());
+    let run: Run = command
+        .args(["check", "-s", "settings.toml"])
+        .output()
+        .unwrap()
+        .into();
+    assert_eq!(run.status, 1);
+    insta::assert_snapshot!("check", format!("{}{}", run.stdout, run.stderr));
+}
+
+#[test]
+fn check_passes_the_example() {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/settings.toml");
+    let mut command = guavacart(Path::new("/"));
+    for name in [
+        "PEER_KEY", "READER", "WRITER", "AGENCY_1", "AGENCY_2", "AGENCY_3", "AGENCY_4",
+    ] {
+        command.env(format!("GUAVACART_{name}"), format!("secret-of-{name}"));
+    }
+    let run: Run = command
+        .arg("check")
+        .arg("-s")
+        .arg(example)
+        .output()
+        .unwrap()
+        .into();
+    assert_eq!(run.status, 0, "{}", run.stdout);
+}
+
+/// Serves one canned answer to each connection, and passes on what was asked.
+fn answers(canned: &[&str]) -> (SocketAddr, mpsc::Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let canned: Vec<String> = canned.iter().map(ToString::to_string).collect();
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        for answer in canned {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut buf = vec![0; 16 << 10];
+            let mut len = 0;
+            while !is_whole(&buf[..len]) {
+                match stream.read(&mut buf[len..]).unwrap() {
+                    0 => break,
+                    n => len += n,
+                }
+            }
+            tx.send(String::from_utf8_lossy(&buf[..len]).into_owned())
+                .unwrap();
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    (address, rx)
+}
+
+fn is_whole(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("content-length")
+            .then(|| value.trim().parse::<usize>().unwrap())
+    });
+    body.len() >= length.unwrap_or(0)
+}
+
+fn whole(status: u16, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn call(entry: SocketAddr, args: &[&str]) -> Run {
+    let dir = TempDir::new().unwrap();
+    fs::write(dir.path().join("f.json"), r#"{"teams": {"a": {}}}"#).unwrap();
+    let mut command = guavacart(dir.path());
+    command
+        .env("GUAVACART_ENTRY", entry.to_string())
+        .env("GUAVACART_TOKEN", "the-token");
+    command.args(args).output().unwrap().into()
+}
+
+const PATCH: &[&str] = &["patch", "--base", "3", "--id", "p", "f.json"];
+const CUT: &str = "HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\n{\"number\"";
+
+macro_rules! calls {
+    ($($name:ident: $args:expr, [$($answer:expr),*] => $status:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let canned: Vec<String> = vec![$($answer.to_string()),*];
+            let canned: Vec<&str> = canned.iter().map(String::as_str).collect();
+            let (entry, _asked) = answers(&canned);
+            let run = call(entry, $args);
+            assert_eq!(run.status, $status, "{}", run.stderr);
+            let told = format!("{}{}", run.stdout, run.stderr);
+            insta::assert_snapshot!(stringify!($name), told.replace(&entry.to_string(), "ENTRY"));
+        }
+    )*};
+}
+
+calls! {
+    patch_accepted: PATCH, [whole(200, r#"{"number":4}"#)] => 0;
+    patch_settled_after_a_cut_answer: PATCH, [CUT, whole(200, r#"{"number":4}"#)] => 0;
+    patch_of_unknown_fate: PATCH, [CUT, CUT, CUT] => 4;
+    patch_of_unknown_fate_in_the_store: PATCH, [whole(503, r#"{"key":"store","reason":"lost","fate":"unknown"}"#)] => 4;
+    patch_without_a_store: PATCH, [whole(503, r#"{"key":"store","reason":"down","fate":"not_applied"}"#)] => 3;
+    patch_in_conflict: PATCH, [whole(409, r#"{"key":"base","reason":"not current","changed":["teams.a.weight"]}"#)] => 1;
+    patch_invalid: PATCH, [whole(422, r#"{"key":"k","reason":"r","remedy":"m","problems":[{"key":"k","reason":"r","remedy":"m"}]}"#)] => 1;
+    unauthorized: &["status"], [whole(401, r#"{"key":"authorization","reason":"the token is missing"}"#)] => 1;
+    answer_without_length: &["status"], ["HTTP/1.1 200 x\r\n\r\n{}"] => 3;
+    answer_cut: &["status"], [CUT] => 3;
+    answer_not_json: &["status"], [whole(200, "<p>")] => 3;
+    difference: &["config", "diff", "1", "2"], [whole(200, r#"{"changes":[{"key":"a.b","before":1,"after":2},{"key":"c","before":null,"after":{}}]}"#)] => 0;
+    wait_until_everywhere: &["config", "wait", "4"], [whole(200, r#"{"instances":[{"id":"e1","number":4},{"id":"e2","number":3}]}"#), whole(200, r#"{"instances":[{"id":"e1","number":5},{"id":"e2","number":4}]}"#)] => 0;
+    wait_in_vain: &["config", "wait", "4", "--timeout", "0ms"], [whole(200, r#"{"instances":[{"id":"e1","number":4},{"id":"e2","number":null}]}"#)] => 5;
+}
+
+#[test]
+fn a_patch_is_repeated_with_its_id_and_token() {
+    let done = whole(200, r#"{"number":4}"#);
+    let (entry, asked) = answers(&[CUT, &done]);
+    assert_eq!(call(entry, PATCH).status, 0);
+    let asked: Vec<String> = asked.iter().collect();
+    assert_eq!(asked.len(), 2);
+    assert_eq!(asked[0], asked[1]);
+    assert!(asked[0].starts_with("PATCH /v1/config?base=3&id=p HTTP/1.1\r\n"));
+    assert!(asked[0].contains("Authorization: Bearer the-token\r\n"));
+}
+
+#[test]
+fn an_instance_that_is_not_reached_changed_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = listener.local_addr().unwrap();
+    drop(listener);
+    assert_eq!(call(entry, PATCH).status, 3);
+}
