Say why a task waits, cancel for a team, and read the jobs' outcomes

Cause: the mounted calls for jobs answer with outcome and detail, and hold each unfinished task's last decision.

--- a/crates/guavacart/src/client.rs
+++ b/crates/guavacart/src/client.rs
@@ -5,6 +5,7 @@
     net::SocketAddr,
 };
 
+use guavacart_types::TeamName;
 use minreq::{Method, Request};
 use serde_json::Value;
 use smol_str::{SmolStr, format_smolstr};
@@ -22,6 +23,7 @@
 pub(crate) struct Client {
     entry: SocketAddr,
     token: Option<String>,
+    team: Option<TeamName>,
 }
 
 /// A whole answer.
@@ -56,7 +58,16 @@
 impl Client {
     /// Names the instance and the token.
     pub(crate) fn new(entry: SocketAddr, token: Option<String>) -> Self {
-        Self { entry, token }
+        Self {
+            entry,
+            token,
+            team: None,
+        }
+    }
+
+    /// Calls on behalf of a team.
+    pub(crate) fn of_team(self, team: Option<TeamName>) -> Self {
+        Self { team, ..self }
     }
 
     /// Reads; a call without an answer changed nothing.
@@ -80,6 +91,9 @@
         if let Some(token) = &self.token {
             req = req.with_header("Authorization", format!("Bearer {token}"));
         }
+        if let Some(team) = &self.team {
+            req = req.with_header("Guavacart-Team", team.as_str());
+        }
         if let Some(body) = body {
             req = req
                 .with_header("Content-Type", "application/json")
@@ -154,6 +168,7 @@
         let text = self.explanation();
         let unknown = self.body.get("fate").and_then(Value::as_str) == Some("unknown");
         match self.status {
+            504 => Failure::Unknown(text),
             503 if unknown => Failure::Unknown(text),
             503 => Failure::Unavailable(text),
             _ => Failure::Rejected(text),
@@ -162,8 +177,10 @@
 
     fn explanation(&self) -> SmolStr {
         let text = |key| self.body.get(key).and_then(Value::as_str);
-        let mut lines = match (text("key"), text("reason")) {
-            (Some(key), Some(reason)) => format!("{key}: {reason}"),
+        let named = text("key").or_else(|| text("outcome"));
+        let reason = text("reason").or_else(|| text("detail"));
+        let mut lines = match (named, reason) {
+            (Some(named), Some(reason)) => format!("{named}: {reason}"),
             _ => format!("the entry instance answered with status {}", self.status),
         };
         for problem in self.list("problems") {
--- a/crates/guavacart/src/jobs.rs
+++ b/crates/guavacart/src/jobs.rs
@@ -1,13 +1,13 @@
 //! `guavacart submit` and `guavacart cancel`: batch jobs.
 
-use getopts::Matches;
+use getopts::{Matches, Options};
 use guavacart_types::JobId;
 use minreq::Method;
 use smol_str::format_smolstr;
 
 use crate::{
     cli::print_json,
-    client::{Answer, CallError, Client},
+    client::{Answer, CallError},
     command::{Command, arguments, client, client_options, parse, read_json},
     exit::Failure,
 };
@@ -23,13 +23,23 @@
 
 pub(crate) const CANCEL: Command = Command {
     name: "cancel",
-    arguments: "JOB",
+    arguments: "[--team TEAM] JOB",
     summary: "Cancel a batch job; a repeat changes nothing more",
-    options: client_options,
+    options: cancel_options,
     takes_version: false,
     run: cancel,
 };
 
+fn cancel_options(options: &mut Options) {
+    client_options(options);
+    options.optopt(
+        "",
+        "team",
+        "the team whose token GUAVACART_TOKEN is",
+        "TEAM",
+    );
+}
+
 fn submit(matches: &Matches) -> Result<(), Failure> {
     let [file] = arguments(matches, "one FILE")?;
     let job = read_json(file)?;
@@ -40,7 +50,11 @@
 fn cancel(matches: &Matches) -> Result<(), Failure> {
     let [job] = arguments(matches, "one JOB")?;
     let job: JobId = parse("JOB", job)?;
-    let client: Client = client(matches)?;
+    let team = match matches.opt_str("team") {
+        Some(team) => Some(parse("--team", &team)?),
+        None => None,
+    };
+    let client = client(matches)?.of_team(team);
     let path = format!("/v1/jobs/{job}");
     print_json(&change(client.call(Method::Delete, &path, None))?.success()?)
 }
--- a/crates/guavacart/tests/command.rs
+++ b/crates/guavacart/tests/command.rs
@@ -1,5 +1,7 @@
 //! The command as an operator sees it: help, faults, exit statuses.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     fs,
     io::{Read, Write},
@@ -214,6 +216,11 @@
     answer_cut: &["status"], [CUT] => 3;
     answer_not_json: &["status"], [whole(200, "<p>")] => 3;
     difference: &["config", "diff", "1", "2"], [whole(200, r#"{"changes":[{"key":"a.b","before":1,"after":2},{"key":"c","before":null,"after":{}}]}"#)] => 0;
+    submit_of_unknown_fate: &["submit", "f.json"], [whole(504, r#"{"outcome":"unknown","detail":"repeat"}"#)] => 4;
+    submit_rejected: &["submit", "f.json"], [whole(422, r#"{"outcome":"rejected","detail":"no worker holds it"}"#)] => 1;
+    submit_cut: &["submit", "f.json"], [CUT] => 4;
+    why_of_a_task: &["status", "j", "--why", "3"], [whole(200, r#"{"unfinished":[{"index":3,"worker":null,"decision":"waits: no room"}]}"#)] => 0;
+    why_of_a_finished_task: &["status", "--why", "j/4"], [whole(200, r#"{"unfinished":[]}"#)] => 1;
     wait_until_everywhere: &["config", "wait", "4"], [whole(200, r#"{"instances":[{"id":"e1","number":4},{"id":"e2","number":3}]}"#), whole(200, r#"{"instances":[{"id":"e1","number":5},{"id":"e2","number":4}]}"#)] => 0;
     wait_in_vain: &["config", "wait", "4", "--timeout", "0ms"], [whole(200, r#"{"instances":[{"id":"e1","number":4},{"id":"e2","number":null}]}"#)] => 5;
 }
--- a/crates/guavacart/tests/serve.rs
+++ b/crates/guavacart/tests/serve.rs
@@ -1,5 +1,7 @@
 //! `guavacart serve`: its first line, its health and its graceful stop.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
--- a/crates/guavacart_config/tests/decoders.rs
+++ b/crates/guavacart_config/tests/decoders.rs
@@ -1,5 +1,7 @@
 //! No decoder panics, whatever it is given; what it takes obeys the rules.
 
+#![allow(clippy::unwrap_used)]
+
 use guavacart_config::{ConfigRecord, Configuration, Patch, Settings, validate};
 use guavacart_types::ConfigNumber;
 use proptest::{collection::vec, prelude::*};
--- a/crates/guavacart_config/tests/examples.rs
+++ b/crates/guavacart_config/tests/examples.rs
@@ -1,5 +1,7 @@
 //! The examples that are shipped are valid.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{fs, path::Path};
 
 use guavacart_config::{Configuration, Patch, Settings};
--- a/crates/guavacart_config/tests/patches.rs
+++ b/crates/guavacart_config/tests/patches.rs
@@ -1,5 +1,7 @@
 //! Patches: what they make of a configuration, and why they are rejected.
 
+#![allow(clippy::unwrap_used)]
+
 use guavacart_config::{Configuration, Patch, PatchError, diff};
 use guavacart_types::ConfigNumber;
 use serde_json::{Value, json};
--- a/crates/guavacart_config/tests/records.rs
+++ b/crates/guavacart_config/tests/records.rs
@@ -1,5 +1,7 @@
 //! The record in the store: history, patch ids, and the 1 MiB limit.
 
+#![allow(clippy::unwrap_used)]
+
 use guavacart_config::{Accepted, ConfigRecord, Patch, PatchError, RecordError};
 use guavacart_types::ConfigNumber;
 use serde_json::{Value, json};
--- a/crates/guavacart_config/tests/settings.rs
+++ b/crates/guavacart_config/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings files: what is taken, and what each fault is told.
 
+#![allow(clippy::unwrap_used)]
+
 use guavacart_config::{Settings, SettingsError};
 use guavacart_types::{ByteSize, Span};
 
--- a/crates/guavacart_entry/tests/patching.rs
+++ b/crates/guavacart_entry/tests/patching.rs
@@ -1,5 +1,7 @@
 //! Patches submitted to a store that fails, loses answers and is raced for.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     collections::VecDeque,
     sync::{Arc, Mutex},
--- a/crates/guavacart_report/tests/burn.rs
+++ b/crates/guavacart_report/tests/burn.rs
@@ -1,5 +1,7 @@
 //! What burns the budget, over which window, and how it is shown.
 
+#![allow(clippy::unwrap_used)]
+
 use std::num::NonZeroU32;
 
 use guavacart_config::{Configuration, Patch};
