--- a/crates/guavacart/src/cli.rs
+++ b/crates/guavacart/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 
-use getopts::Options;
+use getopts::{Matches, Options};
 use smol_str::format_smolstr;
 
 use crate::{
@@ -42,12 +42,17 @@
     if matches.opt_present("help") {
         return print(&help(command, &options));
     }
-    if matches.opt_present("version") && matches.opt_str("version").is_none() {
+    if matches.opt_present("version") && !(command.takes_version && has_number(&matches)) {
         return print(&version(&format!("guavacart {}", command.name)));
     }
     (command.run)(&matches)
 }
 
+/// `getopts` leaves the argument of `--version N` among the free ones.
+fn has_number(matches: &Matches) -> bool {
+    matches.opt_str("version").is_some() || !matches.free.is_empty()
+}
+
 fn find(args: &[String]) -> Result<(&'static Command, &[String]), Failure> {
     for command in COMMANDS {
         let words = command.name.split(' ').count();
--- a/crates/guavacart/src/config.rs
+++ b/crates/guavacart/src/config.rs
@@ -83,17 +83,28 @@
 }
 
 fn show(matches: &Matches) -> Result<(), Failure> {
-    let [] = arguments(matches, "no arguments")?;
-    let path = match matches.opt_str("version") {
-        Some(text) => {
-            let number: ConfigNumber = parse("--version", &text)?;
-            format!("/v1/config/versions/{number}")
-        }
+    let path = match version(matches)? {
+        Some(number) => format!("/v1/config/versions/{number}"),
         None => "/v1/config".to_owned(),
     };
     print_json(&client(matches)?.get(&path)?.success()?)
 }
 
+/// The number of `--version N` or `--version=N`.
+fn version(matches: &Matches) -> Result<Option<ConfigNumber>, Failure> {
+    let text = match matches.opt_str("version") {
+        None if matches.opt_present("version") => {
+            let [number] = arguments(matches, "one number after --version")?;
+            Some(number.to_owned())
+        }
+        text => {
+            let [] = arguments(matches, "no arguments")?;
+            text
+        }
+    };
+    text.map(|text| parse("--version", &text)).transpose()
+}
+
 fn diff(matches: &Matches) -> Result<(), Failure> {
     let [from, to] = arguments(matches, "two numbers")?;
     let from: ConfigNumber = parse("A", from)?;
--- a/crates/guavacart/tests/command.rs
+++ b/crates/guavacart/tests/command.rs
@@ -87,6 +87,8 @@
     wrong_no_settings: "check";
     wrong_no_entry: "status";
     wrong_entry: "status" "--entry" "localhost";
+    wrong_version: "config" "show" "--version" "x" "y";
+    wrong_free_number: "config" "show" "7";
     wrong_base: "patch" "--base" "x" "f";
     wrong_no_base: "patch" "f";
     wrong_numbers: "config" "diff" "1";
--- a/crates/guavacart_entry/tests/patching.rs
+++ b/crates/guavacart_entry/tests/patching.rs
@@ -286,7 +286,7 @@
                     break;
                 }
                 Err(SubmitError::Rejected(PatchError::Conflict { current, .. })) => {
-                    base = current.0
+                    base = current.0;
                 }
                 Err(err) => panic!("{err}"),
             }
