Work ownership of endpoints out again when any standing changed

Cause: the pool cached ownership by the view's number, but a delegation changes standings within one view: a leaving owner would have gone on dispatching beside those it had handed its keys to. Change: the pool's version carries Membership::generation. Conclusion: standings must be cached by generation, never by view number.

--- a/crates/guavacart_scheduler/src/request/pool.rs
+++ b/crates/guavacart_scheduler/src/request/pool.rs
@@ -30,7 +30,7 @@
 }
 
 /// What ownership was last worked out from.
-type Version = (ViewNumber, u64, ConfigNumber);
+type Version = (ViewNumber, u64, u64, ConfigNumber);
 
 /// All endpoints at hand.
 #[derive(Debug, Default)]
@@ -46,7 +46,9 @@
     /// Works out ownership again if what it rests on has changed.
     pub(super) fn refresh(&mut self, cx: &Cx<'_>, is_tick: bool) {
         let view = cx.membership.view().number;
-        let version = (view, cx.directory.generation, cx.configuration.number);
+        let standings = cx.membership.generation();
+        let listed = cx.directory.generation;
+        let version = (view, standings, listed, cx.configuration.number);
         let changed = self.version != Some(version);
         let looked_for = is_tick && self.pending;
         if !(changed || looked_for) {
--- a/crates/guavacart_scheduler/tests/membership/main.rs
+++ b/crates/guavacart_scheduler/tests/membership/main.rs
@@ -166,6 +166,25 @@
     assert_eq!(sim.settle(0), Some(0));
 }
 
+/// An owner that is cut off just as a newcomer takes its keys acts on for the whole of its right.
+#[test]
+fn an_owner_cut_off_as_the_view_changes_falls_silent_in_time() {
+    for seed in 0..60 {
+        // The owner's clock is slow and the newcomer's is fast.
+        let mut sim = Simulation::start_with_rates(&[1_000, 960, 1_000, 1_000, 1_040], seed);
+        sim.run(3_000);
+        sim.run_script(&[(0, Fault::Kill(4)), (7_000, Fault::Restart(4))]);
+        let number = sim.view_number();
+        while sim.view_number() == number {
+            sim.run(1);
+        }
+        // 1 and 4 share a data centre, and so its keys.
+        sim.inject(&Fault::StoreCut(0b10));
+        sim.inject(&Fault::Partition(0b10));
+        sim.run(5_000);
+    }
+}
+
 /// The record stays small while the membership changes without end.
 #[test]
 fn the_record_stays_small() {
--- a/crates/guavacart_scheduler/tests/membership/simulation.rs
+++ b/crates/guavacart_scheduler/tests/membership/simulation.rs
@@ -61,6 +61,8 @@
     now: u64,
     seed: u64,
     drawn: u64,
+    /// Rates of the clocks in thousandths of true time; drawn where none is given.
+    rates: Vec<u64>,
     queue: BTreeMap<(u64, u64), Happening>,
     queued: u64,
     processes: Vec<Option<Process>>,
@@ -89,7 +91,17 @@
 impl Simulation {
     /// `instances` processes, started at once.
     pub(crate) fn start(instances: usize, seed: u64) -> Self {
+        Self::start_with(instances, Vec::new(), seed)
+    }
+
+    /// A process for each of `rates`, the rates of their clocks in thousandths.
+    pub(crate) fn start_with_rates(rates: &[u64], seed: u64) -> Self {
+        Self::start_with(rates.len(), rates.to_vec(), seed)
+    }
+
+    fn start_with(instances: usize, rates: Vec<u64>, seed: u64) -> Self {
         let mut sim = Self {
+            rates,
             now: 100_000,
             seed,
             drawn: 0,
@@ -262,7 +274,8 @@
 
     fn spawn(&mut self, index: usize) {
         self.starts += 1;
-        let rate = 1_000 - DRIFT + self.draw(2 * DRIFT + 1);
+        let drawn = 1_000 - DRIFT + DRIFT * self.draw(3);
+        let rate = self.rates.get(index).copied().unwrap_or(drawn);
         let offset = self.draw(1_000_000);
         let start = Start {
             member: Member {
