--- a/crates/guavacart_entry/src/batch.rs
+++ b/crates/guavacart_entry/src/batch.rs
@@ -97,11 +97,11 @@
             } => {
                 let through = snapshot.through;
                 let check = || in_time(valid_until);
-                let revision = cell_store::write_snapshot(store, &cell, *snapshot, expect, check);
+                let result = cell_store::write_snapshot(store, &cell, *snapshot, expect, check);
                 BatchEvent::SnapshotWritten {
                     cell,
                     through,
-                    revision,
+                    result,
                 }
             }
             BatchEffect::DeleteRecords {
--- a/crates/guavacart_entry/src/batch/cell_store.rs
+++ b/crates/guavacart_entry/src/batch/cell_store.rs
@@ -4,7 +4,8 @@
 use guavacart_scheduler::batch::{
     ReadError, RecordRead,
     journal::{
-        Appended, JournalError, Record, Snapshot, Stored, record_key, record_prefix, snapshot_key,
+        Appended, JournalError, Record, Snapshot, SnapshotWritten, Stored, record_key,
+        record_prefix, snapshot_key,
     },
 };
 use guavacart_types::{CellId, Revision};
@@ -138,27 +139,48 @@
     }
 }
 
-/// Writes a snapshot, its parts first; the new revision of its key if it stands.
+/// Writes a snapshot, its parts first.
 pub(super) fn write_snapshot<S: Store>(
     store: &S,
     cell: &CellId,
     snapshot: Snapshot,
     expect: Revision,
     in_time: impl Fn() -> bool,
-) -> Option<Revision> {
-    let key = snapshot_key(cell);
-    let written = encode_snapshot(snapshot.clone())
+) -> SnapshotWritten {
+    let through = snapshot.through;
+    let written = encode_snapshot(snapshot)
         .map_err(|err| format_smolstr!("{err}"))
-        .and_then(|value| put_snapshot(store, cell, snapshot.through, value, expect, in_time));
+        .and_then(|value| put_snapshot(store, cell, through, value, expect, in_time));
     match written {
-        Ok(revision) => revision,
+        Ok(Some(revision)) => SnapshotWritten::Written(revision),
+        Ok(None) => standing_snapshot(store, cell),
         Err(cause) => {
+            let key = snapshot_key(cell);
             warn!(event = "snapshot_unwritten", %key, %cause, "a snapshot was not written");
-            None
+            SnapshotWritten::Failed
+        }
+    }
+}
+
+/// What stands at the snapshot's key after a write that another one was before, or a lost answer.
+fn standing_snapshot<S: Store>(store: &S, cell: &CellId) -> SnapshotWritten {
+    let key = snapshot_key(cell);
+    let Ok(Some(found)) = store.get(&key) else {
+        return SnapshotWritten::Failed;
+    };
+    match decode_manifest(&key, &found.value) {
+        Ok(manifest) => SnapshotWritten::Standing {
+            through: manifest.through,
+            revision: found.revision,
+        },
+        Err(err) => {
+            warn!(event = "snapshot_damaged", %key, error = %err, "a snapshot cannot be used");
+            SnapshotWritten::Failed
         }
     }
 }
 
+/// Writes the parts and the manifest; none if it is not known to stand.
 fn put_snapshot<S: Store>(
     store: &S,
     cell: &CellId,
@@ -179,11 +201,11 @@
     }
     let value = encode_manifest(&manifest).map_err(|err| format_smolstr!("{err}"))?;
     if !in_time() {
-        return Ok(None);
+        return Err("the right to act ended before the call".into());
     }
     match store.put(&snapshot_key(cell), &value, expect) {
         Ok(Swapped::Written(revision)) => Ok(Some(revision)),
-        Ok(Swapped::Conflict(_)) => Ok(None),
+        Ok(Swapped::Conflict(_)) | Err(StoreError::Unknown { .. }) => Ok(None),
         Err(err) => Err(format_smolstr!("{err}")),
     }
 }
--- a/crates/guavacart_scheduler/src/batch.rs
+++ b/crates/guavacart_scheduler/src/batch.rs
@@ -26,7 +26,7 @@
     calls::Calls,
     cell::{Cell, Io},
     job::JobSpec,
-    journal::{Appended, Record, Snapshot, Stored},
+    journal::{Appended, Record, Snapshot, SnapshotWritten, Stored},
     worker::{WorkerReport, WorkerSync},
 };
 pub use self::{
@@ -110,8 +110,8 @@
         cell: CellId,
         /// The last record that it includes.
         through: u64,
-        /// The new revision of its key; none if it was not written.
-        revision: Option<Revision>,
+        /// What came of it.
+        result: SnapshotWritten,
     },
     /// A call to a worker ended.
     WorkerAnswered {
@@ -347,12 +347,14 @@
                 }
             }
             BatchEvent::SnapshotWritten {
-                cell,
+                cell: id,
                 through,
-                revision,
+                result,
             } => {
-                if let Some(cell) = cells.get_mut(&cell) {
-                    cell.snapshot_written(cx, &mut io, through, revision);
+                let cell = cells.get_mut(&id);
+                let keeps = cell.is_none_or(|c| c.snapshot_written(cx, &mut io, through, result));
+                if !keeps && let Some(cell) = cells.remove(&id) {
+                    give_up(&mut io, cell);
                 }
             }
             BatchEvent::WorkerAnswered { cell, report } => {
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -15,7 +15,10 @@
     BatchEffect,
     call::{Asker, JobReply},
     decision::Decision,
-    journal::{Appended, Change, Journal, JournalError, Record, Snapshot, Stored, record_key},
+    journal::{
+        Appended, Change, Journal, JournalError, Record, Snapshot, SnapshotWritten, Stored,
+        record_key,
+    },
     ledger::Ledger,
     link::Link,
 };
@@ -252,6 +255,7 @@
         let through = stored.snapshot.through;
         let mut ledger = Ledger::restore(stored.snapshot);
         let mut committed = through;
+        let mut bytes = 0;
         for (number, record) in stored.records {
             if number <= through {
                 continue;
@@ -267,9 +271,10 @@
                 })?;
             }
             committed = number;
+            bytes += record.bytes();
         }
         self.revision = stored.revision;
-        self.journal = Journal::new(committed, through);
+        self.journal = Journal::new(committed, through, bytes);
         self.ledger = ledger;
         self.stopped = None;
         self.adopt_places(cx.now);
@@ -317,7 +322,7 @@
                 return;
             }
             in_flight.retry_at = None;
-        } else if self.journal.cut(io.me, io.sequence).is_none() {
+        } else if self.journal.cut(cx.now, io.me, io.sequence).is_none() {
             return;
         } else {
             self.prepare_snapshot();
@@ -336,7 +341,8 @@
     /// Keeps the state that the record just cut leads to, if a snapshot is due.
     fn prepare_snapshot(&mut self) {
         let exact = self.journal.has_no_pending();
-        if self.snapshot.is_none() && exact && self.journal.wants_snapshot() {
+        let idle = self.snapshot.is_none() && !self.writing_snapshot;
+        if idle && exact && self.journal.wants_snapshot(self.ledger.snapshot_bytes()) {
             let through = self.journal.committed + 1;
             self.snapshot = Some(self.ledger.snapshot(through));
         }
@@ -442,31 +448,40 @@
         }
     }
 
-    /// Notes a snapshot that was written, and lets the records that it includes go.
+    /// Notes what came of a snapshot; false if a later owner has written one.
     pub(super) fn snapshot_written(
         &mut self,
         cx: &Cx<'_>,
         io: &mut Io<'_>,
         through: u64,
-        revision: Option<Revision>,
-    ) {
+        result: SnapshotWritten,
+    ) -> bool {
         if !std::mem::take(&mut self.writing_snapshot) {
-            return;
+            return true;
+        }
+        match result {
+            SnapshotWritten::Written(revision) => self.revision = revision,
+            SnapshotWritten::Standing {
+                through: standing,
+                revision,
+            } => {
+                self.revision = revision;
+                if standing != through {
+                    return standing < through;
+                }
+            }
+            SnapshotWritten::Failed => return true,
         }
-        let Some(revision) = revision else {
-            return;
-        };
-        self.revision = revision;
         let previous = self.journal.snapshot_written(through);
-        let Some(valid_until) = cx.membership.right_until(cx.now) else {
-            return;
-        };
-        io.emit(BatchEffect::DeleteRecords {
-            cell: self.id.clone(),
-            after: previous,
-            through,
-            valid_until,
-        });
+        if let Some(valid_until) = cx.membership.right_until(cx.now) {
+            io.emit(BatchEffect::DeleteRecords {
+                cell: self.id.clone(),
+                after: previous,
+                through,
+                valid_until,
+            });
+        }
+        true
     }
 
     /// True if the store is known not to take writes now.
--- a/crates/guavacart_scheduler/src/batch/journal.rs
+++ b/crates/guavacart_scheduler/src/batch/journal.rs
@@ -1,6 +1,6 @@
 //! Records of a cell's journal, and the one append that may be in flight.
 
-use guavacart_types::{Attempt, CellId, Epoch, JobId, Revision, TaskId, Timestamp, WorkerId};
+use guavacart_types::{Attempt, CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, WorkerId};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
@@ -12,10 +12,12 @@
 pub const MAX_CHANGES: usize = 1_000;
 /// Most estimated bytes of one record; well under the store's limit for a value.
 pub const MAX_RECORD_BYTES: usize = 256 << 10;
-/// Estimated bytes of records after which a snapshot is written.
-pub const SNAPSHOT_BYTES: usize = 1 << 20;
-/// Records after which a snapshot is written.
-pub const SNAPSHOT_RECORDS: u64 = 1_000;
+/// Fewest estimated bytes of records between two snapshots.
+const SNAPSHOT_BYTES: usize = 64 << 10;
+/// Records after which a snapshot is written whatever their size.
+const SNAPSHOT_RECORDS: u64 = 2_000;
+/// Shortest time between the first tries of two records, so that changes gather.
+const COMMIT_INTERVAL: Span = Span::millis(40);
 /// Estimated bytes of a change without text of its own.
 const CHANGE_BYTES: usize = 64;
 
@@ -85,6 +87,13 @@
     pub changes: Vec<Change>,
 }
 
+impl Record {
+    /// Estimated bytes of the record.
+    pub(super) fn bytes(&self) -> usize {
+        self.changes.iter().map(Change::bytes).sum()
+    }
+}
+
 /// A cell's whole state after one of its records.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Snapshot {
@@ -170,6 +179,22 @@
     format_smolstr!("cell/{cell}/")
 }
 
+/// What came of writing a snapshot.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SnapshotWritten {
+    /// It stands at this revision of its key.
+    Written(Revision),
+    /// Another one stands there, or this one from a try whose answer was lost.
+    Standing {
+        /// The last record that it includes.
+        through: u64,
+        /// The revision of its key.
+        revision: Revision,
+    },
+    /// Nothing is known to have been written.
+    Failed,
+}
+
 /// The key of record `number`.
 pub fn record_key(cell: &CellId, number: u64) -> SmolStr {
     format_smolstr!("cell/{cell}/{number:012}")
@@ -200,16 +225,18 @@
     /// Changes, of those taken in, that are in the store.
     pub(super) durable: u64,
     pending: Vec<Change>,
-    pending_bytes: usize,
     bytes: usize,
     snapshot_through: u64,
+    next_cut: Timestamp,
 }
 
 impl Journal {
-    pub(super) fn new(committed: u64, snapshot_through: u64) -> Self {
+    /// A journal read back, with the estimated bytes of the records after its snapshot.
+    pub(super) fn new(committed: u64, snapshot_through: u64, bytes: usize) -> Self {
         Self {
             committed,
             snapshot_through,
+            bytes,
             ..Self::default()
         }
     }
@@ -217,7 +244,6 @@
     /// Takes a change in; it is durable once [`Journal::durable`] reaches [`Journal::decided`].
     pub(super) fn push(&mut self, change: Change) {
         self.decided += 1;
-        self.pending_bytes += change.bytes();
         self.pending.push(change);
     }
 
@@ -232,10 +258,16 @@
     }
 
     /// Cuts the next record if none is in flight.
-    pub(super) fn cut(&mut self, writer: &Member, sequence: &mut u64) -> Option<&InFlight> {
-        if self.in_flight.is_some() || self.pending.is_empty() {
+    pub(super) fn cut(
+        &mut self,
+        now: Timestamp,
+        writer: &Member,
+        sequence: &mut u64,
+    ) -> Option<&InFlight> {
+        if self.in_flight.is_some() || self.pending.is_empty() || now < self.next_cut {
             return None;
         }
+        self.next_cut = now + COMMIT_INTERVAL;
         let mut bytes = 0;
         let fits = |change: &&Change| {
             bytes += change.bytes();
@@ -244,14 +276,13 @@
         let count = self.pending.iter().take(MAX_CHANGES).take_while(fits);
         let count = count.count().max(1);
         let changes: Vec<Change> = self.pending.drain(..count).collect();
-        let bytes = changes.iter().map(Change::bytes).sum();
-        self.pending_bytes -= bytes;
         *sequence += 1;
         let record = Record {
             writer: writer.clone(),
             sequence: *sequence,
             changes,
         };
+        let bytes = record.bytes();
         let number = self.committed + 1;
         self.in_flight = Some(InFlight {
             number,
@@ -271,10 +302,10 @@
         }
     }
 
-    /// True if enough was written since the last snapshot.
-    pub(super) fn wants_snapshot(&self) -> bool {
+    /// True if enough was written since the last snapshot to write one of `bytes`.
+    pub(super) fn wants_snapshot(&self, bytes: usize) -> bool {
         let records = self.committed - self.snapshot_through;
-        self.bytes >= SNAPSHOT_BYTES || records >= SNAPSHOT_RECORDS
+        self.bytes >= SNAPSHOT_BYTES.max(bytes) || records >= SNAPSHOT_RECORDS
     }
 
     /// Notes a snapshot that includes everything through `through`.
--- a/crates/guavacart_scheduler/src/batch/ledger.rs
+++ b/crates/guavacart_scheduler/src/batch/ledger.rs
@@ -14,6 +14,11 @@
     journal::{Change, Snapshot},
 };
 
+/// Estimated bytes of a job in a snapshot, with the tasks that have ended.
+const JOB_BYTES: usize = 200;
+/// Estimated bytes of a task in a snapshot.
+const TASK_BYTES: usize = 24;
+
 /// Place of a job in the queue: urgent jobs first, then in order of admission.
 pub(super) type QueueKey = (Priority, u64);
 
@@ -113,6 +118,11 @@
         }
     }
 
+    /// Estimated bytes of a snapshot.
+    pub(super) fn snapshot_bytes(&self) -> usize {
+        self.jobs.len() * JOB_BYTES + self.live_tasks * TASK_BYTES
+    }
+
     /// Applies one change.
     ///
     /// # Errors
--- a/crates/guavacart_scheduler/tests/batch/cases.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -230,3 +230,22 @@
     let starts: u64 = world.starts.iter().sum();
     assert!(world.store_writes < starts, "{} writes", world.store_writes);
 }
+
+#[test]
+fn a_cell_is_taken_over_from_snapshots_under_lost_answers() {
+    let setup = Setup {
+        nodes: 3,
+        workers: 16,
+        lost_percent: 5,
+        faults: (0..9)
+            .map(|n| Fault::Kill {
+                at: 12_000 + 8_000 * n,
+                node: n as usize,
+                ms: 5_000,
+            })
+            .collect(),
+        ..Setup::default()
+    };
+    let world = run_to_the_end(setup, &jobs(40, 50, 1, 3_000), 600_000);
+    assert!(world.snapshots >= 2, "{} snapshots", world.snapshots);
+}
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -9,7 +9,7 @@
         BatchEffect, BatchEvent, RecordRead,
         call::JobReply,
         job::{JobSpec, Priority},
-        journal::{Appended, Record, Snapshot, Stored},
+        journal::{Appended, Record, Snapshot, SnapshotWritten, Stored},
         worker::{AttemptId, AttemptState, WorkerAnswer, WorkerCommand, WorkerReport, WorkerSync},
     },
     config::{ConfigEffect, ConfigEvent},
@@ -162,6 +162,7 @@
     pub(crate) replies: BTreeMap<CallId, JobReply>,
     pub(crate) starts: Vec<u64>,
     pub(crate) store_writes: u64,
+    pub(crate) snapshots: u64,
 }
 
 const WORKER_CORES: u64 = 8;
@@ -183,6 +184,7 @@
             replies: BTreeMap::new(),
             starts: vec![0; setup.workers],
             store_writes: 0,
+            snapshots: 0,
             setup,
         };
         for index in 0..world.setup.nodes {
@@ -562,11 +564,19 @@
                     stored.revision += 1;
                 }
                 let revision = Revision(stored.revision);
-                let revision = (written && !lost).then_some(revision);
+                let result = match (out, written && !lost) {
+                    (true, _) => SnapshotWritten::Failed,
+                    (false, true) => SnapshotWritten::Written(revision),
+                    (false, false) => SnapshotWritten::Standing {
+                        through: stored.snapshot.through,
+                        revision,
+                    },
+                };
+                self.snapshots += u64::from(written);
                 BatchEvent::SnapshotWritten {
                     cell,
                     through,
-                    revision,
+                    result,
                 }
             }
             BatchEffect::DeleteRecords { cell, through, .. } => {
