Renew leases of cells that nobody can work on

Cause: while the store is out a dead owner's cell has no new owner, so its workers' leases lapsed and a long outage stopped running tasks. Change: the first live member after a silent owner, and an owner that cannot read its cell yet, renew by cell and epoch and do nothing else. An owner ends silent leases only after every other member has heard it without a gap. An epoch that a worker reports raises the next claim.

--- a/crates/guavacart_scheduler/src/batch.rs
+++ b/crates/guavacart_scheduler/src/batch.rs
@@ -2,7 +2,9 @@
 
 pub mod call;
 mod calls;
+mod caretaker;
 mod cell;
+mod contact;
 pub mod decision;
 mod estimate;
 pub mod job;
@@ -17,14 +19,16 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use guavacart_types::{
-    CallId, CellId, InstanceId, JobId, Revision, TeamName, Timestamp, WorkerId, weight,
+    CallId, CellId, Epoch, InstanceId, JobId, Revision, TeamName, Timestamp, WorkerId, weight,
 };
 use serde::{Deserialize, Serialize};
 
 use self::{
     call::{Asker, JobCall, JobReply, NotAccepted},
     calls::Calls,
+    caretaker::Caretaker,
     cell::{Cell, Io},
+    contact::Contact,
     job::JobSpec,
     journal::{Appended, Record, Snapshot, SnapshotWritten, Stored},
     worker::{WorkerReport, WorkerSync},
@@ -218,7 +222,11 @@
     me: Member,
     sequence: u64,
     cells: BTreeMap<CellId, Cell>,
+    /// The greatest epoch that a worker of each cell is known to have seen.
+    epoch_floors: BTreeMap<CellId, Epoch>,
     calls: Calls,
+    caretaker: Caretaker,
+    contact: Contact,
 }
 
 impl Batch {
@@ -227,7 +235,10 @@
             me,
             sequence: 0,
             cells: BTreeMap::new(),
+            epoch_floors: BTreeMap::new(),
             calls: Calls::default(),
+            caretaker: Caretaker::default(),
+            contact: Contact::new(),
         }
     }
 
@@ -244,10 +255,13 @@
     pub(crate) fn tick(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
         let first = effects.len();
         self.review(cx, effects);
+        self.contact.observe(cx);
+        let contact = self.contact.since();
         let (cells, mut io) = self.split(effects);
         for cell in cells.values_mut() {
-            cell.tick(cx, &mut io);
+            cell.tick(cx, &mut io, contact);
         }
+        self.take_care(cx, effects);
         self.relay_own_replies(effects, first);
         for (call, reply) in self.calls.expired(cx.now) {
             effects.push(BatchEffect::Reply { call, reply }.into());
@@ -296,6 +310,17 @@
         (&mut self.cells, io)
     }
 
+    fn take_care(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
+        let cells = &self.cells;
+        let acts = |cell: &CellId| cells.get(cell).is_some_and(Cell::is_acting);
+        let mut io = Io {
+            me: &self.me,
+            sequence: &mut self.sequence,
+            effects,
+        };
+        self.caretaker.tick(cx, &mut io, acts);
+    }
+
     /// Takes cells up and gives them up as the view says.
     fn review(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
         let view = cx.membership.view().number;
@@ -304,21 +329,27 @@
             !continues || !is_owner(cx, id)
         });
         let lost: Vec<Cell> = lost.map(|(_, cell)| cell).collect();
-        let (cells, mut io) = self.split(effects);
+        let (_, mut io) = self.split(effects);
         for cell in lost {
             give_up(&mut io, cell);
         }
         if !cx.membership.may_act(cx.now) || cx.stopping {
             return;
         }
+        let floors = &self.epoch_floors;
+        let cells = &mut self.cells;
         for id in cx.configuration.cells.keys() {
             if !cells.contains_key(id) && is_owner(cx, id) {
-                cells.insert(id.clone(), Cell::new(cx, id.clone()));
+                let floor = floors.get(id).copied().unwrap_or_default();
+                cells.insert(id.clone(), Cell::new(cx, id.clone(), floor));
             }
         }
     }
 
     fn cell_event(&mut self, cx: &Cx<'_>, event: BatchEvent, effects: &mut Vec<Effect>) {
+        if let BatchEvent::WorkerAnswered { cell, report } = &event {
+            self.caretaker.answered(cx, cell, report);
+        }
         let (cells, mut io) = self.split(effects);
         match event {
             BatchEvent::CellRead { cell, read, result } => {
@@ -357,9 +388,14 @@
                     give_up(&mut io, cell);
                 }
             }
-            BatchEvent::WorkerAnswered { cell, report } => {
-                if let Some(cell) = cells.get_mut(&cell) {
-                    cell.worker_answered(cx, &mut io, report);
+            BatchEvent::WorkerAnswered { cell: id, report } => {
+                let cell = cells.get_mut(&id);
+                let deposed = cell.and_then(|c| c.worker_answered(cx, &mut io, report));
+                if let Some(epoch) = deposed {
+                    if let Some(cell) = cells.remove(&id) {
+                        give_up(&mut io, cell);
+                    }
+                    self.epoch_floors.insert(id, epoch);
                 }
             }
             _ => {}
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -114,6 +114,8 @@
     view: ViewNumber,
     owned_since: Timestamp,
     epoch: Epoch,
+    /// The greatest epoch that a worker is known to have seen.
+    epoch_floor: Epoch,
     ledger: Ledger,
     journal: Journal,
     links: BTreeMap<WorkerId, Link>,
@@ -129,12 +131,14 @@
     writing_snapshot: bool,
     revision: Revision,
     failing_since: Option<Timestamp>,
+    /// The latest time at which another member may have renewed leases.
+    contact: Timestamp,
     dirty: bool,
     next_pass: Timestamp,
 }
 
 impl Cell {
-    pub(super) fn new(cx: &Cx<'_>, id: CellId) -> Self {
+    pub(super) fn new(cx: &Cx<'_>, id: CellId, epoch_floor: Epoch) -> Self {
         Self {
             id,
             phase: Phase::Reading {
@@ -145,6 +149,7 @@
             view: cx.membership.view().number,
             owned_since: cx.now,
             epoch: Epoch::default(),
+            epoch_floor,
             ledger: Ledger::default(),
             journal: Journal::default(),
             links: BTreeMap::new(),
@@ -157,6 +162,7 @@
             writing_snapshot: false,
             revision: Revision::default(),
             failing_since: None,
+            contact: cx.now,
             dirty: true,
             next_pass: cx.now,
         }
@@ -169,6 +175,11 @@
         continues
     }
 
+    /// True if the cell is being worked on.
+    pub(super) fn is_acting(&self) -> bool {
+        self.phase == Phase::Acting
+    }
+
     /// True if nothing is on its way into the store.
     pub(super) fn is_settled(&self) -> bool {
         self.journal.is_settled() && !self.writing_snapshot
@@ -182,7 +193,8 @@
     }
 
     /// Does what time has made due.
-    pub(super) fn tick(&mut self, cx: &Cx<'_>, io: &mut Io<'_>) {
+    pub(super) fn tick(&mut self, cx: &Cx<'_>, io: &mut Io<'_>, contact: Timestamp) {
+        self.contact = contact;
         match self.phase {
             Phase::Reading { read, retry_at } => {
                 if read.is_none() && cx.now >= retry_at {
@@ -252,6 +264,7 @@
     }
 
     fn replay(&mut self, cx: &Cx<'_>, stored: Stored) -> Result<(), JournalError> {
+        self.owned_since = cx.now;
         let through = stored.snapshot.through;
         let mut ledger = Ledger::restore(stored.snapshot);
         let mut committed = through;
@@ -297,7 +310,7 @@
 
     /// Raises the epoch; nothing else happens until that record stands.
     fn claim(&mut self, cx: &Cx<'_>, io: &mut Io<'_>) {
-        self.epoch = self.ledger.epoch.next();
+        self.epoch = self.ledger.epoch.max(self.epoch_floor).next();
         self.phase = Phase::TakingOver;
         self.decide(Change::TakenOver(self.epoch));
         self.append(cx, io);
@@ -525,15 +538,23 @@
 
     /// The workers of the cell that the platform lists.
     fn listed<'a>(&self, cx: &Cx<'a>) -> Vec<(&'a WorkerId, &'a ListedWorker)> {
-        let Some(cell) = cx.configuration.cells.get(&self.id) else {
-            return Vec::new();
-        };
-        let racks: BTreeSet<_> = cell.racks.iter().collect();
-        let workers = cx.directory.workers.iter();
-        workers.filter(|(_, w)| racks.contains(&w.rack)).collect()
+        listed_workers(cx, &self.id)
     }
 }
 
+/// The workers of a cell that the platform lists.
+pub(super) fn listed_workers<'a>(
+    cx: &Cx<'a>,
+    cell: &CellId,
+) -> Vec<(&'a WorkerId, &'a ListedWorker)> {
+    let Some(cell) = cx.configuration.cells.get(cell) else {
+        return Vec::new();
+    };
+    let racks: BTreeSet<_> = cell.racks.iter().collect();
+    let workers = cx.directory.workers.iter();
+    workers.filter(|(_, w)| racks.contains(&w.rack)).collect()
+}
+
 /// Something about a cell that operators should know.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum CellNote {
--- a/crates/guavacart_scheduler/src/batch/cell/sync.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/sync.rs
@@ -1,6 +1,8 @@
 //! Calls to workers, their reports and leases that lapsed.
 
-use guavacart_types::{Timestamp, WorkerId};
+use std::collections::BTreeSet;
+
+use guavacart_types::{Epoch, Timestamp, WorkerId};
 
 use super::{Cell, Io};
 use crate::{
@@ -142,24 +144,20 @@
         }
     }
 
-    /// Takes in a worker's answer.
+    /// Takes in a worker's answer; the later epoch that the worker has seen, if there is one.
     pub(in crate::batch) fn worker_answered(
         &mut self,
         cx: &Cx<'_>,
         io: &mut Io<'_>,
         report: WorkerReport,
-    ) {
+    ) -> Option<Epoch> {
         let WorkerReport {
             worker,
             sync,
             answer,
         } = report;
-        let Some(link) = self.links.get_mut(&worker) else {
-            return;
-        };
-        let Some(call) = link.returned(sync) else {
-            return;
-        };
+        let link = self.links.get_mut(&worker)?;
+        let call = link.returned(sync)?;
         match answer {
             WorkerAnswer::Report { attempts, usage } => {
                 link.answered(cx.now);
@@ -167,9 +165,11 @@
                 self.reported(cx, &worker, attempts);
             }
             WorkerAnswer::NotSent => {}
-            WorkerAnswer::Deposed(_) | WorkerAnswer::Unknown => link.unanswered(call),
+            WorkerAnswer::Deposed(epoch) => return Some(epoch),
+            WorkerAnswer::Unknown => link.unanswered(call),
         }
         self.act(cx, io);
+        None
     }
 
     fn reported(
@@ -178,8 +178,7 @@
         worker: &WorkerId,
         attempts: Vec<(AttemptId, AttemptState)>,
     ) {
-        let listed: std::collections::BTreeSet<AttemptId> =
-            attempts.iter().map(|(id, _)| id.clone()).collect();
+        let listed: BTreeSet<AttemptId> = attempts.iter().map(|(id, _)| id.clone()).collect();
         for (id, state) in attempts {
             self.attempt_reported(cx, worker, id, state);
         }
@@ -229,12 +228,7 @@
     }
 
     /// Attempts that the worker held and no longer knows have ended without a result.
-    fn miss_unreported(
-        &mut self,
-        cx: &Cx<'_>,
-        worker: &WorkerId,
-        listed: &std::collections::BTreeSet<AttemptId>,
-    ) {
+    fn miss_unreported(&mut self, cx: &Cx<'_>, worker: &WorkerId, listed: &BTreeSet<AttemptId>) {
         let Some(link) = self.links.get(worker) else {
             return;
         };
@@ -302,7 +296,7 @@
         let current = read_at.is_some_and(|at| at > self.owned_since);
         let mut lapsed = Vec::new();
         for (worker, link) in &self.links {
-            if link.tracked.is_empty() || cx.now < link.leases_end() {
+            if link.tracked.is_empty() || cx.now < link.leases_end(self.contact) {
                 continue;
             }
             let gone = current && !cx.directory.workers.contains_key(worker);
--- a/crates/guavacart_scheduler/src/batch/link.rs
+++ b/crates/guavacart_scheduler/src/batch/link.rs
@@ -147,10 +147,12 @@
     }
 
     /// The time by which every lease on the worker has lapsed, whatever calls are still under way.
-    pub(super) fn leases_end(&self) -> Timestamp {
+    ///
+    /// `contact` is the latest time at which another member may have renewed leases.
+    pub(super) fn leases_end(&self, contact: Timestamp) -> Timestamp {
         let under_way = self.call.is_some_and(|call| call.grants);
         let renewals = 1 + self.lost.len() as u64 + u64::from(under_way);
-        self.answered_at + LEASE * renewals + DRIFT_MARGIN
+        self.answered_at.max(contact) + LEASE * renewals + DRIFT_MARGIN
     }
 
     /// True if some attempt may still be started by a call that got no answer.
--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -232,6 +232,12 @@
         self.peers.is_heard(peer, now)
     }
 
+    /// True if every other member of the view has had a heartbeat that was sent at `since` or later.
+    pub fn is_heard_by_all(&self, since: Timestamp) -> bool {
+        self.right
+            .is_attested_by_all(since, &self.me.member, &self.view)
+    }
+
     /// Peers heard within [`SILENCE_LIMIT`] that are members of the view, in order of id.
     pub fn live_members(&self, now: Timestamp) -> Vec<&InstanceId> {
         let heard =
--- a/crates/guavacart_scheduler/src/membership/right.rs
+++ b/crates/guavacart_scheduler/src/membership/right.rs
@@ -93,6 +93,13 @@
         self.attestations.retain(|member, _| view.contains(member));
     }
 
+    /// True if each other member attested the view when asked at `since` or later.
+    pub(super) fn is_attested_by_all(&self, since: Timestamp, me: &Member, view: &View) -> bool {
+        let others = view.members.iter().filter(|m| m.member != *me);
+        let mut seen = others.map(|m| self.attestations.get(&m.member));
+        seen.all(|seen| seen.is_some_and(|s| s.view == view.number && s.asked_at >= since))
+    }
+
     /// The end of the right to act in `view`, or none without evidence.
     pub(super) fn until(&self, now: Timestamp, me: &Member, view: &View) -> Option<Timestamp> {
         let by_store = self
--- a/crates/guavacart_scheduler/tests/batch/cases.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -249,3 +249,27 @@
     let world = run_to_the_end(setup, &jobs(40, 50, 1, 3_000), 600_000);
     assert!(world.snapshots >= 2, "{} snapshots", world.snapshots);
 }
+
+#[test]
+fn running_tasks_outlast_an_outage_in_which_their_owner_dies() {
+    for node in 0..3 {
+        let setup = Setup {
+            nodes: 3,
+            faults: vec![
+                Fault::Outage {
+                    at: 12_000,
+                    ms: 90_000,
+                },
+                Fault::Kill {
+                    at: 14_000,
+                    node,
+                    ms: 60_000,
+                },
+            ],
+            ..Setup::default()
+        };
+        let long = [job("long", 8, 4, 80_000)];
+        let world = run_to_the_end(setup, &long, 300_000);
+        assert_eq!(world.starts.iter().sum::<u64>(), 8);
+    }
+}
