--- a/crates/guavacart_config/src/patch.rs
+++ b/crates/guavacart_config/src/patch.rs
@@ -12,6 +12,9 @@
     validate::{Fault, Problem, validate},
 };
 
+/// Most faults of one patch that are told.
+const MAX_PROBLEMS: usize = 32;
+
 /// A change that an operator asks for.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -63,9 +66,9 @@
         number: ConfigNumber,
     },
     /// The change breaks rules of the configuration.
-    #[error("the patch breaks {} rules of the configuration", problems.len())]
+    #[error("the patch breaks rules of the configuration; the first {} follow", problems.len())]
     Invalid {
-        /// Each key with its fault.
+        /// The first keys, each with its fault.
         problems: Vec<Problem>,
     },
 }
@@ -113,7 +116,8 @@
     }
 }
 
-fn invalid(problems: Vec<Problem>) -> PatchError {
+fn invalid(mut problems: Vec<Problem>) -> PatchError {
+    problems.truncate(MAX_PROBLEMS);
     PatchError::Invalid { problems }
 }
 
@@ -160,6 +164,9 @@
 
 /// Finds the deepest keys that cannot be read, by reading each alone.
 fn locate(path: &[&str], value: &Value, problems: &mut Vec<Problem>) {
+    if problems.len() >= MAX_PROBLEMS {
+        return;
+    }
     let Err(err) = from_contents(nest(path, value.clone())) else {
         return;
     };
--- a/crates/guavacart_config/tests/patches.rs
+++ b/crates/guavacart_config/tests/patches.rs
@@ -94,3 +94,13 @@
     let change = json!({"cells": {"c1": {"racks": racks}}});
     assert!(told(change).contains("remove services, teams, classes or cells"));
 }
+
+#[test]
+fn as_many_faults_are_told_as_fit_an_answer() {
+    let unknown: serde_json::Map<_, _> = (0..5_000).map(|n| (format!("k{n}"), json!(1))).collect();
+    assert_eq!(told(Value::Object(unknown)).lines().count(), 32);
+    let teams: serde_json::Map<_, _> = (0..5_000)
+        .map(|n| (format!("t{n}"), json!({"weight": 0})))
+        .collect();
+    assert_eq!(told(json!({"teams": teams})).lines().count(), 32);
+}
--- a/crates/guavacart_report/src/report.rs
+++ b/crates/guavacart_report/src/report.rs
@@ -112,11 +112,13 @@
         snapshots: &[(InstanceId, Snapshot)],
         missing: Vec<InstanceId>,
     ) -> Self {
-        let mut unattributed = 0;
+        let mut unattributed: u64 = 0;
         let mut series = BTreeMap::new();
         for (_, snapshot) in snapshots {
-            unattributed += snapshot.unattributed;
-            unattributed += collect(&mut series, configuration, snapshot);
+            let unknown = collect(&mut series, configuration, snapshot);
+            unattributed = unattributed
+                .saturating_add(snapshot.unattributed)
+                .saturating_add(unknown);
         }
         let instances = snapshots.iter().map(|(id, snapshot)| ReportedInstance {
             id: id.clone(),
@@ -144,11 +146,12 @@
     configuration: &Configuration,
     snapshot: &'a Snapshot,
 ) -> u64 {
-    let mut unknown = 0;
+    let mut unknown: u64 = 0;
     for one in &snapshot.series {
         if !configuration.services.contains_key(&one.service) {
             let longest = one.windows.get(&Window::SixHours);
-            unknown += longest.map_or(0, |window| window.counts.total());
+            let total = longest.map_or(0, |window| window.counts.total());
+            unknown = unknown.saturating_add(total);
             continue;
         }
         for team in [None, Some(&one.team)] {
