--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -15,7 +15,10 @@
     BatchEffect,
     call::{Asker, JobReply},
     decision::Decision,
-    journal::{Appended, Change, Journal, JournalError, Record, Snapshot, Stored, record_key},
+    journal::{
+        Appended, Change, Journal, JournalError, Record, Snapshot, SnapshotWritten, Stored,
+        record_key,
+    },
     ledger::Ledger,
     link::Link,
 };
@@ -111,6 +114,8 @@
     view: ViewNumber,
     owned_since: Timestamp,
     epoch: Epoch,
+    /// The greatest epoch that a worker is known to have seen.
+    epoch_floor: Epoch,
     ledger: Ledger,
     journal: Journal,
     links: BTreeMap<WorkerId, Link>,
@@ -126,12 +131,14 @@
     writing_snapshot: bool,
     revision: Revision,
     failing_since: Option<Timestamp>,
+    /// The latest time at which another member may have renewed leases.
+    contact: Timestamp,
     dirty: bool,
     next_pass: Timestamp,
 }
 
 impl Cell {
-    pub(super) fn new(cx: &Cx<'_>, id: CellId) -> Self {
+    pub(super) fn new(cx: &Cx<'_>, id: CellId, epoch_floor: Epoch) -> Self {
         Self {
             id,
             phase: Phase::Reading {
@@ -142,6 +149,7 @@
             view: cx.membership.view().number,
             owned_since: cx.now,
             epoch: Epoch::default(),
+            epoch_floor,
             ledger: Ledger::default(),
             journal: Journal::default(),
             links: BTreeMap::new(),
@@ -154,6 +162,7 @@
             writing_snapshot: false,
             revision: Revision::default(),
             failing_since: None,
+            contact: cx.now,
             dirty: true,
             next_pass: cx.now,
         }
@@ -166,6 +175,11 @@
         continues
     }
 
+    /// True if the cell is being worked on.
+    pub(super) fn is_acting(&self) -> bool {
+        self.phase == Phase::Acting
+    }
+
     /// True if nothing is on its way into the store.
     pub(super) fn is_settled(&self) -> bool {
         self.journal.is_settled() && !self.writing_snapshot
@@ -179,7 +193,8 @@
     }
 
     /// Does what time has made due.
-    pub(super) fn tick(&mut self, cx: &Cx<'_>, io: &mut Io<'_>) {
+    pub(super) fn tick(&mut self, cx: &Cx<'_>, io: &mut Io<'_>, contact: Timestamp) {
+        self.contact = contact;
         match self.phase {
             Phase::Reading { read, retry_at } => {
                 if read.is_none() && cx.now >= retry_at {
@@ -249,9 +264,11 @@
     }
 
     fn replay(&mut self, cx: &Cx<'_>, stored: Stored) -> Result<(), JournalError> {
+        self.owned_since = cx.now;
         let through = stored.snapshot.through;
         let mut ledger = Ledger::restore(stored.snapshot);
         let mut committed = through;
+        let mut bytes = 0;
         for (number, record) in stored.records {
             if number <= through {
                 continue;
@@ -267,9 +284,10 @@
                 })?;
             }
             committed = number;
+            bytes += record.bytes();
         }
         self.revision = stored.revision;
-        self.journal = Journal::new(committed, through);
+        self.journal = Journal::new(committed, through, bytes);
         self.ledger = ledger;
         self.stopped = None;
         self.adopt_places(cx.now);
@@ -292,7 +310,7 @@
 
     /// Raises the epoch; nothing else happens until that record stands.
     fn claim(&mut self, cx: &Cx<'_>, io: &mut Io<'_>) {
-        self.epoch = self.ledger.epoch.next();
+        self.epoch = self.ledger.epoch.max(self.epoch_floor).next();
         self.phase = Phase::TakingOver;
         self.decide(Change::TakenOver(self.epoch));
         self.append(cx, io);
@@ -317,7 +335,7 @@
                 return;
             }
             in_flight.retry_at = None;
-        } else if self.journal.cut(io.me, io.sequence).is_none() {
+        } else if self.journal.cut(cx.now, io.me, io.sequence).is_none() {
             return;
         } else {
             self.prepare_snapshot();
@@ -336,7 +354,8 @@
     /// Keeps the state that the record just cut leads to, if a snapshot is due.
     fn prepare_snapshot(&mut self) {
         let exact = self.journal.has_no_pending();
-        if self.snapshot.is_none() && exact && self.journal.wants_snapshot() {
+        let idle = self.snapshot.is_none() && !self.writing_snapshot;
+        if idle && exact && self.journal.wants_snapshot(self.ledger.snapshot_bytes()) {
             let through = self.journal.committed + 1;
             self.snapshot = Some(self.ledger.snapshot(through));
         }
@@ -442,31 +461,40 @@
         }
     }
 
-    /// Notes a snapshot that was written, and lets the records that it includes go.
+    /// Notes what came of a snapshot; false if a later owner has written one.
     pub(super) fn snapshot_written(
         &mut self,
         cx: &Cx<'_>,
         io: &mut Io<'_>,
         through: u64,
-        revision: Option<Revision>,
-    ) {
+        result: SnapshotWritten,
+    ) -> bool {
         if !std::mem::take(&mut self.writing_snapshot) {
-            return;
+            return true;
+        }
+        match result {
+            SnapshotWritten::Written(revision) => self.revision = revision,
+            SnapshotWritten::Standing {
+                through: standing,
+                revision,
+            } => {
+                self.revision = revision;
+                if standing != through {
+                    return standing < through;
+                }
+            }
+            SnapshotWritten::Failed => return true,
         }
-        let Some(revision) = revision else {
-            return;
-        };
-        self.revision = revision;
         let previous = self.journal.snapshot_written(through);
-        let Some(valid_until) = cx.membership.right_until(cx.now) else {
-            return;
-        };
-        io.emit(BatchEffect::DeleteRecords {
-            cell: self.id.clone(),
-            after: previous,
-            through,
-            valid_until,
-        });
+        if let Some(valid_until) = cx.membership.right_until(cx.now) {
+            io.emit(BatchEffect::DeleteRecords {
+                cell: self.id.clone(),
+                after: previous,
+                through,
+                valid_until,
+            });
+        }
+        true
     }
 
     /// True if the store is known not to take writes now.
@@ -510,15 +538,23 @@
 
     /// The workers of the cell that the platform lists.
     fn listed<'a>(&self, cx: &Cx<'a>) -> Vec<(&'a WorkerId, &'a ListedWorker)> {
-        let Some(cell) = cx.configuration.cells.get(&self.id) else {
-            return Vec::new();
-        };
-        let racks: BTreeSet<_> = cell.racks.iter().collect();
-        let workers = cx.directory.workers.iter();
-        workers.filter(|(_, w)| racks.contains(&w.rack)).collect()
+        listed_workers(cx, &self.id)
     }
 }
 
+/// The workers of a cell that the platform lists.
+pub(super) fn listed_workers<'a>(
+    cx: &Cx<'a>,
+    cell: &CellId,
+) -> Vec<(&'a WorkerId, &'a ListedWorker)> {
+    let Some(cell) = cx.configuration.cells.get(cell) else {
+        return Vec::new();
+    };
+    let racks: BTreeSet<_> = cell.racks.iter().collect();
+    let workers = cx.directory.workers.iter();
+    workers.filter(|(_, w)| racks.contains(&w.rack)).collect()
+}
+
 /// Something about a cell that operators should know.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum CellNote {
