--- a/crates/guavacart_scheduler/src/request/claiming.rs
+++ b/crates/guavacart_scheduler/src/request/claiming.rs
@@ -151,7 +151,7 @@
     pub(super) fn follow_view(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
         let view = cx.membership.view();
         if view.number != self.ledger.view() {
-            self.ledger.adopt(cx.now, view);
+            self.ledger.adopt(cx.now, view, cx.membership.me());
             self.handovers_due = HANDOVER_REPEATS.map(|span| cx.now + span).to_vec();
             self.hand_over(cx, effects);
         }
--- a/crates/guavacart_scheduler/src/request/endpoint.rs
+++ b/crates/guavacart_scheduler/src/request/endpoint.rs
@@ -13,7 +13,7 @@
 const LONGEST_INTERVAL: Span = Span::millis(1_600);
 /// Time after which a probe without an answer is given up.
 const PROBE_LIMIT: Span = Span::secs(1);
-/// Age at which a request that was sent has surely arrived.
+/// Age at which a request that was sent has surely arrived, and its answer after it ended.
 const SETTLE_SPAN: Span = Span::millis(100);
 
 /// A dispatch under way.
@@ -160,6 +160,12 @@
         true
     }
 
+    /// The process stood still: what it sent and what it is to read may be late, so a probe that
+    /// was under way shows nothing.
+    pub(super) fn stalled(&mut self, now: Timestamp) {
+        self.probe = Probe::Rest(now + SETTLE_SPAN);
+    }
+
     /// Takes an endpoint's answer to a probe.
     pub(super) fn probed(&mut self, now: Timestamp, asked_at: Timestamp, busy: Option<u32>) {
         let Probe::Asked(at) = self.probe else {
--- a/crates/guavacart_scheduler/src/request/ledger.rs
+++ b/crates/guavacart_scheduler/src/request/ledger.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use guavacart_types::{CallId, InstanceId, RequestId, Span, Timestamp, ViewNumber, weight};
+use guavacart_types::{
+    CallId, Incarnation, InstanceId, RequestId, Span, Timestamp, ViewNumber, weight,
+};
 
 use super::{ClaimAnswer, HeldId};
 use crate::membership::{Member, View};
@@ -28,6 +30,10 @@
 struct Era {
     number: ViewNumber,
     members: Vec<InstanceId>,
+    /// The starts of the members, in the same order.
+    starts: Vec<Incarnation>,
+    /// True if this start of this instance is a member.
+    mine: bool,
     since: Timestamp,
     /// Members of the view before that handed over all that they knew.
     covered: Vec<InstanceId>,
@@ -63,11 +69,13 @@
     }
 
     /// Takes a newer view.
-    pub(super) fn adopt(&mut self, now: Timestamp, view: &View) {
-        let members: Vec<InstanceId> = view.members.iter().map(|m| m.member.id.clone()).collect();
+    pub(super) fn adopt(&mut self, now: Timestamp, view: &View, me: &Member) {
+        let members = view.members.iter().map(|m| &m.member);
         let mut era = Era {
             number: view.number,
-            members,
+            members: members.clone().map(|m| m.id.clone()).collect(),
+            starts: members.map(|m| m.incarnation).collect(),
+            mine: view.contains(me),
             since: now,
             covered: Vec::new(),
             before: Vec::new(),
@@ -183,7 +191,7 @@
         let Some(before) = eras.checked_sub(2).and_then(|i| self.eras.get(i)) else {
             return Vec::new();
         };
-        if !before.members.contains(&self.me) {
+        if !before.mine {
             return Vec::new();
         }
         let follows = before.number.next() == last.number;
@@ -203,7 +211,8 @@
     fn ids_for(&self, now: Timestamp, to: &InstanceId, before: &Era, era: &Era) -> Vec<HeldId> {
         let is_new = |id: &RequestId| {
             let now_holds = holders(&era.members, id).contains(&to);
-            now_holds && !holders(&before.members, id).contains(&to)
+            let stayed = before.start_of(to) == era.start_of(to);
+            now_holds && !(stayed && holders(&before.members, id).contains(&to))
         };
         let theirs = self.ids.iter().filter(|(id, _)| is_new(id));
         let held = |(id, held): (&RequestId, &Held)| HeldId {
@@ -224,13 +233,18 @@
 
     fn is_holder(&self, id: &RequestId) -> bool {
         let last = self.eras.back();
-        last.is_some_and(|era| holders(&era.members, id).contains(&&self.me))
+        last.is_some_and(|era| self.held(era, id))
+    }
+
+    /// True if this start of this instance was a holder of an id.
+    fn held(&self, era: &Era, id: &RequestId) -> bool {
+        era.mine && holders(&era.members, id).contains(&&self.me)
     }
 
     /// True if no id could have been recorded without this instance knowing it.
     fn knows(&self, now: Timestamp, keep: Span, id: &RequestId) -> bool {
         for (place, era) in self.eras.iter().enumerate().rev() {
-            if !holders(&era.members, id).contains(&&self.me) {
+            if !self.held(era, id) {
                 return false;
             }
             if is_base(era, now, keep) {
@@ -252,7 +266,7 @@
         let Some(era) = self.eras.get(place) else {
             return false;
         };
-        if !era.members.contains(&self.me) {
+        if !era.mine {
             return false;
         }
         if is_base(era, now, keep) {
@@ -279,6 +293,13 @@
     }
 }
 
+impl Era {
+    fn start_of(&self, id: &InstanceId) -> Option<Incarnation> {
+        let place = self.members.iter().position(|other| other == id)?;
+        self.starts.get(place).copied()
+    }
+}
+
 /// Ids that one member of a new view is to be told.
 #[derive(Debug)]
 pub(super) struct Handover {
--- a/crates/guavacart_scheduler/src/request/reducer.rs
+++ b/crates/guavacart_scheduler/src/request/reducer.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_types::{CallId, DispatchId, EndpointId, InstanceId, Reason, ServiceName, Timestamp};
+use guavacart_types::{
+    CallId, DispatchId, EndpointId, InstanceId, Reason, ServiceName, Span, Timestamp,
+};
 
 use super::{
     EndpointReport, RequestEffect, RequestEvent, RequestHead,
@@ -16,9 +18,12 @@
 };
 use crate::{
     Cx, Effect,
-    membership::{Load, ServiceLoad},
+    membership::{Load, ServiceLoad, TICK},
 };
 
+/// Time without an event, ticks among them, after which the process has stood still.
+const STALL_SPAN: Span = Span::millis(TICK.0 * 2);
+
 /// What a timer of a call is for; in the order in which they count at one time.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Timer {
@@ -56,6 +61,8 @@
     pub(super) loads: PeerLoads,
     pub(super) ledger: Ledger,
     pub(super) handovers_due: Vec<Timestamp>,
+    /// When the last event was handled.
+    pub(super) last_run: Timestamp,
     /// The end of the right to act, as of the event in hand.
     pub(super) right: Option<Timestamp>,
 }
@@ -77,6 +84,7 @@
             budget: RetryBudget::default(),
             loads: PeerLoads::default(),
             handovers_due: Vec::new(),
+            last_run: Timestamp::default(),
             right: None,
         }
     }
@@ -152,6 +160,7 @@
     fn begin(&mut self, cx: &Cx<'_>, is_tick: bool, effects: &mut Vec<Effect>) {
         self.right = cx.membership.right_until(cx.now);
         self.pool.refresh(cx, is_tick);
+        self.notice_stall(cx);
         self.follow_view(cx, effects);
         while let Some((at, call, timer)) = self.timers.first().copied() {
             if at > cx.now {
@@ -182,6 +191,17 @@
         }
     }
 
+    /// Distrusts the probes under way if the process has stood still.
+    fn notice_stall(&mut self, cx: &Cx<'_>) {
+        let stood = cx.now.since(self.last_run);
+        self.last_run = cx.now;
+        if stood > STALL_SPAN {
+            for id in self.pool.in_doubt() {
+                self.pool.with(&id, |e| e.stalled(cx.now));
+            }
+        }
+    }
+
     fn probe(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
         for id in self.pool.in_doubt() {
             let due = self.pool.with(&id, |e| (e.probe_due(cx.now), e.address));
