Let what the last owner sent arrive before the first probe

Cause: an owner that releases by adopting a view may have a request on its way that the new owner's probe, asked for at once, did not see: five requests in four slots (trial).

--- a/crates/guavacart_scheduler/src/request/endpoint.rs
+++ b/crates/guavacart_scheduler/src/request/endpoint.rs
@@ -92,13 +92,14 @@
         self.longest_deadline = service.longest_deadline;
     }
 
-    /// Begins to own it: whoever owned it before may still use every slot.
+    /// Begins to own it: whoever owned it before may still use every slot, and what it sent last
+    /// may still be on its way, so the first probe waits for that.
     pub(super) fn own(&mut self, now: Timestamp) {
         self.owned = true;
         self.residual = self.slots;
         self.residual_since = now;
         self.interval = PROBE_INTERVAL;
-        self.probe = Probe::Rest(now);
+        self.probe = Probe::Rest(now + SETTLE_SPAN);
     }
 
     /// Slots that a request may take now.
