--- a/crates/guavacart_lab/src/lib.rs
+++ b/crates/guavacart_lab/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder.
+//! Stand-ins of the platform, fault proxies, load and experiments; never shipped.
+//!
+//! Everything runs on loopback in one process, but for the entry instances, which are real
+//! processes. Violations are counted from the ledgers kept here, never from what guavacart says.
+
+pub mod balancer;
+pub mod batch_ledger;
+pub mod caller;
+pub mod checks;
+pub mod client;
+pub mod clock;
+pub mod cluster;
+pub mod endpoint;
+pub mod fault;
+pub mod host;
+pub mod instance;
+pub mod instance_list;
+pub mod jobs;
+pub mod progress;
+pub mod request_ledger;
+pub mod scenario;
+pub mod server;
+pub mod store;
+pub mod summary;
+mod sync;
+pub mod worker;
