Keep test programs from being started while they are open for writing

Cause: a test of the processes failed in 3 of 60 runs of the file, 2 of them with ExecutableFileBusy: another test's fork held the script open for writing, and Linux refuses to run it. Change: the tests that write or start programs take one lock; their checks are unchanged.

--- a/crates/guavacart_lab/tests/command_line.rs
+++ b/crates/guavacart_lab/tests/command_line.rs
@@ -8,6 +8,7 @@
     os::unix::fs::PermissionsExt,
     path::{Path, PathBuf},
     process::Command,
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 
@@ -22,7 +23,12 @@
 const LISTENING: &str =
     r#"echo '{"event":"listening","callers":"127.0.0.1:5","peers":"127.0.0.1:6"}'"#;
 
+/// Held while a program is written or started: a process forked meanwhile would inherit the
+/// program's open file, and Linux runs no program that is open for writing.
+static PROCESSES: Mutex<()> = Mutex::new(());
+
 fn lab(args: &[&str]) -> (i32, String, String) {
+    let _guard = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
     let output = Command::new(env!("CARGO_BIN_EXE_guavacart-lab"))
         .args(args)
         .output()
@@ -86,6 +92,7 @@
 }
 
 fn spawn(dir: &TempDir, script: &str) -> Result<Instance, InstanceError> {
+    let _guard = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
     let free = "127.0.0.1:0".parse().unwrap();
     let settings = InstanceSettings {
         instance: "e1".into(),
