--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -20,7 +20,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-pub use self::spec::{ClusterSpec, READER, WRITER, team_token};
+pub use self::spec::{ClusterSpec, READER, Size, SizeError, WRITER, team_token};
 use crate::{
     balancer::Balancer,
     batch_ledger::BatchLedger,
--- a/crates/guavacart_lab/src/cluster/spec.rs
+++ b/crates/guavacart_lab/src/cluster/spec.rs
@@ -1,11 +1,12 @@
 //! Sizes and names of a run.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, str::FromStr};
 
 use guavacart_platform::instance_list::{ListedInstanceWire, RoleWire};
 use guavacart_types::{ByteSize, Processors, Resources};
 use serde_json::{Value, json};
 use smol_str::{SmolStr, format_smolstr};
+use thiserror::Error;
 
 /// Token of reading operators.
 pub const READER: &str = "lab-reader";
@@ -43,20 +44,61 @@
     pub logs: Option<PathBuf>,
 }
 
+/// Whose size a run has.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Size {
+    /// 8 instances, 65 endpoints and workers, 4 agencies.
+    #[default]
+    Pamoja,
+    /// 9 instances, 50 endpoints and workers, 2 teams.
+    Cymru,
+}
+
+/// A text that names no size.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{0:?} is not a size; there are pamoja and cymru")]
+pub struct SizeError(SmolStr);
+
+impl FromStr for Size {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, SizeError> {
+        match text {
+            "pamoja" => Ok(Self::Pamoja),
+            "cymru" => Ok(Self::Cymru),
+            other => Err(SizeError(other.into())),
+        }
+    }
+}
+
 impl ClusterSpec {
     /// Pamoja at a tenth of its size: 3 instances, 7 endpoints, 7 workers, 4 agencies.
     pub fn small(seed: u64) -> Self {
         Self::pamoja(seed, 3, 7, 7)
     }
 
-    /// Pamoja at its size: 8 instances, 65 endpoints, 65 workers, 4 agencies.
-    pub fn full(seed: u64) -> Self {
-        Self::pamoja(seed, 8, 65, 65)
+    /// The whole size of one of the users.
+    pub fn sized(size: Size, seed: u64) -> Self {
+        match size {
+            Size::Pamoja => Self::pamoja(seed, 8, 65, 65),
+            Size::Cymru => Self::cymru(seed),
+        }
+    }
+
+    fn cymru(seed: u64) -> Self {
+        let teams = ["bureaux", "surveys"].map(SmolStr::new).to_vec();
+        let mut spec = Self::pamoja(seed, 9, 50, 50);
+        spec.capacity.processors = Processors::cores(64);
+        spec.capacity.memory = ByteSize::gib(250);
+        spec.service = "look-up".into();
+        spec.configuration = configuration(&spec.service, &teams, spec.workers);
+        spec.teams = teams;
+        spec
     }
 
     fn pamoja(seed: u64, instances: usize, endpoints: usize, workers: usize) -> Self {
         let teams: Vec<SmolStr> = (1..=4).map(|i| format_smolstr!("agency-{i}")).collect();
-        let configuration = configuration(&teams, workers);
+        let configuration = configuration("engine", &teams, workers);
         Self {
             seed,
             instances,
@@ -77,7 +119,8 @@
         }
     }
 
-    pub(super) fn data_centre(&self, place: usize) -> SmolStr {
+    /// The data centre of the instance at a place.
+    pub fn data_centre(&self, place: usize) -> SmolStr {
         format_smolstr!("dc{}", place % self.data_centres + 1)
     }
 
@@ -100,6 +143,11 @@
         }
     }
 
+    /// The data centre of endpoint `i`.
+    pub fn endpoint_data_centre(&self, i: usize) -> SmolStr {
+        self.data_centre(i / RACK)
+    }
+
     pub(super) fn endpoint_line(&self, i: usize, address: SocketAddr) -> ListedInstanceWire {
         ListedInstanceWire {
             data_centre: self.data_centre(i / RACK),
@@ -123,7 +171,7 @@
     format_smolstr!("r{}", i + 1)
 }
 
-fn configuration(teams: &[SmolStr], workers: usize) -> Value {
+fn configuration(service: &str, teams: &[SmolStr], workers: usize) -> Value {
     let racks: Vec<SmolStr> = (0..workers.div_ceil(RACK)).map(rack).collect();
     let half = racks.len().div_ceil(2);
     let mut cells = BTreeMap::from([("c1", json!({ "racks": &racks[..half] }))]);
@@ -135,7 +183,7 @@
         .map(|team| (team.as_str(), json!({ "weight": 1 })))
         .collect();
     json!({
-        "services": { "engine": {} },
+        "services": { service: {} },
         "teams": teams,
         "batch_classes": {
             "deck": { "throttled_percent": 25, "checkpoints": true },
--- a/crates/guavacart_lab/src/main.rs
+++ b/crates/guavacart_lab/src/main.rs
@@ -11,7 +11,10 @@
 };
 
 use getopts::{Matches, Options};
-use guavacart_lab::scenario::{SCENARIOS, Scenario, ScenarioCx, ScenarioError, find};
+use guavacart_lab::{
+    cluster::{Size, SizeError},
+    scenario::{SCENARIOS, Scenario, ScenarioCx, ScenarioError, find},
+};
 use thiserror::Error;
 use tracing_subscriber::EnvFilter;
 
@@ -21,8 +24,6 @@
 const USAGE: u8 = 2;
 /// The run could not be made.
 const NO_RUN: u8 = 3;
-/// Seconds of a run unless others are asked for.
-const DEFAULT_SECONDS: u64 = 20;
 /// Seed of a run unless another is asked for.
 const DEFAULT_SEED: u64 = 1;
 
@@ -50,6 +51,8 @@
     Scenario(String),
     #[error("--{option} {value:?} is not a whole number")]
     Number { option: &'static str, value: String },
+    #[error(transparent)]
+    Size(#[from] SizeError),
     #[error("{0}")]
     Run(#[from] ScenarioError),
     #[error("the run was interrupted")]
@@ -63,7 +66,11 @@
 impl LabError {
     fn exit_code(&self) -> u8 {
         match self {
-            Self::Options(_) | Self::Command(_) | Self::Scenario(_) | Self::Number { .. } => USAGE,
+            Self::Options(_)
+            | Self::Command(_)
+            | Self::Scenario(_)
+            | Self::Number { .. }
+            | Self::Size(_) => USAGE,
             Self::Run(ScenarioError::Baseline { .. }) => USAGE,
             Self::Run(_) | Self::Interrupted | Self::Io(_) | Self::Json(_) => NO_RUN,
         }
@@ -123,8 +130,19 @@
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
     if runs {
-        options.optopt("", "seconds", "how long load is offered (20)", "N");
+        options.optopt(
+            "",
+            "seconds",
+            "how long load is offered, in each phase (as the scenario needs)",
+            "N",
+        );
         options.optopt("", "seed", "seed of all that is random (1)", "N");
+        options.optopt(
+            "",
+            "size",
+            "size of a request scenario (pamoja)",
+            "pamoja|cymru",
+        );
         options.optopt("", "baseline", "run with this baseline", "NAME");
         options.optopt("", "logs", "directory for the logs of the instances", "DIR");
     }
@@ -147,7 +165,11 @@
 fn run(scenario: &Scenario, matches: &Matches) -> Result<ExitCode, LabError> {
     let cx = ScenarioCx {
         seed: number(matches, "seed", DEFAULT_SEED)?,
-        length: Duration::from_secs(number(matches, "seconds", DEFAULT_SECONDS)?),
+        length: Duration::from_secs(number(matches, "seconds", scenario.seconds)?),
+        size: match matches.opt_str("size") {
+            Some(size) => size.parse()?,
+            None => Size::default(),
+        },
         baseline: matches.opt_str("baseline").map(Into::into),
         logs: matches.opt_str("logs").map(PathBuf::from),
         progress: io::stderr().is_terminal(),
--- a/crates/guavacart_lab/src/request_ledger.rs
+++ b/crates/guavacart_lab/src/request_ledger.rs
@@ -84,4 +84,14 @@
     pub fn runs(&self, id: &str) -> Vec<RequestRun> {
         lock(&self.inner).runs.get(id).cloned().unwrap_or_default()
     }
+
+    /// When each endpoint started its runs, in no order.
+    pub fn starts(&self) -> HashMap<SmolStr, Vec<u64>> {
+        let mut starts: HashMap<SmolStr, Vec<u64>> = HashMap::new();
+        for run in lock(&self.inner).runs.values().flatten() {
+            let endpoint = starts.entry(run.endpoint.clone()).or_default();
+            endpoint.push(run.start_us);
+        }
+        starts
+    }
 }
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -1,22 +1,36 @@
 //! The table of scenarios.
 
 mod bad_network;
+mod crest;
 mod demo;
+mod drain;
+mod fair;
+mod hol;
+mod instance_loss;
+mod load;
+mod partition;
+mod steady;
+mod store_outage;
 
 use std::{future::Future, path::PathBuf, pin::Pin, time::Duration};
 
 use smol_str::SmolStr;
 use thiserror::Error;
 
-use crate::{cluster::ClusterError, summary::Summary};
+use crate::{
+    cluster::{ClusterError, Size},
+    summary::Summary,
+};
 
 /// What a scenario is run with.
 #[derive(Clone, Debug)]
 pub struct ScenarioCx {
     /// Seed of all that is random.
     pub seed: u64,
-    /// How long load is offered.
+    /// How long load is offered, in each phase.
     pub length: Duration,
+    /// Whose size the request scenarios take.
+    pub size: Size,
     /// The baseline to run in place of guavacart's own policy, or beside it.
     pub baseline: Option<SmolStr>,
     /// Where instances log.
@@ -58,12 +72,25 @@
     pub about: &'static str,
     /// Baselines that it can be run with.
     pub baselines: &'static [&'static str],
+    /// Seconds of load unless others are asked for.
+    pub seconds: u64,
     /// Runs it.
     pub run: fn(ScenarioCx) -> ScenarioRun,
 }
 
 /// All scenarios.
-pub const SCENARIOS: &[Scenario] = &[demo::SCENARIO, bad_network::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[
+    demo::SCENARIO,
+    steady::SCENARIO,
+    hol::SCENARIO,
+    fair::SCENARIO,
+    crest::SCENARIO,
+    instance_loss::SCENARIO,
+    store_outage::SCENARIO,
+    drain::SCENARIO,
+    bad_network::SCENARIO,
+    partition::SCENARIO,
+];
 
 /// The scenario of this name.
 pub fn find(name: &str) -> Option<&'static Scenario> {
--- a/crates/guavacart_lab/src/scenario/bad_network.rs
+++ b/crates/guavacart_lab/src/scenario/bad_network.rs
@@ -24,6 +24,7 @@
     name: "bad-network",
     about: "5% of connections reset, truncated, delayed or half-open between all parties",
     baselines: &[],
+    seconds: 20,
     run,
 };
 
--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -37,6 +37,7 @@
     name: "demo",
     about: "3 instances at a tenth of Pamoja's size; one is killed, one stops, a patch is in flight",
     baselines: &[],
+    seconds: 20,
     run,
 };
 
