Name the start that asked in the answer to a claim

Cause: a holder that paused answered claims of a dead start of an instance; the next start took the answer for a call of its own under the same number (trial). Change: Claimed carries the asker with its incarnation, on the wire too.

--- a/crates/guavacart_scheduler/src/request/claiming.rs
+++ b/crates/guavacart_scheduler/src/request/claiming.rs
@@ -128,12 +128,24 @@
             } => {
                 let keep = keep_span(cx);
                 let answer = self.ledger.claim(cx.now, keep, view, &asker, call, &id);
-                let message = PeerRequest::Claimed { call, view, answer };
+                let message = PeerRequest::Claimed {
+                    asker,
+                    call,
+                    view,
+                    answer,
+                };
                 let to = from.clone();
                 effects.push(RequestEffect::Tell { to, message }.into());
             }
-            PeerRequest::Claimed { call, view, answer } => {
-                self.claimed(cx, from, call, view, answer, effects);
+            PeerRequest::Claimed {
+                asker,
+                call,
+                view,
+                answer,
+            } => {
+                if asker == *cx.membership.me() {
+                    self.claimed(cx, from, call, view, answer, effects);
+                }
             }
             PeerRequest::Release { asker, call, id } => self.ledger.release(&asker, call, &id),
             PeerRequest::Handover {
--- a/crates/guavacart_scheduler/src/request/message.rs
+++ b/crates/guavacart_scheduler/src/request/message.rs
@@ -26,6 +26,8 @@
     },
     /// A holder's answer to a claim.
     Claimed {
+        /// The asker; a later start of the same instance is another.
+        asker: Member,
         /// The asker's call.
         call: CallId,
         /// The view that the claim named.
--- a/crates/guavacart_wire/src/request.rs
+++ b/crates/guavacart_wire/src/request.rs
@@ -134,6 +134,7 @@
         view: u64,
     },
     Claimed {
+        asker: MemberWire,
         call: u64,
         view: u64,
         answer: ClaimAnswerWire,
@@ -257,7 +258,13 @@
                 id,
                 view: view.0,
             },
-            PeerRequest::Claimed { call, view, answer } => PeerRequestKind::Claimed {
+            PeerRequest::Claimed {
+                asker,
+                call,
+                view,
+                answer,
+            } => PeerRequestKind::Claimed {
+                asker: asker.into(),
                 call: call.0,
                 view: view.0,
                 answer: answer.into(),
@@ -297,7 +304,13 @@
                 id,
                 view: ViewNumber(view),
             },
-            PeerRequestKind::Claimed { call, view, answer } => Self::Claimed {
+            PeerRequestKind::Claimed {
+                asker,
+                call,
+                view,
+                answer,
+            } => Self::Claimed {
+                asker: asker.into(),
                 call: CallId(call),
                 view: ViewNumber(view),
                 answer: answer.into(),
--- a/crates/guavacart_wire/tests/messages.rs
+++ b/crates/guavacart_wire/tests/messages.rs
@@ -165,7 +165,7 @@
 peer_request! {
     cancel: PeerRequest::Cancel { call: CallId(1) };
     claim: PeerRequest::Claim { asker: member("a").member, call: CallId(1), id: "r".parse().unwrap(), view: ViewNumber(2) };
-    claimed: PeerRequest::Claimed { call: CallId(1), view: ViewNumber(2), answer: ClaimAnswer::Unsure };
+    claimed: PeerRequest::Claimed { asker: member("a").member, call: CallId(1), view: ViewNumber(2), answer: ClaimAnswer::Unsure };
     release: PeerRequest::Release {
         asker: member("a").member,
         call: CallId(1),
