--- a/crates/guavacart_scheduler/tests/request/faults.rs
+++ b/crates/guavacart_scheduler/tests/request/faults.rs
@@ -82,13 +82,21 @@
     assert_kept(&model, true, true);
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 48,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+/// Runs and their seed; a longer search sets `GUAVACART_CASES` and `GUAVACART_SEED`.
+fn config() -> ProptestConfig {
+    let number = |name| std::env::var(name).ok()?.parse::<u32>().ok();
+    let seed = number("GUAVACART_SEED").unwrap_or(4);
+    ProptestConfig {
+        cases: number("GUAVACART_CASES").unwrap_or(48),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(seed.into()),
         failure_persistence: None,
+        max_shrink_iters: 1_500,
         ..ProptestConfig::default()
-    })]
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
 
     #[test]
     fn promises_hold_under_faults(
