Check that nothing is told before its record stands, with late calls

Change: the model keeps the one history and checks each start, acknowledgement and answer against it; calls of the store and of workers may be carried out up to 15 s late; the instance list is read again and lags. A caretaker looks at the very start of the owner that the view names: a restarted one does not own.

--- a/crates/guavacart_scheduler/src/batch/caretaker.rs
+++ b/crates/guavacart_scheduler/src/batch/caretaker.rs
@@ -108,13 +108,13 @@
         Standing::Other(owner) => owner,
         Standing::Pending | Standing::Nobody => return false,
     };
-    if cx.membership.is_heard(&owner, cx.now) {
+    if cx.membership.is_member_heard(&owner, cx.now) {
         return false;
     }
     let me = cx.membership.me();
     let ranking = cx.membership.ranking(&key, None);
     let mut live = ranking
         .into_iter()
-        .filter(|m| m.member == *me || cx.membership.is_heard(&m.member.id, cx.now));
+        .filter(|m| m.member == *me || cx.membership.is_member_heard(&m.member.id, cx.now));
     live.next().is_some_and(|first| first.member == *me)
 }
--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -232,6 +232,13 @@
         self.peers.is_heard(peer, now)
     }
 
+    /// True if the start of `peer` that is a member of the view was heard within [`SILENCE_LIMIT`].
+    pub fn is_member_heard(&self, peer: &InstanceId, now: Timestamp) -> bool {
+        let mut members = self.view.members.iter();
+        let member = members.find(|m| m.member.id == *peer);
+        member.is_some_and(|m| self.peers.is_heard_exactly(&m.member, now))
+    }
+
     /// True if every other member of the view has had a heartbeat that was sent at `since` or later.
     pub fn is_heard_by_all(&self, since: Timestamp) -> bool {
         self.right
--- a/crates/guavacart_scheduler/src/membership/peers.rs
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -123,6 +123,12 @@
             .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
     }
 
+    /// True if this very start of the instance was heard lately.
+    pub(super) fn is_heard_exactly(&self, member: &Member, now: Timestamp) -> bool {
+        self.heard_exactly(member)
+            .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
+    }
+
     /// True if the platform no longer lists `member`.
     ///
     /// A list that may have been made before the member started says nothing of it.
--- a/crates/guavacart_scheduler/tests/batch/cases.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -85,11 +85,19 @@
         lost_percent: 5,
         faults: vec![
             Fault::WorkerKill { at: 6_000, worker: 0, ms: 40_000 },
-            Fault::WorkerPause { at: 6_100, worker: 1, ms: 35_000 },
+            Fault::WorkerPause { at: 6_100, worker: 1, ms: 55_000 },
             Fault::WorkerPause { at: 6_200, worker: 2, ms: 5_000 },
         ],
         ..Setup::default()
     };
+    when_calls_arrive_late: Setup {
+        nodes: 3,
+        lost_percent: 5,
+        slow_percent: 5,
+        faults: (0..8).map(|n| Fault::Pause { at: 8_000 + 5_000 * n, node: n as usize, ms: 4_500 })
+            .collect(),
+        ..Setup::default()
+    };
     beside_a_worker_that_fails_everything: Setup {
         failing: BTreeSet::from([0]),
         ..Setup::default()
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -9,7 +9,7 @@
         BatchEffect, BatchEvent, RecordRead,
         call::JobReply,
         job::{JobSpec, Priority},
-        journal::{Appended, Record, Snapshot, SnapshotWritten, Stored},
+        journal::{Appended, Change, Record, Snapshot, SnapshotWritten, Stored},
         worker::{AttemptId, AttemptState, WorkerAnswer, WorkerCommand, WorkerReport, WorkerSync},
     },
     config::{ConfigEffect, ConfigEvent},
@@ -17,8 +17,8 @@
     membership::{Member, MembershipEffect, MembershipEvent, Swap, View},
 };
 use guavacart_types::{
-    Accelerators, ByteSize, CallId, CellId, Epoch, Incarnation, InstanceId, JobId, Processors,
-    Resources, Revision, Span, TaskId, Timestamp, WorkerId, mix,
+    Accelerators, Attempt, ByteSize, CallId, CellId, Epoch, Incarnation, InstanceId, JobId,
+    Processors, Resources, Revision, Span, TaskId, Timestamp, WorkerId, mix,
 };
 
 /// Something that goes wrong.
@@ -60,6 +60,8 @@
     pub(crate) lost_percent: u64,
     /// Workers that fail every task.
     pub(crate) failing: BTreeSet<usize>,
+    /// Share of calls that are carried out up to [`SLOWEST_MS`] later, in percent.
+    pub(crate) slow_percent: u64,
     pub(crate) faults: Vec<Fault>,
     pub(crate) quota: Option<Resources>,
 }
@@ -73,6 +75,7 @@
             cells: 1,
             lost_percent: 0,
             failing: BTreeSet::new(),
+            slow_percent: 0,
             faults: Vec::new(),
             quota: None,
         }
@@ -106,6 +109,56 @@
     records: BTreeMap<u64, Record>,
     snapshot: Snapshot,
     revision: u64,
+    /// What the one history says, deleted records included.
+    admitted: BTreeSet<JobId>,
+    cancelled: BTreeSet<JobId>,
+    placed: BTreeSet<(AttemptId, WorkerId)>,
+    stopped: BTreeSet<AttemptId>,
+    ended: BTreeSet<AttemptId>,
+}
+
+impl StoredCell {
+    /// Notes what a record adds to the history.
+    fn note(&mut self, record: &Record) {
+        let attempt = |task: &TaskId, attempt: &Attempt| AttemptId {
+            task: task.clone(),
+            attempt: *attempt,
+        };
+        for change in &record.changes {
+            match change {
+                Change::TakenOver(_) => {}
+                Change::Admitted(spec) => {
+                    self.admitted.insert(spec.id.clone());
+                }
+                Change::Cancelled(job) => {
+                    self.cancelled.insert(job.clone());
+                }
+                Change::Placed {
+                    task,
+                    attempt: number,
+                    worker,
+                } => {
+                    let place = (attempt(task, number), worker.clone());
+                    self.placed.insert(place);
+                }
+                Change::Stopping {
+                    task,
+                    attempt: number,
+                    ..
+                } => {
+                    self.stopped.insert(attempt(task, number));
+                }
+                Change::Ended {
+                    task,
+                    attempt: number,
+                    ..
+                } => {
+                    let fresh = self.ended.insert(attempt(task, number));
+                    assert!(fresh, "{change:?} stands twice");
+                }
+            }
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -122,6 +175,7 @@
     attempts: BTreeMap<AttemptId, Attempted>,
     newest: BTreeMap<TaskId, AttemptId>,
     paused_until: u64,
+    down_since: u64,
     down_until: u64,
 }
 
@@ -131,7 +185,7 @@
     incarnation: u64,
     state: State,
     paused_until: u64,
-    down: bool,
+    down_since: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -166,6 +220,14 @@
 }
 
 const WORKER_CORES: u64 = 8;
+/// How long the instance list shows what has ended.
+const LIST_LAG_MS: u64 = 3_000;
+/// Ticks between two readings of the instance list, on average.
+const LISTING_TICKS: u64 = 20;
+/// Longest time that a call is late.
+const SLOWEST_MS: u64 = 15_000;
+/// Time after which a call to a worker is given up.
+const CALL_TIMEOUT_MS: u64 = 1_000;
 
 impl World {
     pub(crate) fn new(setup: Setup) -> Self {
@@ -194,7 +256,7 @@
                 id,
                 incarnation: 1,
                 paused_until: 0,
-                down: false,
+                down_since: None,
             });
             world.boot(index);
         }
@@ -244,9 +306,18 @@
             leaving: false,
             role,
         };
-        let entries = self.nodes.iter().map(|n| Role::Entry { id: n.id.clone() });
+        let shown = |down_since: Option<u64>| {
+            down_since.is_none_or(|since| self.now.saturating_sub(since) < LIST_LAG_MS)
+        };
+        let entries = self.nodes.iter().filter(|n| shown(n.down_since));
+        let entries = entries.map(|n| Role::Entry { id: n.id.clone() });
         let cells = self.setup.cells;
-        let workers = (0..self.workers.len()).map(|w| Role::Worker {
+        let workers = (0..self.workers.len()).filter(|w| {
+            let worker = &self.workers[*w];
+            let down = worker.down_until > self.now;
+            !down || shown(Some(worker.down_since))
+        });
+        let workers = workers.map(|w| Role::Worker {
             id: worker_id(w),
             rack: format!("r{}", w % cells).parse().unwrap(),
             capacity: shape(WORKER_CORES),
@@ -349,9 +420,14 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Tick(node) => {
-                if !self.nodes[node].down {
+                if self.nodes[node].down_since.is_none() {
                     self.plan(self.now + 50, Action::Tick(node));
-                    self.deliver(node, self.nodes[node].incarnation, Event::Tick);
+                    let incarnation = self.nodes[node].incarnation;
+                    if self.draw(LISTING_TICKS) == 0 {
+                        let listed = Event::Listed(self.listing());
+                        self.deliver(node, incarnation, listed);
+                    }
+                    self.deliver(node, incarnation, Event::Tick);
                 }
             }
             Action::Deliver(node, incarnation, event) => self.deliver(node, incarnation, *event),
@@ -363,7 +439,7 @@
             Action::Restart(node) => {
                 let id = self.nodes[node].id.clone();
                 self.nodes[node].incarnation += 1;
-                self.nodes[node].down = false;
+                self.nodes[node].down_since = None;
                 let incarnation = self.nodes[node].incarnation;
                 self.nodes[node].state = start(&id, incarnation, self.now);
                 self.boot(node);
@@ -381,8 +457,8 @@
             }
             Fault::Kill { node, ms, .. } => {
                 let node = node % self.nodes.len();
-                if !self.nodes[node].down {
-                    self.nodes[node].down = true;
+                if self.nodes[node].down_since.is_none() {
+                    self.nodes[node].down_since = Some(self.now);
                     self.plan(self.now + ms, Action::Restart(node));
                 }
             }
@@ -397,6 +473,7 @@
                 self.workers[worker] = Worker {
                     epoch,
                     newest,
+                    down_since: self.now,
                     down_until: self.now + ms,
                     ..Worker::default()
                 };
@@ -406,7 +483,7 @@
 
     fn deliver(&mut self, node: usize, incarnation: u64, event: Event) {
         let n = &mut self.nodes[node];
-        if n.down || n.incarnation != incarnation {
+        if n.down_since.is_some() || n.incarnation != incarnation {
             return;
         }
         if n.paused_until > self.now {
@@ -454,6 +531,7 @@
         let incarnation = self.nodes[node].incarnation;
         match effect {
             BatchEffect::Reply { call, reply } => {
+                self.check_reply(&reply);
                 self.replies.insert(call, reply);
             }
             BatchEffect::Tell { to, message } => {
@@ -465,11 +543,63 @@
                     self.plan(self.now + delay, action);
                 }
             }
-            BatchEffect::Sync { .. } => {
+            BatchEffect::Sync {
+                ref cell, ref call, ..
+            } => {
+                self.check_commands(cell, call);
+                let delay = delay + self.lateness();
                 self.plan(self.now + delay, Action::Call(node, incarnation, effect));
             }
             BatchEffect::Note { .. } => {}
-            _ => self.plan(self.now + delay, Action::Store(node, incarnation, effect)),
+            _ => {
+                let delay = delay + self.lateness();
+                self.plan(self.now + delay, Action::Store(node, incarnation, effect));
+            }
+        }
+    }
+
+    fn lateness(&mut self) -> u64 {
+        match self.draw(100) < self.setup.slow_percent {
+            true => self.draw(SLOWEST_MS),
+            false => 0,
+        }
+    }
+
+    /// What a worker is told stands in the store.
+    fn check_commands(&self, cell: &CellId, call: &WorkerSync) {
+        let none = StoredCell::default();
+        let stored = self.cells.get(cell).unwrap_or(&none);
+        for command in &call.commands {
+            match command {
+                WorkerCommand::Start { id, .. } => {
+                    let stands = stored.placed.iter().any(|(placed, _)| placed == id);
+                    assert!(stands, "{id:?} is started before its record stands");
+                }
+                WorkerCommand::Acknowledge(id) => {
+                    assert!(
+                        stored.ended.contains(id),
+                        "{id:?} is acknowledged before its record stands"
+                    );
+                }
+                WorkerCommand::Stop { .. } | WorkerCommand::Throttle { .. } => {}
+            }
+        }
+    }
+
+    /// What a submitter is told stands in the store.
+    fn check_reply(&self, reply: &JobReply) {
+        match reply {
+            JobReply::Accepted(job) => {
+                let stands = self.cells.values().any(|c| c.admitted.contains(&job.id));
+                assert!(stands, "{job:?} is accepted before its record stands");
+            }
+            JobReply::Cancelled(jobs) => {
+                for job in jobs.iter().filter(|job| job.cancelled) {
+                    let stands = self.cells.values().any(|c| c.cancelled.contains(&job.id));
+                    assert!(stands, "{job:?} is cancelled before its record stands");
+                }
+            }
+            _ => {}
         }
     }
 
@@ -615,6 +745,9 @@
         let free = !stored.records.contains_key(&number);
         if free {
             self.store_writes += 1;
+            if number > stored.snapshot.through {
+                stored.note(&record);
+            }
             stored.records.insert(number, record);
         }
         match (lost, free) {
--- a/crates/guavacart_scheduler/tests/batch/random.rs
+++ b/crates/guavacart_scheduler/tests/batch/random.rs
@@ -37,15 +37,17 @@
         1..6_usize,
         1..3_usize,
         0..8_u64,
+        0..4_u64,
         faults,
     )
         .prop_map(
-            |(seed, nodes, workers, cells, lost_percent, faults)| Setup {
+            |(seed, nodes, workers, cells, lost_percent, slow_percent, faults)| Setup {
                 seed,
                 nodes,
                 workers: workers * cells,
                 cells,
                 lost_percent,
+                slow_percent,
                 faults,
                 ..Setup::default()
             },
