Test that a late or foreign append is not taken for one's own

Cause: two trials (commit without the right to act, and any record taken for one's own) passed all cases, since the view fences them before.

--- a/crates/guavacart_scheduler/tests/batch/cases.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -3,13 +3,16 @@
 use std::collections::BTreeSet;
 
 use crate::model::{Fault, Setup, World, job, shape};
-use guavacart_scheduler::batch::{
-    BatchEvent,
-    call::{JobReply, RejectReason},
-    job::{JobSpec, Priority},
-    journal::Change,
+use guavacart_scheduler::{
+    batch::{
+        BatchEffect, BatchEvent, CellNote, RecordRead,
+        call::{JobReply, RejectReason},
+        job::{JobSpec, Priority},
+        journal::{Appended, Change, Record},
+    },
+    membership::Member,
 };
-use guavacart_types::JobId;
+use guavacart_types::{CellId, JobId};
 use rstest::rstest;
 
 fn ids(jobs: &[JobSpec]) -> Vec<JobId> {
@@ -281,3 +284,75 @@
         assert_eq!(world.starts.iter().sum::<u64>(), 8);
     }
 }
+
+/// A world in which the record with the first placements is on its way into the store.
+fn with_placements_under_way() -> (World, usize, CellId, Record) {
+    let mut world = World::new(Setup::default());
+    let spec = Box::new(job("j", 3, 1, 500));
+    let pause = world.now + 3_000;
+    world.run_while(pause, |_| true);
+    world.call(0, |call| BatchEvent::Submitted { call, spec });
+    loop {
+        let (node, cell, record) = world.intercept_append();
+        let places = |c: &Change| matches!(c, Change::Placed { .. });
+        if record.changes.iter().any(places) {
+            return (world, node, cell, record);
+        }
+        world.append_now(&cell, record);
+    }
+}
+
+fn tells_anyone(effects: &[BatchEffect]) -> bool {
+    effects.iter().any(|effect| match effect {
+        BatchEffect::Reply { .. } => true,
+        BatchEffect::Sync { call, .. } => !call.commands.is_empty(),
+        _ => false,
+    })
+}
+
+#[test]
+fn an_append_answered_after_the_right_ended_is_read_back_first() {
+    let (mut world, node, cell, record) = with_placements_under_way();
+    world.now += 10_000;
+    let appended = BatchEvent::Appended {
+        cell,
+        sequence: record.sequence,
+        result: Appended::Written,
+    };
+    let effects = world.inject(node, appended);
+    assert!(!tells_anyone(&effects), "{effects:?}");
+    let reads = |e: &BatchEffect| matches!(e, BatchEffect::ReadRecord { .. });
+    assert!(effects.iter().any(reads), "{effects:?}");
+}
+
+#[test]
+fn an_owner_whose_number_another_has_taken_steps_down() {
+    let (mut world, node, cell, record) = with_placements_under_way();
+    let sequence = record.sequence;
+    let taken = BatchEvent::Appended {
+        cell: cell.clone(),
+        sequence,
+        result: Appended::Taken,
+    };
+    world.inject(node, taken);
+    let other = Record {
+        writer: Member {
+            id: "other".parse().unwrap(),
+            incarnation: record.writer.incarnation,
+        },
+        ..record
+    };
+    let read = BatchEvent::RecordRead {
+        cell: cell.clone(),
+        sequence,
+        result: RecordRead::Found(Box::new(other)),
+    };
+    let effects = world.inject(node, read);
+    let note = CellNote::SteppedDown;
+    assert!(
+        effects.contains(&BatchEffect::Note { cell, note }),
+        "{effects:?}"
+    );
+    let commands = |e: &BatchEffect| matches!(e, BatchEffect::Sync { .. });
+    assert!(!effects.iter().any(commands), "{effects:?}");
+}
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -547,8 +547,14 @@
                 ref cell, ref call, ..
             } => {
                 self.check_commands(cell, call);
-                let delay = delay + self.lateness();
-                self.plan(self.now + delay, Action::Call(node, incarnation, effect));
+                let late = self.lateness();
+                if late >= CALL_TIMEOUT_MS {
+                    self.give_up_call(node, incarnation, &effect);
+                }
+                self.plan(
+                    self.now + delay + late,
+                    Action::Call(node, incarnation, effect),
+                );
             }
             BatchEffect::Note { .. } => {}
             _ => {
@@ -558,6 +564,65 @@
         }
     }
 
+    /// The caller's end of a call that is carried out too late.
+    fn give_up_call(&mut self, node: usize, incarnation: u64, effect: &BatchEffect) {
+        let BatchEffect::Sync {
+            cell, worker, sync, ..
+        } = effect
+        else {
+            return;
+        };
+        let report = WorkerReport {
+            worker: worker.clone(),
+            sync: *sync,
+            answer: WorkerAnswer::Unknown,
+        };
+        let cell = cell.clone();
+        let event = Event::Batch(BatchEvent::WorkerAnswered { cell, report });
+        let action = Action::Deliver(node, incarnation, Box::new(event));
+        self.plan(self.now + CALL_TIMEOUT_MS, action);
+    }
+
+    /// Runs until an instance appends and takes that call away.
+    pub(crate) fn intercept_append(&mut self) -> (usize, CellId, Record) {
+        loop {
+            let ((at, _), action) = self.agenda.pop_first().unwrap();
+            self.now = at;
+            match action {
+                Action::Store(node, _, BatchEffect::Append { cell, record, .. }) => {
+                    return (node, cell, *record);
+                }
+                action => self.act(action),
+            }
+        }
+    }
+
+    /// Carries out an intercepted append and answers it.
+    pub(crate) fn append_now(&mut self, cell: &CellId, record: Record) {
+        let stored = self.cells.entry(cell.clone()).or_default();
+        let last = stored.records.last_key_value().map_or(0, |(n, _)| *n);
+        let sequence = record.sequence;
+        let result = self.append(cell, last + 1, record, false, false);
+        let event = BatchEvent::Appended {
+            cell: cell.clone(),
+            sequence,
+            result,
+        };
+        let incarnation = self.nodes[0].incarnation;
+        self.answer(0, incarnation, event);
+    }
+
+    /// Hands an event to an instance and returns what it wants done, without doing it.
+    pub(crate) fn inject(&mut self, node: usize, event: BatchEvent) -> Vec<BatchEffect> {
+        let event = Event::Batch(event);
+        let effects = self.nodes[node].state.apply(Timestamp(self.now), event);
+        let batch = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Batch(effect) => Some(effect),
+            _ => None,
+        });
+        batch.collect()
+    }
+
     fn lateness(&mut self) -> u64 {
         match self.draw(100) < self.setup.slow_percent {
             true => self.draw(SLOWEST_MS),
