--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -1,6 +1,7 @@
 //! All stand-ins and all entry instances of one run.
 
 mod config_watch;
+mod operators;
 mod spec;
 
 use std::{
@@ -12,15 +13,8 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use guavacart_config::CONFIG_KEY;
 use guavacart_platform::instance_list::{ListedInstanceWire, RoleWire};
-use http_body_util::Full;
-use hyper::{
-    Method, Request, StatusCode,
-    header::{AUTHORIZATION, CONTENT_TYPE, HOST},
-};
-use serde_json::Value;
 use smol_str::{SmolStr, format_smolstr};
 use tempfile::TempDir;
 use thiserror::Error;
@@ -32,9 +26,8 @@
     batch_ledger::BatchLedger,
     caller::{Entrances, Record},
     checks::{StopWindow, Violations},
-    client,
     clock::now_us,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, LEAVING_GRACE},
     fault::Network,
     host::{Host, SharedInterference},
     instance::{AccessSettings, Instance, InstanceError, InstanceSettings, binary},
@@ -46,12 +39,8 @@
     worker::Worker,
 };
 
-/// Longest wait for all instances to be ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait for a graceful stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(60);
-/// Longest wait for one operators' call.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -102,10 +91,6 @@
     pub list: InstanceList,
     /// The balancer.
     pub balancer: Balancer,
-    /// The endpoints.
-    pub endpoints: Vec<Endpoint>,
-    /// The workers.
-    pub workers: Vec<Worker>,
     /// How work on one machine slows other work there.
     pub interference: SharedInterference,
     /// What endpoints ran.
@@ -120,6 +105,8 @@
     pub network: Option<Arc<Network>>,
     binary: PathBuf,
     dir: TempDir,
+    endpoints: Mutex<Vec<Arc<Endpoint>>>,
+    workers: Mutex<Vec<Arc<Worker>>>,
     instances: tokio::sync::Mutex<BTreeMap<SmolStr, Instance>>,
     callers: Mutex<BTreeMap<SmolStr, SocketAddr>>,
     views: Mutex<Vec<ListView>>,
@@ -151,7 +138,7 @@
         let interference = SharedInterference::default();
         let batch = BatchLedger::default();
         let requests = RequestLedger::default();
-        let mut cluster = Self {
+        let cluster = Self {
             binary: binary()?,
             dir: tempfile::tempdir()?,
             network: spec.network.then(|| Arc::new(Network::open(spec.seed))),
@@ -159,8 +146,8 @@
             store,
             list,
             balancer,
-            endpoints: Vec::new(),
-            workers: Vec::new(),
+            endpoints: Mutex::default(),
+            workers: Mutex::default(),
             interference,
             requests,
             batch,
@@ -178,31 +165,74 @@
     }
 
     /// Binds workers and endpoints; endpoint `i` runs on worker `i` as far as there are workers.
-    async fn bind_workers(&mut self) -> Result<(), ClusterError> {
+    async fn bind_workers(&self) -> Result<(), ClusterError> {
         let processors = self.spec.capacity.processors.0;
         let hosts: Vec<Arc<Host>> = (0..self.spec.workers.max(self.spec.endpoints))
             .map(|_| Host::open(processors, Arc::clone(&self.interference)))
             .collect();
         for (i, host) in hosts.iter().enumerate().take(self.spec.workers) {
-            let id = format!("w{}", i + 1).parse()?;
-            let worker =
-                Worker::bind(id, self.spec.capacity, Arc::clone(host), self.batch.clone()).await?;
-            self.list
-                .register(self.spec.worker_line(i, worker.address()));
-            self.workers.push(worker);
+            self.start_worker(i, Arc::clone(host)).await?;
         }
         for (i, host) in hosts.iter().enumerate().take(self.spec.endpoints) {
-            let id = format!("p{}", i + 1).parse()?;
-            let service = self.spec.service.as_str().parse()?;
-            let endpoint =
-                Endpoint::bind(id, service, Arc::clone(host), self.requests.clone()).await?;
-            self.list
-                .register(self.spec.endpoint_line(i, endpoint.address()));
-            self.endpoints.push(endpoint);
+            self.start_endpoint(i, Arc::clone(host)).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts worker `i` on a machine.
+    pub async fn start_worker(&self, i: usize, host: Arc<Host>) -> Result<(), ClusterError> {
+        let id = format!("w{}", i + 1).parse()?;
+        let worker = Worker::bind(id, self.spec.capacity, host, self.batch.clone()).await?;
+        let line = self.spec.worker_line(i, worker.address());
+        self.list.register(line);
+        lock(&self.workers).push(Arc::new(worker));
+        Ok(())
+    }
+
+    /// Starts endpoint `i` on a machine.
+    pub async fn start_endpoint(&self, i: usize, host: Arc<Host>) -> Result<(), ClusterError> {
+        let id = format!("p{}", i + 1).parse()?;
+        let service = self.spec.service.as_str().parse()?;
+        let endpoint = Endpoint::bind(id, service, host, self.requests.clone()).await?;
+        let line = self.spec.endpoint_line(i, endpoint.address());
+        self.list.register(line);
+        lock(&self.endpoints).push(Arc::new(endpoint));
+        Ok(())
+    }
+
+    /// The endpoints that run.
+    pub fn endpoints(&self) -> Vec<Arc<Endpoint>> {
+        lock(&self.endpoints).clone()
+    }
+
+    /// The workers that run.
+    pub fn workers(&self) -> Vec<Arc<Worker>> {
+        lock(&self.workers).clone()
+    }
+
+    /// Replaces endpoint by endpoint as the platform does: it is announced to leave, is gone from
+    /// the list once it is idle, and ends. `refuses` says whether it refuses new work itself.
+    pub async fn leave_endpoint(&self, id: &str, refuses: bool) -> Result<(), ClusterError> {
+        let found = self.endpoints().into_iter().find(|e| e.id() == id);
+        let endpoint = found.ok_or_else(|| not_running(id))?;
+        endpoint.leave(refuses);
+        self.list.announce_leaving(id);
+        tokio::time::sleep(LEAVING_GRACE).await;
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        while endpoint.busy() > 0 && Instant::now() < deadline {
+            tokio::time::sleep(PAUSE).await;
         }
+        self.list.remove(id);
+        lock(&self.endpoints).retain(|e| e.id() != id);
         Ok(())
     }
 
+    /// Kills a worker with all its tasks; the list drops it after its lag.
+    pub fn kill_worker(&self, id: &str) {
+        self.list.remove(id);
+        lock(&self.workers).retain(|w| w.id().as_str() != id);
+    }
+
     /// Starts an instance; `place` decides its data centre.
     pub async fn start_instance(&self, name: &str, place: usize) -> Result<(), ClusterError> {
         let settings = self.settings(name, place).await?;
@@ -338,102 +368,18 @@
         instances.values().map(Instance::pid).collect()
     }
 
+    /// Processor time that each running instance has used, in seconds.
+    pub async fn cpu_seconds(&self) -> BTreeMap<SmolStr, f64> {
+        let instances = self.instances.lock().await;
+        let used = |(name, i): (&SmolStr, &Instance)| Some((name.clone(), i.cpu_seconds()?));
+        instances.iter().filter_map(used).collect()
+    }
+
     /// Callers' way in: the balancer.
     pub fn entrances(&self) -> Entrances {
         Entrances::open(vec![self.balancer.address()])
     }
 
-    /// Submits a patch until it is accepted, and returns its number.
-    pub async fn patch(&self, base: u64, id: &str, change: &Value) -> Result<u64, ClusterError> {
-        let path = format!("/v1/config?base={base}&id={id}");
-        let deadline = Instant::now() + READY_TIMEOUT;
-        let mut said = SmolStr::default();
-        while Instant::now() < deadline {
-            let body = change.to_string().into_bytes();
-            match self
-                .operate(self.balancer.address(), Method::PATCH, &path, body)
-                .await
-            {
-                Some((StatusCode::OK, body)) => {
-                    return Ok(body
-                        .get("number")
-                        .and_then(Value::as_u64)
-                        .unwrap_or_default());
-                }
-                Some((status, body)) if status.is_client_error() => {
-                    let (id, said) = (id.into(), format_smolstr!("{status} {body}"));
-                    return Err(ClusterError::Patch { id, said });
-                }
-                Some((status, body)) => said = format_smolstr!("{status} {body}"),
-                None => {}
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-        let id = id.into();
-        Err(ClusterError::Patch { id, said })
-    }
-
-    /// One operators' call; none if it was not answered.
-    pub async fn operate(
-        &self,
-        address: SocketAddr,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Option<(StatusCode, Value)> {
-        let req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, address.to_string())
-            .header(AUTHORIZATION, format!("Bearer {WRITER}"))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .ok()?;
-        let res = client::call(address, req, CALL_TIMEOUT).await.ok()?;
-        let body = serde_json::from_slice(res.body()).unwrap_or_default();
-        Some((res.status(), body))
-    }
-
-    /// Waits until the balancer finds `n` instances healthy.
-    pub async fn wait_healthy(&self, n: usize) -> Result<(), ClusterError> {
-        let deadline = Instant::now() + READY_TIMEOUT;
-        while self.balancer.healthy().len() < n {
-            if Instant::now() >= deadline {
-                return Err(timed_out(&format!("health of {n} instances")));
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-        Ok(())
-    }
-
-    /// Waits until every running instance has the configuration `number` in force and sees every
-    /// endpoint.
-    pub async fn wait_config(&self, number: u64) -> Result<(), ClusterError> {
-        let deadline = Instant::now() + READY_TIMEOUT;
-        loop {
-            let mut ready = true;
-            for (_, address) in self.running() {
-                let status = self
-                    .operate(address, Method::GET, "/v1/status", Vec::new())
-                    .await;
-                ready &= status.is_some_and(|(_, body)| {
-                    body["config"].as_u64() >= Some(number)
-                        && body["endpoints_listed"].as_u64() >= Some(self.endpoints.len() as u64)
-                        && !body["right_ms"].is_null()
-                });
-            }
-            if ready {
-                return Ok(());
-            }
-            if Instant::now() >= deadline {
-                return Err(timed_out(&format!(
-                    "configuration {number} in force everywhere"
-                )));
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-
     /// Graceful stops that did not end with exit code 0 in time.
     pub fn unclean_stops(&self) -> u64 {
         *lock(&self.unclean_stops)
@@ -459,10 +405,3 @@
 fn not_running(name: &str) -> ClusterError {
     ClusterError::NotRunning(name.into())
 }
-
-fn timed_out(what: &str) -> ClusterError {
-    ClusterError::TimedOut {
-        what: what.into(),
-        limit: READY_TIMEOUT,
-    }
-}
--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -69,12 +69,14 @@
         ended?;
     }
     submitter.await?;
-    let finished = cluster.jobs.wait_finished(SETTLE).await;
+    // The summary says what is left if the time is up first.
+    cluster.jobs.wait_finished(SETTLE).await;
     drop(progress);
-    Ok(summarise(&cx, &cluster, finished).await)
+    Ok(summarise(&cx, &cluster).await)
 }
 
-fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
+/// Short and long requests of every team.
+pub(super) fn caller_specs(cluster: &ClusterSpec) -> Vec<CallerSpec> {
     let mut specs = Vec::new();
     for team in &cluster.teams {
         specs.push(caller(cluster, team, Class::Short, SHORT_RATE, SHORT_WORK));
@@ -124,7 +126,7 @@
             ..Resources::default()
         },
         expected_ms: TASK_MS,
-        priority: "batch".into(),
+        priority: "normal".into(),
         payload: json!({ "run_ms": TASK_MS }),
     };
     let submitted = cluster.jobs.submit(&spec, SUBMIT).await;
@@ -145,7 +147,7 @@
     Ok(())
 }
 
-async fn summarise(cx: &ScenarioCx, cluster: &Cluster, finished: bool) -> Summary {
+async fn summarise(cx: &ScenarioCx, cluster: &Cluster) -> Summary {
     let attempts = cluster.record.attempts();
     let mut summary = Summary::of_attempts(SCENARIO.name, cx.seed, &attempts);
     let batch = cluster.batch.counts();
@@ -157,10 +159,19 @@
     let unclean = cluster.unclean_stops() as f64;
     summary.targets = vec![
         Target::at_least("min_answered_share", 0.95, answered),
-        Target::at_least("min_batch_job_finished", 1.0, f64::from(u8::from(finished))),
+        Target::at_least(
+            "min_tasks_finished",
+            f64::from(TASKS),
+            batch.finished as f64,
+        ),
         Target::at_most("graceful_stops_without_exit_0", 0.0, unclean),
     ];
+    summary.add_reasons(&attempts);
     let endpoints = cluster.requests.counts();
+    let (accepted, rejected, unknown) = cluster.jobs.counts();
+    summary.detail("jobs_accepted", accepted as f64);
+    summary.detail("jobs_rejected", rejected as f64);
+    summary.detail("jobs_unknown", unknown as f64);
     summary.detail("endpoint_runs", endpoints.runs as f64);
     summary.detail("peak_busy", f64::from(endpoints.peak_busy));
     summary.detail("task_starts", batch.starts as f64);
