Let cells price, throttle and move by measured interference

Cause: placement took no notice of services, and the controller's decisions had nobody to carry them out. Change: each cell feeds its controller with what runs, late reports and the owners' loads, puts the class's price on each worker before placing, and carries out throttles and moves, each with its reason in the status and as a note for the log. A worker silent for 4 s gets no more tasks.

--- a/crates/guavacart_entry/src/batch.rs
+++ b/crates/guavacart_entry/src/batch.rs
@@ -7,6 +7,7 @@
 use guavacart_scheduler::{
     Event,
     batch::{BatchEffect, BatchEvent, CellNote, PeerBatch, call::JobReply, worker::WorkerReport},
+    interference::Decision,
 };
 use guavacart_types::{CallId, CellId, InstanceId, Timestamp};
 use tracing::{error, info};
@@ -157,6 +158,16 @@
         CellNote::SteppedDown => {
             info!(event = "cell_given_up", %cell, "this instance no longer owns the cell");
         }
+        CellNote::Shared(decision) => {
+            let Decision {
+                worker,
+                task,
+                attempt,
+                action,
+                why,
+            } = decision.as_ref();
+            info!(event = "shared", %cell, %worker, %task, %attempt, ?action, %why, "a task was changed for a service");
+        }
         CellNote::Stopped(err) => {
             error!(event = "cell_stopped", %cell, error = %err, "the cell's journal cannot be used");
         }
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -1,13 +1,14 @@
 //! One cell that this instance owns: its journal, its workers and its queue.
 
 mod answer;
+mod colocate;
 mod schedule;
 mod sync;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use guavacart_types::{
-    CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, ViewNumber, WorkerId,
+    BatchClass, CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, ViewNumber, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -22,7 +23,12 @@
     ledger::Ledger,
     link::Link,
 };
-use crate::{Cx, Effect, directory::ListedWorker, membership::Member};
+use crate::{
+    Cx, Effect,
+    directory::ListedWorker,
+    interference::{self, Colocation},
+    membership::Member,
+};
 
 /// Time between two tries of a store call that failed.
 const STORE_RETRY: Span = Span::millis(200);
@@ -135,6 +141,10 @@
     contact: Timestamp,
     dirty: bool,
     next_pass: Timestamp,
+    colocation: Colocation,
+    /// Thousandths of each worker that each class presses on, as last told.
+    pressures: BTreeMap<(WorkerId, BatchClass), u32>,
+    next_sharing: Timestamp,
 }
 
 impl Cell {
@@ -165,6 +175,9 @@
             contact: cx.now,
             dirty: true,
             next_pass: cx.now,
+            colocation: Colocation::default(),
+            pressures: BTreeMap::new(),
+            next_sharing: cx.now,
         }
     }
 
@@ -214,6 +227,7 @@
         }
         self.lapse_leases(cx);
         if !cx.stopping {
+            self.share_workers(cx, io);
             self.schedule(cx);
         }
         self.append(cx, io);
@@ -564,6 +578,8 @@
     SteppedDown,
     /// The cell's journal cannot be used.
     Stopped(JournalError),
+    /// Something was done for a service that shares a worker.
+    Shared(Box<interference::Decision>),
 }
 
 /// Sends an answer to whoever asked.
--- /dev/null
+++ b/crates/guavacart_scheduler/src/batch/cell/colocate.rs
@@ -0,0 +1,174 @@
+//! Sharing workers with services: what the cell tells the controller, and what it does on its word.
+
+use std::collections::BTreeMap;
+
+use guavacart_types::{BatchClass, ServiceName, Span, WorkerId};
+
+use super::{Cell, CellNote, Io};
+use crate::{
+    Cx,
+    batch::{
+        BatchEffect,
+        decision::Decision,
+        job::StopReason,
+        link::Tracked,
+        worker::{AttemptId, UsageReport},
+    },
+    interference::{self, Action, Pressure, RunningTask, ServiceSample, ServiceSignal},
+    membership::ServiceLoad,
+};
+
+/// Time between two looks at how services and batch work get on.
+const REVIEW_INTERVAL: Span = Span::millis(200);
+/// Speed of a task that is not throttled, in percent.
+const FULL_SPEED: u32 = 100;
+
+impl Cell {
+    /// Tells the controller what runs and how services do, and carries out what it decides.
+    pub(super) fn share_workers(&mut self, cx: &Cx<'_>, io: &mut Io<'_>) {
+        if cx.now < self.next_sharing {
+            return;
+        }
+        self.next_sharing = cx.now + REVIEW_INTERVAL;
+        self.colocation.listed(cx.directory);
+        for (service, signal) in service_signals(cx) {
+            self.colocation.observe_service(cx.now, &service, signal);
+        }
+        let tasks = self.running_tasks(cx);
+        self.note_pressures(cx, &tasks);
+        let decided = self.colocation.decide(cx.now, cx.configuration, &tasks);
+        for decision in decided {
+            self.carry_out(cx, io, decision);
+        }
+    }
+
+    /// Learns from a worker's late reports.
+    pub(super) fn learn_usage(&mut self, cx: &Cx<'_>, worker: &WorkerId, usage: &[UsageReport]) {
+        for report in usage {
+            let samples = report.services.iter().map(|service| ServiceSample {
+                service: service.service.clone(),
+                p99: service.p99,
+                samples: service.samples,
+            });
+            let samples: Vec<ServiceSample> = samples.collect();
+            let described_at = cx.now - report.age;
+            self.colocation
+                .observe_usage(cx.now, worker, described_at, &samples);
+        }
+    }
+
+    /// What the class costs on each worker beyond what it takes.
+    pub(super) fn price(&self, cx: &Cx<'_>, worker: &WorkerId, class: &BatchClass) -> u64 {
+        self.colocation
+            .price(cx.now, cx.configuration, worker, class)
+    }
+
+    fn running_tasks(&self, cx: &Cx<'_>) -> Vec<RunningTask> {
+        let links = self.links.iter();
+        let tracked = links.flat_map(|(w, link)| link.tracked.iter().map(move |t| (w, t)));
+        let tasks = tracked.filter_map(|(w, (id, tracked))| self.running(cx, w, id, tracked));
+        tasks.collect()
+    }
+
+    fn running(
+        &self,
+        cx: &Cx<'_>,
+        worker: &WorkerId,
+        id: &AttemptId,
+        tracked: &Tracked,
+    ) -> Option<RunningTask> {
+        let seen_at = tracked.seen_at?;
+        let job = self.ledger.jobs.get(&id.task.job)?;
+        let capacity = cx.directory.workers.get(worker)?.capacity.processors.0;
+        let share = job.spec.resources.processors.0 * 1_000 / capacity.max(1);
+        let rule = cx.configuration.batch_classes.get(&job.spec.class);
+        let at_stake = match rule.is_some_and(|rule| rule.checkpoints) {
+            true => Span::ZERO,
+            false => cx.now.since(seen_at),
+        };
+        tracked.stop.is_none().then(|| RunningTask {
+            task: id.task.clone(),
+            attempt: id.attempt,
+            worker: worker.clone(),
+            class: job.spec.class.clone(),
+            pressure: Pressure(u32::try_from(share).unwrap_or(u32::MAX)),
+            percent: tracked.throttle.unwrap_or(FULL_SPEED),
+            progress_ppm: tracked.progress_ppm,
+            at_stake,
+        })
+    }
+
+    fn note_pressures(&mut self, cx: &Cx<'_>, tasks: &[RunningTask]) {
+        let mut pressures: BTreeMap<(WorkerId, BatchClass), u32> = BTreeMap::new();
+        for task in tasks {
+            let key = (task.worker.clone(), task.class.clone());
+            let pressure = task.pressure.0 * task.percent / FULL_SPEED;
+            *pressures.entry(key).or_default() += pressure;
+        }
+        let ended = self.pressures.keys().filter(|k| !pressures.contains_key(k));
+        for (worker, class) in ended {
+            self.colocation.ran(cx.now, worker, class, Pressure(0));
+        }
+        for (key, pressure) in &pressures {
+            if self.pressures.get(key) != Some(pressure) {
+                let (worker, class) = key;
+                self.colocation
+                    .ran(cx.now, worker, class, Pressure(*pressure));
+            }
+        }
+        self.pressures = pressures;
+    }
+
+    fn carry_out(&mut self, cx: &Cx<'_>, io: &mut Io<'_>, decision: interference::Decision) {
+        match decision.action {
+            Action::Throttle { percent } => {
+                let id = AttemptId {
+                    task: decision.task.clone(),
+                    attempt: decision.attempt,
+                };
+                let link = self.links.get_mut(&decision.worker);
+                let Some(link) = link else {
+                    return;
+                };
+                if let Some(tracked) = link.tracked.get_mut(&id) {
+                    tracked.throttle = Some(percent);
+                    link.hurry(cx.now);
+                }
+            }
+            Action::Move | Action::Stop => self.stop(&decision.task, StopReason::Interference),
+        }
+        let shared = Decision::Shared(Box::new(decision.clone()));
+        self.decisions.insert(decision.task.clone(), shared);
+        let cell = self.id.clone();
+        let note = CellNote::Shared(Box::new(decision));
+        io.emit(BatchEffect::Note { cell, note });
+    }
+}
+
+/// What the owners of each service's endpoints see, this instance's part included.
+fn service_signals(cx: &Cx<'_>) -> BTreeMap<ServiceName, ServiceSignal> {
+    let mut signals: BTreeMap<ServiceName, ServiceSignal> = BTreeMap::new();
+    let own = &cx.membership.own_load().services;
+    let peers = cx.membership.live_members(cx.now);
+    let loads = peers.into_iter().filter_map(|p| cx.membership.peer_load(p));
+    let peers = loads.flat_map(|(load, _)| load.services.iter());
+    for load in own.iter().chain(peers) {
+        let signal = signals.entry(load.service.clone());
+        add(signal.or_insert(NO_SIGNAL), load);
+    }
+    signals
+}
+
+/// A service without endpoints.
+const NO_SIGNAL: ServiceSignal = ServiceSignal {
+    slots: 0,
+    free: 0,
+    queued: 0,
+    p99: None,
+};
+
+fn add(signal: &mut ServiceSignal, load: &ServiceLoad) {
+    signal.slots += load.slots;
+    signal.free += load.free;
+    signal.queued += load.queued;
+}
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use guavacart_types::{Resources, Span, TaskId, Timestamp, WorkerId};
+use guavacart_types::{BatchClass, Resources, Span, TaskId, Timestamp, WorkerId};
 
 use super::{Cell, Reservation};
 use crate::{
@@ -42,6 +42,8 @@
     candidates: Vec<Candidate>,
     occupants: BTreeMap<WorkerId, Vec<Occupant>>,
     unplaced: Vec<Unplaced>,
+    /// The class whose price is on the candidates.
+    priced: Option<BatchClass>,
     places: usize,
     displacers: usize,
     reserved_normal: bool,
@@ -107,6 +109,7 @@
             candidates,
             occupants: self.occupants(cx),
             unplaced: Vec::new(),
+            priced: None,
             places: 0,
             displacers: 0,
             reserved_normal: false,
@@ -175,6 +178,7 @@
             return;
         };
         let spec = job.spec.clone();
+        self.price_candidates(cx, pass, &spec);
         for index in indices {
             if pass.places >= MAX_PLACES_PER_PASS {
                 return;
@@ -192,6 +196,17 @@
         self.waiting.remove(&spec.id);
     }
 
+    /// Puts the class's price on each candidate.
+    fn price_candidates(&self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec) {
+        if pass.priced.as_ref() == Some(&spec.class) {
+            return;
+        }
+        for candidate in &mut pass.candidates {
+            candidate.cost = self.price(cx, &candidate.worker, &spec.class);
+        }
+        pass.priced = Some(spec.class.clone());
+    }
+
     fn try_task(&mut self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec, id: &TaskId) -> Tried {
         if let Some(slice) = quota::slice(cx.configuration, &self.id, &spec.team) {
             let wanted = self.ledger.team_used(&spec.team).plus(&spec.resources);
--- a/crates/guavacart_scheduler/src/batch/cell/sync.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/sync.rs
@@ -161,7 +161,7 @@
         match answer {
             WorkerAnswer::Report { attempts, usage } => {
                 link.answered(cx.now);
-                link.usage = usage;
+                self.learn_usage(cx, &worker, &usage);
                 self.reported(cx, &worker, attempts);
             }
             WorkerAnswer::NotSent => {}
--- a/crates/guavacart_scheduler/src/batch/decision.rs
+++ b/crates/guavacart_scheduler/src/batch/decision.rs
@@ -5,9 +5,10 @@
 use guavacart_types::{Resources, TeamName, WorkerId};
 
 use super::job::{AttemptEnd, StopReason};
+use crate::interference::{self, Action};
 
 /// The last decision about a task or a job in the queue.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// It got a place.
     Placed {
@@ -37,6 +38,8 @@
         /// Why.
         reason: StopReason,
     },
+    /// Something was done to it for a service on the same worker.
+    Shared(Box<interference::Decision>),
     /// An attempt ended and it is tried again.
     Again {
         /// The worker of that attempt.
@@ -69,6 +72,16 @@
             Self::Stopping { worker, reason } => {
                 write!(f, "is being stopped on {worker}: {}", reason_text(*reason))
             }
+            Self::Shared(decision) => {
+                let interference::Decision { worker, why, .. } = decision.as_ref();
+                match decision.action {
+                    Action::Throttle { percent } => {
+                        write!(f, "runs at {percent}% of its speed on {worker}: {why}")
+                    }
+                    Action::Move => write!(f, "is moved off {worker} from a checkpoint: {why}"),
+                    Action::Stop => write!(f, "is stopped on {worker}: {why}"),
+                }
+            }
             Self::Again { worker, end } => {
                 write!(f, "is tried again: on {worker} it {}", end_text(end))
             }
--- a/crates/guavacart_scheduler/src/batch/link.rs
+++ b/crates/guavacart_scheduler/src/batch/link.rs
@@ -4,7 +4,7 @@
 
 use guavacart_types::{Attempt, Span, TaskId, Timestamp};
 
-use super::worker::{AttemptId, UsageReport};
+use super::worker::AttemptId;
 use crate::membership::DRIFT_MARGIN;
 
 /// How long an attempt may run after its last renewal; longer than a take-over.
@@ -17,6 +17,8 @@
 const MAX_LOST_RENEWALS: usize = 2;
 /// Age after which a call without an answer is no longer counted as one that may renew.
 const LOST_CALL_LIFE: Span = Span::secs(30);
+/// Time without an answer after which a worker gets no more tasks.
+const SILENCE_SPAN: Span = Span::secs(4);
 /// Failures in a row after which a worker is on probation.
 const PROBATION_FAILURES: u32 = 2;
 /// First time on probation; doubles with each further failure.
@@ -79,7 +81,6 @@
     pub(super) ended: BTreeMap<AttemptId, u64>,
     /// Attempts that the worker runs and the cell does not know as placed there.
     pub(super) strays: BTreeSet<AttemptId>,
-    pub(super) usage: Vec<UsageReport>,
     proven: bool,
     probation_until: Timestamp,
 }
@@ -97,7 +98,6 @@
             tracked: BTreeMap::new(),
             ended: BTreeMap::new(),
             strays: BTreeSet::new(),
-            usage: Vec::new(),
             proven: false,
             probation_until: Timestamp::default(),
         }
@@ -188,6 +188,9 @@
 
     /// How many more tasks the worker may take now.
     pub(super) fn openings(&self, now: Timestamp, failures_in_a_row: u32) -> u32 {
+        if now.since(self.answered_at) > SILENCE_SPAN {
+            return 0;
+        }
         let held = u32::try_from(self.tracked.len()).unwrap_or(u32::MAX);
         if Self::is_on_probation(failures_in_a_row) {
             let over = now >= self.probation_until;
--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -222,6 +222,11 @@
         self.view.ranking(key, preferred)
     }
 
+    /// What this instance has to spare.
+    pub fn own_load(&self) -> &Load {
+        &self.load
+    }
+
     /// The last known load of a peer and when it was heard.
     pub fn peer_load(&self, peer: &InstanceId) -> Option<(&Load, Timestamp)> {
         self.peers.load(peer)
