--- a/crates/guavacart_scheduler/src/request/endpoint.rs
+++ b/crates/guavacart_scheduler/src/request/endpoint.rs
@@ -13,7 +13,7 @@
 const LONGEST_INTERVAL: Span = Span::millis(1_600);
 /// Time after which a probe without an answer is given up.
 const PROBE_LIMIT: Span = Span::secs(1);
-/// Age at which a request that was sent has surely arrived.
+/// Age at which a request that was sent has surely arrived, and its answer after it ended.
 const SETTLE_SPAN: Span = Span::millis(100);
 
 /// A dispatch under way.
@@ -92,13 +92,14 @@
         self.longest_deadline = service.longest_deadline;
     }
 
-    /// Begins to own it: whoever owned it before may still use every slot.
+    /// Begins to own it: whoever owned it before may still use every slot, and what it sent last
+    /// may still be on its way, so the first probe waits for that.
     pub(super) fn own(&mut self, now: Timestamp) {
         self.owned = true;
         self.residual = self.slots;
         self.residual_since = now;
         self.interval = PROBE_INTERVAL;
-        self.probe = Probe::Rest(now);
+        self.probe = Probe::Rest(now + SETTLE_SPAN);
     }
 
     /// Slots that a request may take now.
@@ -160,6 +161,12 @@
         true
     }
 
+    /// The process stood still: what it sent and what it is to read may be late, so a probe that
+    /// was under way shows nothing.
+    pub(super) fn stalled(&mut self, now: Timestamp) {
+        self.probe = Probe::Rest(now + SETTLE_SPAN);
+    }
+
     /// Takes an endpoint's answer to a probe.
     pub(super) fn probed(&mut self, now: Timestamp, asked_at: Timestamp, busy: Option<u32>) {
         let Probe::Asked(at) = self.probe else {
