--- a/crates/guavacart_scheduler/tests/batch/cases.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -230,3 +230,46 @@
     let starts: u64 = world.starts.iter().sum();
     assert!(world.store_writes < starts, "{} writes", world.store_writes);
 }
+
+#[test]
+fn a_cell_is_taken_over_from_snapshots_under_lost_answers() {
+    let setup = Setup {
+        nodes: 3,
+        workers: 16,
+        lost_percent: 5,
+        faults: (0..9)
+            .map(|n| Fault::Kill {
+                at: 12_000 + 8_000 * n,
+                node: n as usize,
+                ms: 5_000,
+            })
+            .collect(),
+        ..Setup::default()
+    };
+    let world = run_to_the_end(setup, &jobs(40, 50, 1, 3_000), 600_000);
+    assert!(world.snapshots >= 2, "{} snapshots", world.snapshots);
+}
+
+#[test]
+fn running_tasks_outlast_an_outage_in_which_their_owner_dies() {
+    for node in 0..3 {
+        let setup = Setup {
+            nodes: 3,
+            faults: vec![
+                Fault::Outage {
+                    at: 12_000,
+                    ms: 90_000,
+                },
+                Fault::Kill {
+                    at: 14_000,
+                    node,
+                    ms: 60_000,
+                },
+            ],
+            ..Setup::default()
+        };
+        let long = [job("long", 8, 4, 80_000)];
+        let world = run_to_the_end(setup, &long, 300_000);
+        assert_eq!(world.starts.iter().sum::<u64>(), 8);
+    }
+}
