Keep what was delegated beyond its owner's end

Cause: a delegation was kept with the last heartbeat of its owner, so that in an outage the owner's new start made the members forget it and the keys rested until the view changed. Trials with faults put into the code also showed that no test held a release to what the owner had delegated. Change: delegations are kept by incarnation as long as a view names it. Two tests: an owner that delegated starts again, and an owner that delegated adopts a view in which a newcomer owns its keys, each with one member cut off as the view changes. With a superseded owner counted as released the first fails, with delegations left out for earlier views the second, both by two acting owners.

--- a/crates/guavacart_scheduler/src/membership/peers.rs
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -25,7 +25,6 @@
     pub(super) attesting: bool,
     pub(super) leaving: bool,
     pub(super) hears: Vec<Member>,
-    delegation: Option<Delegation>,
     sent_at: Timestamp,
     config: ConfigNumber,
     load: Load,
@@ -42,6 +41,8 @@
     last_sent: BTreeMap<InstanceId, Timestamp>,
     /// When each member of a view was first seen in one; the start of its silence if never heard.
     known_since: BTreeMap<Member, Timestamp>,
+    /// What members of a view delegated; outlives them, since others act by it.
+    delegations: BTreeMap<Member, Delegation>,
 }
 
 impl Peers {
@@ -53,6 +54,7 @@
             listed_at: None,
             last_sent: BTreeMap::new(),
             known_since: BTreeMap::new(),
+            delegations: BTreeMap::new(),
         }
     }
 
@@ -71,6 +73,7 @@
             .map(|m| &m.member)
             .collect();
         self.known_since.retain(|member, _| named.contains(member));
+        self.delegations.retain(|member, _| named.contains(member));
         for member in named {
             self.known_since.entry(member.clone()).or_insert(now);
         }
@@ -89,6 +92,7 @@
         if stale {
             return false;
         }
+        let delegated = self.note_delegation(&heartbeat);
         let peer = Peer {
             member: heartbeat.from,
             data_centre: heartbeat.data_centre,
@@ -97,18 +101,25 @@
             attesting: heartbeat.attesting,
             leaving: heartbeat.leaving,
             hears: heartbeat.hears,
-            delegation: heartbeat.delegation,
             sent_at: heartbeat.sent_at,
             config: heartbeat.config,
             load: heartbeat.load,
         };
         let changed = self.heard.get(&id).is_none_or(|before| {
-            before.member != peer.member
-                || before.view_number != peer.view_number
-                || before.delegation != peer.delegation
+            before.member != peer.member || before.view_number != peer.view_number
         });
         self.heard.insert(id, peer);
-        changed
+        changed || delegated
+    }
+
+    /// Keeps what the sender delegated; true if that is news.
+    fn note_delegation(&mut self, heartbeat: &Heartbeat) -> bool {
+        let Some(delegation) = &heartbeat.delegation else {
+            return false;
+        };
+        let from = heartbeat.from.clone();
+        let before = self.delegations.insert(from, delegation.clone());
+        before.as_ref() != Some(delegation)
     }
 
     pub(super) fn get(&self, id: &InstanceId) -> Option<&Peer> {
@@ -185,7 +196,7 @@
 
     /// What `member` told of its delegation.
     pub(super) fn delegation(&self, member: &Member) -> Option<&Delegation> {
-        self.heard_exactly(member)?.delegation.as_ref()
+        self.delegations.get(member)
     }
 
     /// True if `member` could act for another in the view `number`.
--- a/crates/guavacart_scheduler/tests/membership/main.rs
+++ b/crates/guavacart_scheduler/tests/membership/main.rs
@@ -185,6 +185,46 @@
     }
 }
 
+/// Lets time pass until the view changes, and cuts one member off before it hears of that.
+fn cut_off_at_the_next_view(sim: &mut Simulation, member: usize) {
+    let number = sim.view_number();
+    while sim.view_number() == number {
+        sim.run(1);
+    }
+    let deaf = 1 << member;
+    sim.run_script(&[(0, Fault::StoreCut(deaf)), (0, Fault::Partition(deaf))]);
+    sim.run(5_000);
+}
+
+/// A member that delegated ends and starts again; its new start waits for those that act for it.
+#[test]
+fn a_restart_does_not_take_back_what_was_delegated() {
+    for seed in 0..20 {
+        let mut sim = Simulation::start(5, seed);
+        sim.run(5_000);
+        sim.run_script(&[(0, Fault::Store(Condition::Down)), (0, Fault::Leave(2))]);
+        sim.run_script(&[(6_000, Fault::Restart(2)), (4_000, Fault::Loss(0))]);
+        assert_eq!(sim.settle(0), Some(0), "{}", sim.describe());
+        sim.inject(&Fault::Heal);
+        cut_off_at_the_next_view(&mut sim, [0, 1, 3, 4][seed as usize % 4]);
+    }
+}
+
+/// A member delegates and then adopts the next view, in which a newcomer owns its keys; its release is
+/// not that of those that act for it.
+#[test]
+fn a_release_does_not_speak_for_those_that_were_delegated_to() {
+    for seed in 0..20 {
+        let mut sim = Simulation::start(5, seed);
+        sim.run(3_000);
+        sim.inject(&Fault::Kill(4));
+        sim.run(8_000);
+        sim.run_script(&[(0, Fault::Store(Condition::Down)), (0, Fault::Restart(4))]);
+        sim.run_script(&[(4_500, Fault::Leave(1)), (2_300, Fault::Heal)]);
+        cut_off_at_the_next_view(&mut sim, [0, 2, 3][seed as usize % 3]);
+    }
+}
+
 /// The record stays small while the membership changes without end.
 #[test]
 fn the_record_stays_small() {
