--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -222,6 +222,11 @@
         self.view.ranking(key, preferred)
     }
 
+    /// What this instance has to spare.
+    pub fn own_load(&self) -> &Load {
+        &self.load
+    }
+
     /// The last known load of a peer and when it was heard.
     pub fn peer_load(&self, peer: &InstanceId) -> Option<(&Load, Timestamp)> {
         self.peers.load(peer)
@@ -232,6 +237,13 @@
         self.peers.is_heard(peer, now)
     }
 
+    /// True if the start of `peer` that is a member of the view was heard within [`SILENCE_LIMIT`].
+    pub fn is_member_heard(&self, peer: &InstanceId, now: Timestamp) -> bool {
+        let mut members = self.view.members.iter();
+        let member = members.find(|m| m.member.id == *peer);
+        member.is_some_and(|m| self.peers.is_heard_exactly(&m.member, now))
+    }
+
     /// True if every other member of the view has had a heartbeat that was sent at `since` or later.
     pub fn is_heard_by_all(&self, since: Timestamp) -> bool {
         self.right
@@ -522,6 +534,7 @@
             attesting: self.right.is_attesting(),
             leaving: self.is_leaving(),
             delegation: self.delegated.get().cloned(),
+            hears: self.peers.hears(now),
             config: self.config,
             load: self.load.clone(),
         };
--- a/crates/guavacart_scheduler/src/membership/peers.rs
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -24,7 +24,7 @@
     pub(super) view_number: ViewNumber,
     pub(super) attesting: bool,
     pub(super) leaving: bool,
-    delegation: Option<Delegation>,
+    pub(super) hears: Vec<Member>,
     sent_at: Timestamp,
     config: ConfigNumber,
     load: Load,
@@ -41,6 +41,8 @@
     last_sent: BTreeMap<InstanceId, Timestamp>,
     /// When each member of a view was first seen in one; the start of its silence if never heard.
     known_since: BTreeMap<Member, Timestamp>,
+    /// What members of a view delegated; outlives them, since others act by it.
+    delegations: BTreeMap<Member, Delegation>,
 }
 
 impl Peers {
@@ -52,6 +54,7 @@
             listed_at: None,
             last_sent: BTreeMap::new(),
             known_since: BTreeMap::new(),
+            delegations: BTreeMap::new(),
         }
     }
 
@@ -70,6 +73,7 @@
             .map(|m| &m.member)
             .collect();
         self.known_since.retain(|member, _| named.contains(member));
+        self.delegations.retain(|member, _| named.contains(member));
         for member in named {
             self.known_since.entry(member.clone()).or_insert(now);
         }
@@ -88,6 +92,7 @@
         if stale {
             return false;
         }
+        let delegated = self.note_delegation(&heartbeat);
         let peer = Peer {
             member: heartbeat.from,
             data_centre: heartbeat.data_centre,
@@ -95,18 +100,26 @@
             view_number: heartbeat.view_number,
             attesting: heartbeat.attesting,
             leaving: heartbeat.leaving,
-            delegation: heartbeat.delegation,
+            hears: heartbeat.hears,
             sent_at: heartbeat.sent_at,
             config: heartbeat.config,
             load: heartbeat.load,
         };
         let changed = self.heard.get(&id).is_none_or(|before| {
-            before.member != peer.member
-                || before.view_number != peer.view_number
-                || before.delegation != peer.delegation
+            before.member != peer.member || before.view_number != peer.view_number
         });
         self.heard.insert(id, peer);
-        changed
+        changed || delegated
+    }
+
+    /// Keeps what the sender delegated; true if that is news.
+    fn note_delegation(&mut self, heartbeat: &Heartbeat) -> bool {
+        let Some(delegation) = &heartbeat.delegation else {
+            return false;
+        };
+        let from = heartbeat.from.clone();
+        let before = self.delegations.insert(from, delegation.clone());
+        before.as_ref() != Some(delegation)
     }
 
     pub(super) fn get(&self, id: &InstanceId) -> Option<&Peer> {
@@ -123,6 +136,12 @@
             .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
     }
 
+    /// True if this very start of the instance was heard lately.
+    pub(super) fn is_heard_exactly(&self, member: &Member, now: Timestamp) -> bool {
+        self.heard_exactly(member)
+            .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
+    }
+
     /// True if the platform no longer lists `member`.
     ///
     /// A list that may have been made before the member started says nothing of it.
@@ -142,6 +161,22 @@
         }
     }
 
+    /// True if `member` is heard, or has not been known for long enough to be missed.
+    pub(super) fn is_present(&self, member: &Member, now: Timestamp) -> bool {
+        let since = self.silent_since(member);
+        since.is_some_and(|at| now.since(at) < SILENCE_LIMIT)
+    }
+
+    /// All that are present, in order of id.
+    pub(super) fn hears(&self, now: Timestamp) -> Vec<Member> {
+        let heard = self.heard.values().map(|peer| &peer.member);
+        let known: BTreeSet<&Member> = heard.chain(self.known_since.keys()).collect();
+        let present = known
+            .into_iter()
+            .filter(|m| **m != self.me && self.is_present(m, now));
+        present.cloned().collect()
+    }
+
     /// True if a later start of the same instance is known, so that `member` has ended.
     pub(super) fn is_superseded(&self, member: &Member) -> bool {
         if member.id == self.me.id {
@@ -167,7 +202,7 @@
 
     /// What `member` told of its delegation.
     pub(super) fn delegation(&self, member: &Member) -> Option<&Delegation> {
-        self.heard_exactly(member)?.delegation.as_ref()
+        self.delegations.get(member)
     }
 
     /// True if `member` could act for another in the view `number`.
--- a/crates/guavacart_wire/tests/messages.rs
+++ b/crates/guavacart_wire/tests/messages.rs
@@ -58,6 +58,7 @@
             view: ViewNumber(5),
             to: vec!["b".parse().unwrap()],
         }),
+        hears: vec![member("b").member],
         config: ConfigNumber(2),
         load: Load {
             services: vec![ServiceLoad {
@@ -165,7 +166,7 @@
 peer_request! {
     cancel: PeerRequest::Cancel { call: CallId(1) };
     claim: PeerRequest::Claim { asker: member("a").member, call: CallId(1), id: "r".parse().unwrap(), view: ViewNumber(2) };
-    claimed: PeerRequest::Claimed { call: CallId(1), view: ViewNumber(2), answer: ClaimAnswer::Unsure };
+    claimed: PeerRequest::Claimed { asker: member("a").member, call: CallId(1), view: ViewNumber(2), answer: ClaimAnswer::Unsure };
     release: PeerRequest::Release {
         asker: member("a").member,
         call: CallId(1),
