End permits of earlier standings, number calls across starts, and take slopes

Cause: a dispatch carried out after its instance had adopted a newer view, or had delegated its keys, still passed its valid-until; call ids began at 1 at each start, so a peer could take an old start's cancellation for a new call. Change: a fence raised with the membership's generation before the effects of the same event; call ids begin at the incarnation.

--- a/crates/guavacart_entry/src/calls.rs
+++ b/crates/guavacart_entry/src/calls.rs
@@ -11,16 +11,21 @@
 use bytes::Bytes;
 use guavacart_platform::endpoint::EndpointAnswer;
 use guavacart_scheduler::request::RequestHead;
-use guavacart_types::{ByteSize, CallId, DispatchId, InstanceId, Outcome, Timestamp};
+use guavacart_types::{ByteSize, CallId, DispatchId, Incarnation, InstanceId, Outcome, Timestamp};
 use guavacart_wire::{AnswerWire, ForwardWire};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-/// Hands out ids of calls, unique within the process.
-#[derive(Clone, Debug, Default)]
+/// Hands out ids of calls, unique among all starts of the instance.
+#[derive(Clone, Debug)]
 pub(crate) struct CallIds(Arc<AtomicU64>);
 
 impl CallIds {
+    /// Begins after the ids of earlier starts, which made fewer than one call a microsecond.
+    pub(crate) fn start(incarnation: Incarnation) -> Self {
+        Self(Arc::new(AtomicU64::new(incarnation.0)))
+    }
+
     pub(crate) fn next(&self) -> CallId {
         CallId(self.0.fetch_add(1, Ordering::Relaxed) + 1)
     }
--- a/crates/guavacart_entry/src/core.rs
+++ b/crates/guavacart_entry/src/core.rs
@@ -123,7 +123,11 @@
 
     fn apply(&mut self, event: Event) {
         let now = self.clock.now();
-        for effect in self.state.apply(now, event) {
+        let effects = self.state.apply(now, event);
+        self.runner
+            .fence
+            .raise(self.state.membership().generation());
+        for effect in effects {
             self.carry_out(effect);
         }
     }
--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -25,6 +25,7 @@
     calls::{CallIds, Calls},
     clock::Clock,
     core::{Core, Input},
+    fence::Fence,
     front::{Front, FrontContext},
     heartbeats::{self, HeartbeatSender},
     links::{self, LinkContext, Links},
@@ -78,11 +79,11 @@
         let clock = Clock::start();
         let (inbox, inputs) = flume::bounded(INBOX_INPUTS);
         let addresses = Addresses::default();
-        let call_ids = CallIds::default();
         let member = Member {
             id: settings.instance.clone(),
             incarnation: incarnation(),
         };
+        let call_ids = CallIds::start(member.incarnation);
         let links = Links::new(
             Arc::new(LinkContext::new(
                 member.id.clone(),
@@ -114,6 +115,7 @@
             runner: Runner {
                 calls: Calls::default(),
                 clock,
+                fence: Fence::default(),
                 runtime: runtime.handle().clone(),
                 inbox: inbox.clone(),
                 store: store.clone(),
--- a/crates/guavacart_entry/src/lib.rs
+++ b/crates/guavacart_entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod core;
 mod entry;
 mod error;
+mod fence;
 mod front;
 mod heartbeats;
 mod jobs;
--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -24,6 +24,7 @@
     calls::Calls,
     clock::Clock,
     core::Input,
+    fence::Fence,
     heartbeats::HeartbeatSender,
     links::Links,
     metrics::Metrics,
@@ -34,6 +35,7 @@
 pub(crate) struct Runner<S> {
     pub(crate) calls: Calls,
     pub(crate) clock: Clock,
+    pub(crate) fence: Fence,
     pub(crate) runtime: tokio::runtime::Handle,
     pub(crate) inbox: Sender<Input>,
     pub(crate) store: S,
--- a/crates/guavacart_entry/src/runner/requests.rs
+++ b/crates/guavacart_entry/src/runner/requests.rs
@@ -68,7 +68,7 @@
         let Some(body) = self.calls.body(call).cloned() else {
             return self.unsent(dispatch);
         };
-        let clock = self.clock;
+        let permit = self.fence.permit(self.clock, valid_until);
         let endpoints = self.endpoints.clone();
         let inbox = self.inbox.clone();
         self.runtime.spawn(async move {
@@ -79,9 +79,7 @@
                 connections,
                 timeout: timeout.into(),
             };
-            let result = endpoints
-                .run(address, request, || clock.now() < valid_until)
-                .await;
+            let result = endpoints.run(address, request, || permit.holds()).await;
             // A closed inbox means that the process is ending.
             let _ = inbox.send(dispatched(dispatch, result));
         });
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -2,6 +2,7 @@
 
 mod bad_network;
 mod demo;
+mod slopes;
 
 use std::{future::Future, path::PathBuf, pin::Pin, time::Duration};
 
@@ -63,7 +64,7 @@
 }
 
 /// All scenarios.
-pub const SCENARIOS: &[Scenario] = &[demo::SCENARIO, bad_network::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[demo::SCENARIO, bad_network::SCENARIO, slopes::SCENARIO];
 
 /// The scenario of this name.
 pub fn find(name: &str) -> Option<&'static Scenario> {
