Take the service's deadline where a request names none

Cause: the front read a missing Guavacart-Deadline-Ms as 0, which the scheduler takes as a deadline that has passed; the service's deadline was never used. Change: the front hands on whether a deadline was named, and the reducer's thread, which knows the configuration, fills in the service's. A named 0 and a forwarded request whose time ran out stay out.

--- a/crates/guavacart_entry/src/calls.rs
+++ b/crates/guavacart_entry/src/calls.rs
@@ -9,9 +9,10 @@
 };
 
 use bytes::Bytes;
+use guavacart_config::Configuration;
 use guavacart_platform::endpoint::EndpointAnswer;
 use guavacart_scheduler::request::RequestHead;
-use guavacart_types::{ByteSize, CallId, DispatchId, InstanceId, Outcome, Timestamp};
+use guavacart_types::{ByteSize, CallId, DispatchId, InstanceId, Outcome, Span, Timestamp};
 use guavacart_wire::{AnswerWire, ForwardWire};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -26,6 +27,14 @@
     }
 }
 
+/// A caller's request as it asked for it.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) head: RequestHead,
+    /// The deadline that the caller named.
+    pub(crate) deadline: Option<Span>,
+}
+
 /// The body of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestBody {
@@ -101,6 +110,19 @@
     }
 }
 
+impl Asked {
+    /// The head with the service's deadline where the caller named none.
+    ///
+    /// A service that the configuration does not name has none; its requests are refused as unknown.
+    pub(crate) fn into_head(self, configuration: &Configuration) -> RequestHead {
+        let Self { mut head, deadline } = self;
+        let service = configuration.services.get(&head.service);
+        let usual = service.map_or(Span::ZERO, |service| service.deadline);
+        head.deadline = deadline.unwrap_or(usual);
+        head
+    }
+}
+
 impl RequestBody {
     /// A forward of `call` with this body.
     pub(crate) fn to_forward(&self, call: CallId, head: RequestHead) -> ForwardWire {
--- a/crates/guavacart_entry/src/core.rs
+++ b/crates/guavacart_entry/src/core.rs
@@ -8,14 +8,14 @@
     Effect, Event, State,
     batch::{BatchEvent, call::JobReply},
     membership::TICK,
-    request::{DispatchEnd, RequestEvent, RequestHead},
+    request::{DispatchEnd, RequestEvent},
 };
 use guavacart_types::{CallId, DispatchId, InstanceId};
 use guavacart_wire::{ForwardWire, OutcomeWire, Question};
 use tokio::sync::oneshot;
 
 use crate::{
-    calls::{Answer, Origin, Pending, RequestBody, answer_from_wire},
+    calls::{Answer, Asked, Origin, Pending, RequestBody, answer_from_wire},
     clock::Clock,
     runner::Runner,
     status::{self, Roster},
@@ -29,7 +29,7 @@
     /// A caller's request.
     Call {
         call: CallId,
-        head: RequestHead,
+        asked: Asked,
         body: RequestBody,
         reply: oneshot::Sender<Answer>,
     },
@@ -98,10 +98,10 @@
             Input::Event(event) => self.apply(event),
             Input::Call {
                 call,
-                head,
+                asked,
                 body,
                 reply,
-            } => self.call_arrived(call, head, body, reply),
+            } => self.call_arrived(call, asked, body, reply),
             Input::Forward { call, from, wire } => self.forward_arrived(call, from, wire),
             Input::Outcome { from, wire } => self.forward_ended(from, wire),
             Input::Dispatched {
@@ -136,10 +136,11 @@
     fn call_arrived(
         &mut self,
         call: CallId,
-        head: RequestHead,
+        asked: Asked,
         body: RequestBody,
         reply: oneshot::Sender<Answer>,
     ) {
+        let head = asked.into_head(self.state.config().current());
         let pending = Pending {
             head: head.clone(),
             body,
--- a/crates/guavacart_entry/src/front/request.rs
+++ b/crates/guavacart_entry/src/front/request.rs
@@ -14,7 +14,7 @@
     reply::{self, Reply},
 };
 use crate::{
-    calls::{Answer, RequestBody},
+    calls::{Answer, Asked, RequestBody},
     core::Input,
 };
 
@@ -62,9 +62,9 @@
 /// Serves one request from its head to its outcome.
 pub(super) async fn serve(req: Request<Incoming>, service: &str, cx: &FrontContext) -> Reply {
     match take(req, service, cx).await {
-        Ok((head, body)) => {
-            let id = head.id.clone();
-            reply::outcome(&id, run(head, body, cx).await)
+        Ok((asked, body)) => {
+            let id = asked.head.id.clone();
+            reply::outcome(&id, run(asked, body, cx).await)
         }
         Err(err) => {
             cx.metrics.count("requests.bad");
@@ -77,25 +77,25 @@
     req: Request<Incoming>,
     service: &str,
     cx: &FrontContext,
-) -> Result<(RequestHead, RequestBody), BadRequest> {
-    let mut head = head(req.headers(), service)?;
-    if !access::is_team(&cx.access, req.headers(), &head.team) {
+) -> Result<(Asked, RequestBody), BadRequest> {
+    let mut asked = asked(req.headers(), service)?;
+    if !access::is_team(&cx.access, req.headers(), &asked.head.team) {
         return Err(BadRequest::Access);
     }
     let content_type = text(req.headers(), CONTENT_TYPE.as_str())?.map(SmolStr::new);
     let bytes = read_body(req.into_body(), cx).await?;
-    head.size = ByteSize(bytes.len() as u64);
+    asked.head.size = ByteSize(bytes.len() as u64);
     let body = RequestBody {
         content_type,
         bytes,
     };
-    Ok((head, body))
+    Ok((asked, body))
 }
 
-fn head(headers: &HeaderMap, service: &str) -> Result<RequestHead, BadRequest> {
+fn asked(headers: &HeaderMap, service: &str) -> Result<Asked, BadRequest> {
     let class = parse::<Class>(headers, CLASS)?.unwrap_or_default();
-    let deadline_ms = parse::<u64>(headers, DEADLINE)?.unwrap_or(0);
-    Ok(RequestHead {
+    let deadline = parse::<u64>(headers, DEADLINE)?.map(Span);
+    let head = RequestHead {
         service: service
             .parse()
             .map_err(|err| BadRequest::Header("service", SmolStr::new(format!("{err}"))))?,
@@ -103,9 +103,10 @@
         class,
         id: required::<RequestId>(headers, reply::REQUEST_ID)?,
         idempotent: parse::<bool>(headers, IDEMPOTENT)?.unwrap_or(false),
-        deadline: Span(deadline_ms),
+        deadline: deadline.unwrap_or_default(),
         size: ByteSize::default(),
-    })
+    };
+    Ok(Asked { head, deadline })
 }
 
 /// The team that the headers name.
@@ -129,7 +130,7 @@
 }
 
 /// Hands the request to the reducer and waits for its outcome.
-async fn run(head: RequestHead, body: RequestBody, cx: &FrontContext) -> Answer {
+async fn run(asked: Asked, body: RequestBody, cx: &FrontContext) -> Answer {
     let call = cx.call_ids.next();
     let (reply, rx) = oneshot::channel();
     let waiting = Waiting {
@@ -139,7 +140,7 @@
     };
     let input = Input::Call {
         call,
-        head,
+        asked,
         body,
         reply,
     };
