Show owners, cells, leases, store health and traffic in the status

Cause: GET /v1/status told neither what an instance owns nor how the store answers it, and the command printed it as JSON only. Conclusion: an operator sees owners, queues, leases, probation and the store from one call.

--- a/crates/guavacart/src/status.rs
+++ b/crates/guavacart/src/status.rs
@@ -1,5 +1,7 @@
 //! `guavacart status`: the state of the deployment, a job or a task.
 
+mod table;
+
 use getopts::{Matches, Options};
 use guavacart_types::{JobId, TaskId};
 use serde_json::Value;
@@ -28,6 +30,7 @@
         "a task of the job, as JOB/INDEX or INDEX",
         "TASK",
     );
+    options.optflag("j", "json", "print the JSON that the instance answered");
 }
 
 fn run(matches: &Matches) -> Result<(), Failure> {
@@ -35,6 +38,7 @@
     let body = client(matches)?.get(&asked.path())?.success()?;
     match asked {
         Asked::Why(task) => print_line(&why(&task, &body)?),
+        Asked::Deployment if !matches.opt_present("json") => print_line(&table::render(&body)),
         Asked::Deployment | Asked::Job(_) => print_json(&body),
     }
 }
--- a/crates/guavacart/tests/command.rs
+++ b/crates/guavacart/tests/command.rs
@@ -190,6 +190,16 @@
 const PATCH: &[&str] = &["patch", "--base", "3", "--id", "p", "f.json"];
 const CUT: &str = "HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\n{\"number\"";
 
+/// Some of a status: what the rest of it lacks is shown as `-` or `none`.
+const STATUS: &str = r#"{"instance":"e1","config":7,"members":["e1","e2"],"open_views":[],
+    "right_ms":null,"leaving":false,"services":[{"service":"engine","slots":16,"free":9,"queued":0}],
+    "endpoints":[{"endpoint":"p1","service":"engine","slots":8,"free":2,"busy":5,"residual":1,
+    "leaving":false,"probation":true}],"cells":[{"cell":"c1","epoch":3,"state":"acting",
+    "queued":12,"running":40,"leases":41,"workers":8,
+    "probation":[{"worker":"w3","failures_in_a_row":4,"wait_ms":1200}]}],
+    "store":{"answered_ms":80,"failures_in_a_row":0,
+    "calls":[{"kind":"get","total":900,"per_second":2.5}]}}"#;
+
 macro_rules! calls {
     ($($name:ident: $args:expr, [$($answer:expr),*] => $status:literal;)*) => {$(
         #[test]
@@ -217,6 +227,7 @@
     answer_without_length: &["status"], ["HTTP/1.1 200 x\r\n\r\n{}"] => 3;
     answer_cut: &["status"], [CUT] => 3;
     answer_not_json: &["status"], [whole(200, "<p>")] => 3;
+    status_as_a_table: &["status"], [whole(200, STATUS)] => 0;
     difference: &["config", "diff", "1", "2"], [whole(200, r#"{"changes":[{"key":"a.b","before":1,"after":2},{"key":"c","before":null,"after":{}}]}"#)] => 0;
     submit_of_unknown_fate: &["submit", "f.json"], [whole(504, r#"{"outcome":"unknown","detail":"repeat"}"#)] => 4;
     submit_rejected: &["submit", "f.json"], [whole(422, r#"{"outcome":"rejected","detail":"no worker holds it"}"#)] => 1;
--- a/crates/guavacart/tests/operators.rs
+++ b/crates/guavacart/tests/operators.rs
@@ -91,6 +91,12 @@
         fs::write(self.dir.path().join(name), text).unwrap();
     }
 
+    fn status(&self, at: usize) -> serde_json::Value {
+        let (code, text) = self.run(at, READER, &["status", "--json"]);
+        assert_eq!(code, 0, "{text}");
+        serde_json::from_str(&text).unwrap()
+    }
+
     /// Repeats a reading call until its text holds `expected`.
     fn until(&self, at: usize, args: &[&str], expected: &str) {
         let begun = Instant::now();
@@ -115,8 +121,8 @@
 }
 
 fn operate(it: &Deployment) {
-    it.until(0, &["status"], "\"e2\"");
-    it.until(1, &["status"], "\"e1\"");
+    it.until(0, &["status", "--json"], "\"e2\"");
+    it.until(1, &["status", "--json"], "\"e1\"");
     it.file(
         "one.json",
         r#"{"services": {"engine": {}}, "teams": {"a": {}}}"#,
@@ -172,9 +178,20 @@
             .unwrap()
             .contains("<svg")
     );
+    let status = it.status(0);
+    assert_eq!(status["configs"].as_array().unwrap().len(), 2);
+    assert_eq!(status["configs"][0]["number"], 2);
+    assert_eq!(status["store"]["failures_in_a_row"], 0);
+    assert!(status["store"]["calls"][0]["total"].as_u64() > Some(0));
+    for channel in status["control"].as_array().unwrap() {
+        let sent = channel["sent_bytes"].as_u64();
+        assert!(sent > Some(0), "{channel} has carried nothing");
+    }
     it.store
         .set_faults(|faults| faults.outage = Outage::Refusing);
     let out = it.run(0, WRITER, &["patch", "--base", "2", "one.json"]);
     assert_eq!(out.0, 3, "{}", out.1);
+    let failures = it.status(0)["store"]["failures_in_a_row"].as_u64();
+    assert!(failures >= Some(8), "a patch tries eight times");
     assert_eq!(it.run(0, READER, &["config", "show"]).0, 0);
 }
--- a/crates/guavacart_entry/src/core.rs
+++ b/crates/guavacart_entry/src/core.rs
@@ -202,7 +202,7 @@
         let now = self.clock.now();
         let body = match question {
             Question::Configuration => status::configuration(&self.state),
-            Question::Status => status::status(&self.state, now),
+            Question::Status => status::status(&self.state, &self.runner.meters, now),
             Question::Burn => self.runner.burn(now),
         };
         // The asker may have given up; then there is nobody to tell.
--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -12,7 +12,8 @@
 use flume::Sender;
 use guavacart_config::Settings;
 use guavacart_platform::{
-    HttpStore, endpoint::HttpEndpoints, instance_list::HttpInstanceList, worker::HttpWorkers,
+    HttpStore, Traffic, endpoint::HttpEndpoints, instance_list::HttpInstanceList,
+    worker::HttpWorkers,
 };
 use guavacart_report::Recorder;
 use guavacart_scheduler::{Event, Start, State, membership::Member};
@@ -29,8 +30,10 @@
     heartbeats::{self, HeartbeatSender},
     links::{self, LinkContext, Links},
     listing::{self, Addresses},
+    meters::Meters,
     metrics::Metrics,
     runner::Runner,
+    store_health::{CountedStore, StoreHealth},
 };
 
 /// Threads that serve sockets.
@@ -76,6 +79,16 @@
         let metrics =
             Metrics::open(&settings.instance, settings.metrics).map_err(EntryError::Runtime)?;
         let clock = Clock::start();
+        let store = HttpStore::open(settings.store, STORE_TIMEOUT);
+        let list = HttpInstanceList::open(settings.instance_list, LIST_TIMEOUT);
+        let meters = Meters {
+            store_health: StoreHealth::new(clock),
+            heartbeats: Traffic::default(),
+            links: Traffic::default(),
+            store: store.traffic().clone(),
+            list: list.traffic().clone(),
+        };
+        let store = CountedStore::new(store, meters.store_health.clone());
         let (inbox, inputs) = flume::bounded(INBOX_INPUTS);
         let addresses = Addresses::default();
         let call_ids = CallIds::default();
@@ -85,13 +98,13 @@
         };
         let links = Links::new(
             Arc::new(LinkContext::new(
-                member.id.clone(),
-                member.incarnation,
+                member.clone(),
                 settings.access.peer_key.clone(),
                 addresses.clone(),
                 inbox.clone(),
                 call_ids.clone(),
                 metrics.clone(),
+                meters.links.clone(),
             )),
             runtime.handle().clone(),
         );
@@ -100,9 +113,9 @@
             socket: socket.clone(),
             addresses: addresses.clone(),
             key: settings.access.peer_key.clone(),
+            traffic: meters.heartbeats.clone(),
         };
         let (stopped, stopped_rx) = watch::channel(false);
-        let store = HttpStore::open(settings.store, STORE_TIMEOUT);
         let start = Start {
             member,
             data_centre: settings.data_centre.clone(),
@@ -129,6 +142,7 @@
                 links: links.clone(),
                 heartbeats,
                 metrics: metrics.clone(),
+                meters: meters.clone(),
                 recorder: Recorder::start(clock.now()),
                 stopped,
             },
@@ -136,8 +150,8 @@
             clock,
         };
         let core = spawn_thread("reducer", move || core.run())?;
-        spawn_receiver(&settings, socket, metrics.clone(), inbox.clone())?;
-        spawn_lister(&settings, addresses, inbox.clone())?;
+        spawn_receiver(&settings, socket, &metrics, &meters, inbox.clone())?;
+        spawn_lister(list, addresses, inbox.clone())?;
         let peers_listener = nonblocking(&runtime, peers_listener)?;
         runtime.spawn(links::accept(peers_listener, links.clone()));
         let callers_listener = nonblocking(&runtime, callers_listener)?;
@@ -284,23 +298,25 @@
 fn spawn_receiver(
     settings: &Settings,
     socket: Arc<UdpSocket>,
-    metrics: Metrics,
+    metrics: &Metrics,
+    meters: &Meters,
     inbox: Sender<Input>,
 ) -> Result<(), EntryError> {
+    let metrics = metrics.clone();
+    let traffic = meters.heartbeats.clone();
     let me = settings.instance.clone();
     let key = settings.access.peer_key.clone();
     spawn_thread("heartbeats", move || {
-        heartbeats::receive(&socket, &me, &key, &metrics, &inbox);
+        heartbeats::receive(&socket, &me, &key, &metrics, &traffic, &inbox);
     })?;
     Ok(())
 }
 
 fn spawn_lister(
-    settings: &Settings,
+    list: HttpInstanceList,
     addresses: Addresses,
     inbox: Sender<Input>,
 ) -> Result<(), EntryError> {
-    let list = HttpInstanceList::open(settings.instance_list, LIST_TIMEOUT);
     spawn_thread("instance-list", move || {
         listing::poll(&list, &addresses, &inbox);
     })?;
--- a/crates/guavacart_entry/src/front.rs
+++ b/crates/guavacart_entry/src/front.rs
@@ -27,7 +27,9 @@
 };
 use tracing::{debug, warn};
 
-use crate::{calls::CallIds, core::Input, links::Links, metrics::Metrics};
+use crate::{
+    calls::CallIds, core::Input, links::Links, metrics::Metrics, store_health::CountedStore,
+};
 
 /// Rest after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -44,7 +46,7 @@
     pub(crate) inbox: Sender<Input>,
     pub(crate) call_ids: CallIds,
     pub(crate) links: Links,
-    pub(crate) store: HttpStore,
+    pub(crate) store: CountedStore<HttpStore>,
     pub(crate) metrics: Metrics,
 }
 
--- a/crates/guavacart_entry/src/heartbeats.rs
+++ b/crates/guavacart_entry/src/heartbeats.rs
@@ -4,6 +4,7 @@
 
 use flume::Sender;
 use guavacart_config::Secret;
+use guavacart_platform::Traffic;
 use guavacart_scheduler::{
     Event,
     membership::{Heartbeat, MembershipEvent},
@@ -23,6 +24,7 @@
     pub(crate) socket: Arc<UdpSocket>,
     pub(crate) addresses: Addresses,
     pub(crate) key: Secret,
+    pub(crate) traffic: Traffic,
 }
 
 impl HeartbeatSender {
@@ -32,11 +34,10 @@
             return;
         };
         match seal_datagram(self.key.as_bytes(), to.as_str(), heartbeat) {
-            Ok(datagram) => {
-                if let Err(err) = self.socket.send_to(&datagram, address) {
-                    debug!(event = "heartbeat_unsent", to = %to, error = %err);
-                }
-            }
+            Ok(datagram) => match self.socket.send_to(&datagram, address) {
+                Ok(sent) => self.traffic.sent(sent),
+                Err(err) => debug!(event = "heartbeat_unsent", to = %to, error = %err),
+            },
             Err(err) => debug!(event = "heartbeat_unsent", to = %to, error = %err),
         }
     }
@@ -48,6 +49,7 @@
     me: &InstanceId,
     key: &Secret,
     metrics: &Metrics,
+    traffic: &Traffic,
     inbox: &Sender<Input>,
 ) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -56,6 +58,7 @@
             metrics.count("heartbeats.unreceived");
             continue;
         };
+        traffic.received(len);
         let heartbeat = match open_datagram(key.as_bytes(), me.as_str(), &buf[..len]) {
             Ok(heartbeat) => heartbeat,
             Err(err) => {
--- a/crates/guavacart_entry/src/lib.rs
+++ b/crates/guavacart_entry/src/lib.rs
@@ -14,10 +14,13 @@
 mod jobs;
 mod links;
 mod listing;
+mod meters;
 mod metrics;
 pub mod operators;
+mod rate;
 mod runner;
 mod status;
+mod store_health;
 mod view_store;
 
 pub use crate::{entry::Entry, error::EntryError};
--- a/crates/guavacart_entry/src/links.rs
+++ b/crates/guavacart_entry/src/links.rs
@@ -15,6 +15,8 @@
 
 use flume::Sender;
 use guavacart_config::Secret;
+use guavacart_platform::Traffic;
+use guavacart_scheduler::membership::Member;
 use guavacart_types::{Incarnation, InstanceId};
 use guavacart_wire::{Frame, Question};
 use tokio::sync::oneshot;
@@ -35,6 +37,8 @@
     pub(crate) inbox: Sender<Input>,
     pub(crate) call_ids: CallIds,
     pub(crate) metrics: Metrics,
+    /// Bytes of frames; what greets and what acknowledges is not counted.
+    pub(crate) traffic: Traffic,
     /// Questions to peers that wait for their replies.
     asked: Mutex<HashMap<u64, oneshot::Sender<Vec<u8>>>>,
     next_ask: AtomicU64,
@@ -42,22 +46,23 @@
 
 impl LinkContext {
     pub(crate) fn new(
-        me: InstanceId,
-        incarnation: Incarnation,
+        me: Member,
         key: Secret,
         addresses: Addresses,
         inbox: Sender<Input>,
         call_ids: CallIds,
         metrics: Metrics,
+        traffic: Traffic,
     ) -> Self {
         Self {
-            me,
-            incarnation,
+            me: me.id,
+            incarnation: me.incarnation,
             key,
             addresses,
             inbox,
             call_ids,
             metrics,
+            traffic,
             asked: Mutex::default(),
             next_ask: AtomicU64::new(0),
         }
--- a/crates/guavacart_entry/src/links/accept.rs
+++ b/crates/guavacart_entry/src/links/accept.rs
@@ -19,7 +19,7 @@
 
 use super::{
     LinkContext, Links,
-    channel::{LinkError, greet, greeted, read_frame},
+    channel::{LinkError, frame_bytes, greet, greeted, read_frame},
     dial::lost,
 };
 use crate::core::Input;
@@ -108,6 +108,7 @@
             Ok(payload) => payload,
             Err(err) => return err,
         };
+        links.cx.traffic.received(frame_bytes(&payload));
         match Frame::decode(&payload) {
             Ok(frame) => take(frame, peer, links).await,
             Err(err) => {
--- a/crates/guavacart_entry/src/links/channel.rs
+++ b/crates/guavacart_entry/src/links/channel.rs
@@ -64,6 +64,11 @@
     Ok(())
 }
 
+/// Bytes that a frame takes on the stream.
+pub(super) fn frame_bytes(payload: &[u8]) -> usize {
+    size_of::<u32>() + payload.len() + TAG_BYTES
+}
+
 /// Reads one sealed frame.
 pub(super) async fn read_frame<R: AsyncRead + Unpin>(
     stream: &mut R,
--- a/crates/guavacart_entry/src/links/dial.rs
+++ b/crates/guavacart_entry/src/links/dial.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use flume::Receiver;
+use guavacart_platform::Traffic;
 use guavacart_scheduler::{Event, request::RequestEvent};
 use guavacart_types::{CallId, InstanceId, Outcome, Reason};
 use guavacart_wire::{Frame, Hello, LinkSeal, Nonce, Welcome, WireError};
@@ -18,7 +19,7 @@
 
 use super::{
     LinkContext,
-    channel::{LinkError, greet, greeted, write_frame},
+    channel::{LinkError, frame_bytes, greet, greeted, write_frame},
 };
 use crate::core::Input;
 
@@ -34,6 +35,7 @@
     reader: OwnedReadHalf,
     writer: BufWriter<OwnedWriteHalf>,
     seal: LinkSeal,
+    traffic: Traffic,
 }
 
 /// Writes the frames of `queue` to the peer until the queue's senders are gone.
@@ -108,12 +110,13 @@
         reader,
         writer,
         seal,
+        traffic: cx.traffic.clone(),
     })
 }
 
 /// Writes frames until the link breaks (an error) or the queue's senders are gone.
 async fn serve(mut link: Link, first: Frame, queue: &Receiver<Frame>) -> Result<(), LinkError> {
-    send(&mut link.writer, &mut link.seal, first, queue).await?;
+    send(&mut link, first, queue).await?;
     let mut byte = [0; 1];
     loop {
         tokio::select! {
@@ -121,7 +124,7 @@
                 let Ok(frame) = frame else {
                     return Ok(());
                 };
-                send(&mut link.writer, &mut link.seal, frame, queue).await?;
+                send(&mut link, frame, queue).await?;
             }
             // The peer never writes on this link; its end means that the link broke.
             read = link.reader.read(&mut byte) => {
@@ -133,16 +136,13 @@
 }
 
 /// Writes a frame and all that gathered behind it, then flushes.
-async fn send(
-    writer: &mut BufWriter<OwnedWriteHalf>,
-    seal: &mut LinkSeal,
-    first: Frame,
-    queue: &Receiver<Frame>,
-) -> Result<(), LinkError> {
+async fn send(link: &mut Link, first: Frame, queue: &Receiver<Frame>) -> Result<(), LinkError> {
+    let Link { writer, seal, .. } = link;
     let mut next = Some(first);
     while let Some(frame) = next {
         let payload = frame.encode()?;
         timeout(WRITE_TIMEOUT, write_frame(writer, seal, &payload)).await??;
+        link.traffic.sent(frame_bytes(&payload));
         next = queue.try_recv().ok();
     }
     timeout(WRITE_TIMEOUT, writer.flush()).await??;
--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -26,6 +26,7 @@
     core::Input,
     heartbeats::HeartbeatSender,
     links::Links,
+    meters::Meters,
     metrics::Metrics,
     view_store,
 };
@@ -44,6 +45,7 @@
     pub(crate) links: Links,
     pub(crate) heartbeats: HeartbeatSender,
     pub(crate) metrics: Metrics,
+    pub(crate) meters: Meters,
     pub(crate) recorder: Recorder,
     pub(crate) stopped: watch::Sender<bool>,
 }
--- a/crates/guavacart_entry/src/status.rs
+++ b/crates/guavacart_entry/src/status.rs
@@ -1,13 +1,22 @@
 //! What an operator sees of one instance.
 
+mod cell;
+mod endpoint;
+
 use guavacart_config::Configuration;
 use guavacart_scheduler::State;
 use guavacart_types::{ConfigNumber, DataCentre, Incarnation, InstanceId, Timestamp, ViewNumber};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tracing::warn;
 
+use self::{cell::CellStatus, endpoint::EndpointStatus};
+use crate::{
+    meters::{ChannelStatus, Meters},
+    store_health::StoreStatus,
+};
+
 /// One instance's status.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Status {
     instance: InstanceId,
     incarnation: Incarnation,
@@ -25,9 +34,26 @@
     endpoints_listed: usize,
     workers_listed: usize,
     services: Vec<ServiceStatus>,
+    /// The configuration in force here and at each heard peer.
+    configs: Vec<ConfigStatus>,
+    /// The endpoints owned here.
+    endpoints: Vec<EndpointStatus>,
+    /// The cells owned here.
+    cells: Vec<CellStatus>,
+    store: StoreStatus,
+    /// Bytes that the control channels have carried.
+    control: Vec<ChannelStatus>,
+    /// Milliseconds since the process started.
+    up_ms: u64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct ConfigStatus {
+    instance: InstanceId,
+    number: ConfigNumber,
 }
 
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 struct ServiceStatus {
     service: String,
     slots: u32,
@@ -58,8 +84,8 @@
 }
 
 /// The status as JSON.
-pub(crate) fn status(state: &State, now: Timestamp) -> Vec<u8> {
-    encode(&describe(state, now))
+pub(crate) fn status(state: &State, meters: &Meters, now: Timestamp) -> Vec<u8> {
+    encode(&describe(state, meters, now))
 }
 
 /// The configuration in force as JSON.
@@ -67,7 +93,7 @@
     encode(state.config().current())
 }
 
-fn describe(state: &State, now: Timestamp) -> Status {
+fn describe(state: &State, meters: &Meters, now: Timestamp) -> Status {
     let membership = state.membership();
     let view = membership.view();
     let load = state.requests().load();
@@ -93,9 +119,29 @@
                 queued: s.queued,
             })
             .collect(),
+        configs: configs(state, now),
+        endpoints: state.requests().endpoints().map(Into::into).collect(),
+        cells: state
+            .batch()
+            .standings()
+            .map(|c| CellStatus::of(c, now))
+            .collect(),
+        store: meters.store_status(now),
+        control: meters.channels(),
+        up_ms: now.0,
     }
 }
 
+fn configs(state: &State, now: Timestamp) -> Vec<ConfigStatus> {
+    let here = ConfigStatus {
+        instance: state.membership().me().id.clone(),
+        number: state.config().current().number,
+    };
+    let peers = state.membership().peer_configs(now).into_iter();
+    let peers = peers.map(|(instance, number)| ConfigStatus { instance, number });
+    std::iter::once(here).chain(peers).collect()
+}
+
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).unwrap_or_else(|err| {
         warn!(event = "status_unencoded", error = %err, "the status has no JSON form");
--- a/crates/guavacart_platform/src/http_store.rs
+++ b/crates/guavacart_platform/src/http_store.rs
@@ -3,13 +3,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use guavacart_types::Revision;
-use minreq::Response;
+use minreq::{Method, Response};
 use serde::Deserialize;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::{
-    plain_http::{CallError, call, revision, unexpected},
+    plain_http::{CallError, Outgoing, call, revision, unexpected},
     store::{Entry, MAX_VALUE_BYTES, Store, StoreError, Swapped, Versioned},
+    traffic::Traffic,
 };
 
 /// Time that a watch may take beyond the wait that it asked for.
@@ -20,6 +21,7 @@
 pub struct HttpStore {
     address: SocketAddr,
     timeout: Duration,
+    traffic: Traffic,
 }
 
 /// One line of a range.
@@ -33,15 +35,29 @@
 impl HttpStore {
     /// Speaks to the store at `address`; each call ends within `timeout`, in whole seconds.
     pub fn open(address: SocketAddr, timeout: Duration) -> Self {
-        Self { address, timeout }
+        let traffic = Traffic::default();
+        Self {
+            address,
+            timeout,
+            traffic,
+        }
+    }
+
+    /// What its calls have carried, those of its clones included.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
+    fn get_from(&self, path: &str) -> Outgoing {
+        Outgoing::bodiless(Method::Get, self.url(path))
     }
 
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
 
-    fn swap(&self, key: &str, req: minreq::Request) -> Result<Swapped, StoreError> {
-        let res = call(req, self.timeout).map_err(|err| error(key, err))?;
+    fn swap(&self, key: &str, req: Outgoing) -> Result<Swapped, StoreError> {
+        let res = call(req, self.timeout, &self.traffic).map_err(|err| error(key, err))?;
         let swapped = match res.status_code {
             200 => revision(&res).map(Swapped::Written),
             409 => revision(&res).map(Swapped::Conflict),
@@ -61,8 +77,8 @@
 
 impl Store for HttpStore {
     fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
-        let req = minreq::get(self.url(&format!("/v1/kv/{key}")));
-        let res = call(req, self.timeout).map_err(|err| error(key, err))?;
+        let req = self.get_from(&format!("/v1/kv/{key}"));
+        let res = call(req, self.timeout, &self.traffic).map_err(|err| error(key, err))?;
         let found = match res.status_code {
             200 => versioned(res).map(Some),
             404 => Ok(None),
@@ -80,18 +96,18 @@
             });
         }
         let url = self.url(&format!("/v1/kv/{key}?expect={expect}"));
-        self.swap(key, minreq::put(url).with_body(value))
+        self.swap(key, Outgoing::put(url, value))
     }
 
     fn delete(&self, key: &str, expect: Revision) -> Result<Swapped, StoreError> {
         let url = self.url(&format!("/v1/kv/{key}?expect={expect}"));
-        self.swap(key, minreq::delete(url))
+        self.swap(key, Outgoing::bodiless(Method::Delete, url))
     }
 
     fn range(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Entry>, StoreError> {
         let path = format!("/v1/range?prefix={prefix}&after={after}&limit={limit}");
-        let req = minreq::get(self.url(&path));
-        let res = call(req, self.timeout).map_err(|err| error(prefix, err))?;
+        let req = self.get_from(&path);
+        let res = call(req, self.timeout, &self.traffic).map_err(|err| error(prefix, err))?;
         let entries = match res.status_code {
             200 => entries(&res),
             _ => Err(unexpected(&res)),
@@ -106,8 +122,8 @@
         wait: Duration,
     ) -> Result<Option<Versioned>, StoreError> {
         let wait_ms = wait.as_millis();
-        let url = self.url(&format!("/v1/watch/{key}?after={after}&wait_ms={wait_ms}"));
-        let res = call(minreq::get(url), wait + WATCH_SLACK).map_err(|err| error(key, err))?;
+        let req = self.get_from(&format!("/v1/watch/{key}?after={after}&wait_ms={wait_ms}"));
+        let res = call(req, wait + WATCH_SLACK, &self.traffic).map_err(|err| error(key, err))?;
         let found = match res.status_code {
             200 => versioned(res).map(Some),
             304 => Ok(None),
--- a/crates/guavacart_platform/src/instance_list.rs
+++ b/crates/guavacart_platform/src/instance_list.rs
@@ -4,11 +4,15 @@
 
 use guavacart_scheduler::directory::{ListedInstance, Role};
 use guavacart_types::{IdError, Resources};
+use minreq::Method;
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
-use crate::plain_http::{CallError, call, unexpected};
+use crate::{
+    plain_http::{CallError, Outgoing, call, unexpected},
+    traffic::Traffic,
+};
 
 /// Why the list could not be read.
 #[derive(Clone, Debug, Error)]
@@ -50,6 +54,7 @@
 pub struct HttpInstanceList {
     address: SocketAddr,
     timeout: Duration,
+    traffic: Traffic,
 }
 
 /// One line of the list as it travels.
@@ -97,7 +102,17 @@
 impl HttpInstanceList {
     /// Speaks to the list at `address`; a read ends within `timeout`, in whole seconds.
     pub fn open(address: SocketAddr, timeout: Duration) -> Self {
-        Self { address, timeout }
+        let traffic = Traffic::default();
+        Self {
+            address,
+            timeout,
+            traffic,
+        }
+    }
+
+    /// What its reads have carried, those of its clones included.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
     fn no_answer(&self, err: CallError) -> InstanceListError {
@@ -109,8 +124,9 @@
 
 impl InstanceList for HttpInstanceList {
     fn read(&self) -> Result<Vec<ListedInstance>, InstanceListError> {
-        let req = minreq::get(format!("http://{}/v1/instances", self.address));
-        let res = call(req, self.timeout).map_err(|err| self.no_answer(err))?;
+        let url = format!("http://{}/v1/instances", self.address);
+        let req = Outgoing::bodiless(Method::Get, url);
+        let res = call(req, self.timeout, &self.traffic).map_err(|err| self.no_answer(err))?;
         if res.status_code != 200 {
             return Err(self.no_answer(unexpected(&res)));
         }
--- a/crates/guavacart_platform/src/lib.rs
+++ b/crates/guavacart_platform/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod instance_list;
 mod plain_http;
 pub mod store;
+mod traffic;
 pub mod worker;
 
 pub use http_store::HttpStore;
+pub use traffic::Traffic;
--- a/crates/guavacart_scheduler/src/batch.rs
+++ b/crates/guavacart_scheduler/src/batch.rs
@@ -34,7 +34,7 @@
     worker::{WorkerReport, WorkerSync},
 };
 pub use self::{
-    cell::{CellNote, ReadError, RecordRead},
+    cell::{CellNote, CellPhase, CellStanding, ReadError, RecordRead, WorkerProbation},
     link::{LEASE, SYNC_INTERVAL},
     peer::PeerBatch,
 };
@@ -252,6 +252,11 @@
         self.cells.keys()
     }
 
+    /// How each cell in hand stands, in order of id.
+    pub fn standings(&self) -> impl Iterator<Item = CellStanding> {
+        self.cells.values().map(Cell::standing)
+    }
+
     pub(crate) fn tick(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
         let first = effects.len();
         self.review(cx, effects);
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod schedule;
+mod standing;
 mod sync;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -11,6 +12,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+pub use self::standing::{CellPhase, CellStanding, WorkerProbation};
 use super::{
     BatchEffect,
     call::{Asker, JobReply},
--- a/crates/guavacart_scheduler/src/batch/link.rs
+++ b/crates/guavacart_scheduler/src/batch/link.rs
@@ -186,6 +186,17 @@
         failures_in_a_row >= PROBATION_FAILURES
     }
 
+    /// When a worker on probation may be tried again.
+    pub(super) fn probation_until(&self) -> Timestamp {
+        self.probation_until
+    }
+
+    /// Attempts that the worker has reported as running.
+    pub(super) fn running(&self) -> usize {
+        let seen = self.tracked.values().filter(|t| t.seen_at.is_some());
+        seen.count()
+    }
+
     /// How many more tasks the worker may take now.
     pub(super) fn openings(&self, now: Timestamp, failures_in_a_row: u32) -> u32 {
         let held = u32::try_from(self.tracked.len()).unwrap_or(u32::MAX);
--- a/crates/guavacart_scheduler/src/request.rs
+++ b/crates/guavacart_scheduler/src/request.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod reducer;
 mod service_time;
+mod standing;
 
 use std::net::SocketAddr;
 
@@ -28,6 +29,7 @@
 pub use self::{
     message::{ClaimAnswer, HeldId, PeerRequest},
     reducer::Requests,
+    standing::EndpointStanding,
 };
 use crate::membership::Load;
 
--- a/crates/guavacart_scheduler/src/request/pool.rs
+++ b/crates/guavacart_scheduler/src/request/pool.rs
@@ -83,6 +83,11 @@
         unused.or_else(any).map(|key| key.2.clone())
     }
 
+    /// The endpoints that are owned.
+    pub(super) fn owned(&self) -> impl Iterator<Item = (&EndpointId, &Endpoint)> {
+        self.endpoints.iter().filter(|(_, endpoint)| endpoint.owned)
+    }
+
     pub(super) fn group(&self, service: &ServiceName) -> Option<&Group> {
         self.groups.get(service)
     }
