--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -27,6 +27,7 @@
     fence::Fence,
     heartbeats::HeartbeatSender,
     links::Links,
+    meters::Meters,
     metrics::Metrics,
     view_store,
 };
@@ -46,6 +47,7 @@
     pub(crate) links: Links,
     pub(crate) heartbeats: HeartbeatSender,
     pub(crate) metrics: Metrics,
+    pub(crate) meters: Meters,
     pub(crate) recorder: Recorder,
     pub(crate) stopped: watch::Sender<bool>,
 }
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod colocate;
 mod schedule;
+mod standing;
 mod sync;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -12,6 +13,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+pub use self::standing::{CellPhase, CellStanding, WorkerProbation};
 use super::{
     BatchEffect,
     call::{Asker, JobReply},
