--- a/crates/guavacart_lab/src/scenario/slopes.rs
+++ b/crates/guavacart_lab/src/scenario/slopes.rs
@@ -46,6 +46,7 @@
     name: "slopes",
     about: "what one more member, endpoint, worker, task or id costs one instance's reducer",
     baselines: &[],
+    seconds: 0,
     run,
 };
 
