--- a/crates/guavacart_scheduler/src/state.rs
+++ b/crates/guavacart_scheduler/src/state.rs
@@ -7,7 +7,7 @@
     batch::Batch,
     config::ConfigState,
     directory::Directory,
-    membership::{Member, Membership},
+    membership::{Member, Membership, MembershipEvent},
     request::Requests,
 };
 
@@ -27,27 +27,63 @@
 /// The whole state of an entry instance.
 #[derive(Debug)]
 pub struct State {
-    membership: Membership,
-    directory: Directory,
-    config: ConfigState,
+    shared: Shared,
     requests: Requests,
     batch: Batch,
     linger: Span,
-    stopping_since: Option<Timestamp>,
     stopped: bool,
 }
 
+/// The parts that all others read.
+#[derive(Debug)]
+struct Shared {
+    membership: Membership,
+    directory: Directory,
+    config: ConfigState,
+    stopping_since: Option<Timestamp>,
+}
+
+impl Shared {
+    fn cx(&self, now: Timestamp) -> Cx<'_> {
+        Cx {
+            now,
+            membership: &self.membership,
+            directory: &self.directory,
+            configuration: self.config.current(),
+            stopping: self.stopping_since.is_some(),
+        }
+    }
+
+    fn apply_membership(
+        &mut self,
+        now: Timestamp,
+        event: MembershipEvent,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.membership.apply(now, &self.directory, event, effects);
+        let newest = self.membership.newest_config();
+        self.config.heard(now, newest, effects);
+    }
+
+    fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        self.membership.tick(now, &self.directory, effects);
+        self.config.tick(now, effects);
+    }
+}
+
 impl State {
     /// The state of an instance that has just started.
     pub fn new(start: &Start) -> Self {
         Self {
-            membership: Membership::new(start),
-            directory: Directory::default(),
-            config: ConfigState::default(),
+            shared: Shared {
+                membership: Membership::new(start),
+                directory: Directory::default(),
+                config: ConfigState::default(),
+                stopping_since: None,
+            },
             requests: Requests::new(start.member.id.clone()),
             batch: Batch::new(start.member.clone()),
             linger: start.linger,
-            stopping_since: None,
             stopped: false,
         }
     }
@@ -55,7 +91,7 @@
     /// Applies one event that happened at `now` and returns what is to be done, in order.
     pub fn apply(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
-        self.membership.observe(now);
+        self.shared.membership.observe(now);
         self.dispatch(now, event, &mut effects);
         self.finish(now, &mut effects);
         effects
@@ -63,12 +99,12 @@
 
     /// Views, ownership and the right to act.
     pub fn membership(&self) -> &Membership {
-        &self.membership
+        &self.shared.membership
     }
 
     /// The configuration in force here.
     pub fn config(&self) -> &ConfigState {
-        &self.config
+        &self.shared.config
     }
 
     /// Requests in hand.
@@ -83,85 +119,61 @@
 
     /// The instances that the platform lists.
     pub fn directory(&self) -> &Directory {
-        &self.directory
+        &self.shared.directory
     }
 
     fn dispatch(&mut self, now: Timestamp, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Tick => self.tick(now, effects),
             Event::Listed(instances) => {
-                self.directory.replace(now, instances);
-                self.membership.listed(now, &self.directory, effects);
+                let Shared {
+                    membership,
+                    directory,
+                    ..
+                } = &mut self.shared;
+                directory.replace(now, instances);
+                membership.listed(now, directory, effects);
             }
             Event::StopRequested => {
-                self.stopping_since.get_or_insert(now);
-                self.membership.leave(now, effects);
+                self.shared.stopping_since.get_or_insert(now);
+                self.shared.membership.leave(now, effects);
             }
             Event::Membership(event) => {
-                let load = self.requests.load();
-                let number = self.config.current().number;
-                self.membership.note_local(load, number);
-                self.membership.apply(now, &self.directory, event, effects);
-                self.config
-                    .heard(now, self.membership.newest_config(), effects);
-            }
-            Event::Config(event) => self.config.apply(now, event, effects),
-            Event::Request(event) => {
-                let (requests, cx) = self.with_requests(now);
-                requests.apply(&cx, event, effects);
-            }
-            Event::Batch(event) => {
-                let (batch, cx) = self.with_batch(now);
-                batch.apply(&cx, event, effects);
+                self.note_local();
+                self.shared.apply_membership(now, event, effects);
             }
+            Event::Config(event) => self.shared.config.apply(now, event, effects),
+            Event::Request(event) => self.requests.apply(&self.shared.cx(now), event, effects),
+            Event::Batch(event) => self.batch.apply(&self.shared.cx(now), event, effects),
         }
     }
 
     fn tick(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        self.note_local();
+        self.shared.tick(now, effects);
+        let cx = self.shared.cx(now);
+        self.requests.tick(&cx, effects);
+        self.batch.tick(&cx, effects);
+    }
+
+    /// Tells the membership what the next heartbeats say of this instance.
+    fn note_local(&mut self) {
         let load = self.requests.load();
-        let number = self.config.current().number;
-        self.membership.note_local(load, number);
-        self.membership.tick(now, &self.directory, effects);
-        self.config.tick(now, effects);
-        let (requests, cx) = self.with_requests(now);
-        requests.tick(&cx, effects);
-        let (batch, cx) = self.with_batch(now);
-        batch.tick(&cx, effects);
+        let number = self.shared.config.current().number;
+        self.shared.membership.note_local(load, number);
     }
 
     fn finish(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
-        let Some(since) = self.stopping_since else {
+        let Some(since) = self.shared.stopping_since else {
             return;
         };
         if self.stopped || now.since(since) < self.linger {
             return;
         }
         let idle = self.requests.is_idle() && self.batch.is_idle();
-        if idle && self.membership.has_left(now) {
+        if idle && self.shared.membership.has_left(now) {
             self.stopped = true;
             effects.push(Effect::Stopped);
         }
     }
-
-    fn with_requests(&mut self, now: Timestamp) -> (&mut Requests, Cx<'_>) {
-        let cx = Cx {
-            now,
-            membership: &self.membership,
-            directory: &self.directory,
-            configuration: self.config.current(),
-            stopping: self.stopping_since.is_some(),
-        };
-        (&mut self.requests, cx)
-    }
-
-    fn with_batch(&mut self, now: Timestamp) -> (&mut Batch, Cx<'_>) {
-        let cx = Cx {
-            now,
-            membership: &self.membership,
-            directory: &self.directory,
-            configuration: self.config.current(),
-            stopping: self.stopping_since.is_some(),
-        };
-        (&mut self.batch, cx)
-    }
 }
