--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -24,8 +24,10 @@
     calls::Calls,
     clock::Clock,
     core::Input,
+    fence::Fence,
     heartbeats::HeartbeatSender,
     links::Links,
+    meters::Meters,
     metrics::Metrics,
     view_store,
 };
@@ -34,6 +36,7 @@
 pub(crate) struct Runner<S> {
     pub(crate) calls: Calls,
     pub(crate) clock: Clock,
+    pub(crate) fence: Fence,
     pub(crate) runtime: tokio::runtime::Handle,
     pub(crate) inbox: Sender<Input>,
     pub(crate) store: S,
@@ -44,6 +47,7 @@
     pub(crate) links: Links,
     pub(crate) heartbeats: HeartbeatSender,
     pub(crate) metrics: Metrics,
+    pub(crate) meters: Meters,
     pub(crate) recorder: Recorder,
     pub(crate) stopped: watch::Sender<bool>,
 }
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -9,6 +9,7 @@
 mod instance_loss;
 mod load;
 mod partition;
+mod slopes;
 mod steady;
 mod store_outage;
 
@@ -90,6 +91,7 @@
     drain::SCENARIO,
     bad_network::SCENARIO,
     partition::SCENARIO,
+    slopes::SCENARIO,
 ];
 
 /// The scenario of this name.
