--- a/crates/guavacart_scheduler/src/membership.rs
+++ b/crates/guavacart_scheduler/src/membership.rs
@@ -250,6 +250,11 @@
             .is_attested_by_all(since, &self.me.member, &self.view)
     }
 
+    /// True if a peer has missed no more than one heartbeat.
+    pub fn is_prompt(&self, peer: &InstanceId, now: Timestamp) -> bool {
+        self.peers.is_prompt(peer, now)
+    }
+
     /// Peers heard within [`SILENCE_LIMIT`] that are members of the view, in order of id.
     pub fn live_members(&self, now: Timestamp) -> Vec<&InstanceId> {
         let heard =
--- a/crates/guavacart_scheduler/src/membership/peers.rs
+++ b/crates/guavacart_scheduler/src/membership/peers.rs
@@ -12,6 +12,8 @@
 };
 use crate::directory::Directory;
 
+/// Longest time between two heartbeats of a peer that nothing ails: one is lost, the next is late.
+const PROMPT_SPAN: Span = Span::millis(HEARTBEAT_INTERVAL.0 * 2 + 100);
 /// Longest time that the instance list takes to show an instance that has started.
 const LIST_LAG: Span = Span::secs(10);
 
@@ -142,6 +144,13 @@
             .is_some_and(|peer| now.since(peer.heard_at) < SILENCE_LIMIT)
     }
 
+    /// True if the peer has missed no more than one heartbeat.
+    pub(super) fn is_prompt(&self, id: &InstanceId, now: Timestamp) -> bool {
+        self.heard
+            .get(id)
+            .is_some_and(|peer| now.since(peer.heard_at) < PROMPT_SPAN)
+    }
+
     /// True if the platform no longer lists `member`.
     ///
     /// A list that may have been made before the member started says nothing of it.
--- a/crates/guavacart_scheduler/src/request/admit.rs
+++ b/crates/guavacart_scheduler/src/request/admit.rs
@@ -168,7 +168,9 @@
             return None;
         }
         let live = cx.membership.live_members(cx.now);
-        let fresh = |peer: &&InstanceId| !call.refused_by.contains(peer);
+        let fresh = |peer: &&InstanceId| {
+            !call.refused_by.contains(peer) && cx.membership.is_prompt(peer, cx.now)
+        };
         let name = &call.head.service;
         let mut waits: Vec<(InstanceId, Span)> = Vec::new();
         for peer in live.into_iter().filter(fresh) {
--- a/crates/guavacart_scheduler/src/request/dispatch.rs
+++ b/crates/guavacart_scheduler/src/request/dispatch.rs
@@ -245,7 +245,7 @@
     }
 
     /// True if a call may be sent once more: idempotent, in time and inside the budget.
-    fn may_retry(&mut self, cx: &Cx<'_>, id: CallId) -> bool {
+    pub(super) fn may_retry(&mut self, cx: &Cx<'_>, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
@@ -254,7 +254,7 @@
         possible && idle && cx.now + FIRST_PAUSE < call.deadline_at && self.budget.take()
     }
 
-    fn retry(&mut self, cx: &Cx<'_>, id: CallId, effects: &mut Vec<Effect>) {
+    pub(super) fn retry(&mut self, cx: &Cx<'_>, id: CallId, effects: &mut Vec<Effect>) {
         if let Some(call) = self.calls.get_mut(&id) {
             call.retries += 1;
         }
--- a/crates/guavacart_scheduler/src/request/outcome.rs
+++ b/crates/guavacart_scheduler/src/request/outcome.rs
@@ -127,4 +127,38 @@
             self.gone(cx, id, effects);
         }
     }
+
+    /// A peer is late with its heartbeats: what may run twice is tried elsewhere, inside the budget.
+    pub(super) fn peer_suspected(
+        &mut self,
+        cx: &Cx<'_>,
+        peer: &InstanceId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let there = |call: &&CallId| {
+            let call = self.calls.get(call);
+            call.is_some_and(|call| call.forwarded.as_ref() == Some(peer))
+        };
+        let waiting: Vec<CallId> = self.calls.keys().filter(there).copied().collect();
+        for id in waiting {
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            call.forwarded = None;
+            if !self.may_retry(cx, id) {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.forwarded = Some(peer.clone());
+                }
+                continue;
+            }
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.may_have_run = true;
+                call.refused_by.push(peer.clone());
+            }
+            let message = PeerRequest::Cancel { call: id };
+            let to = peer.clone();
+            effects.push(RequestEffect::Tell { to, message }.into());
+            self.retry(cx, id, effects);
+        }
+    }
 }
--- a/crates/guavacart_scheduler/src/request/reducer.rs
+++ b/crates/guavacart_scheduler/src/request/reducer.rs
@@ -237,6 +237,8 @@
         for peer in holders {
             if !cx.membership.is_heard(&peer, cx.now) {
                 self.peer_lost(cx, &peer, effects);
+            } else if !cx.membership.is_prompt(&peer, cx.now) {
+                self.peer_suspected(cx, &peer, effects);
             }
         }
     }
