Claim an id at three holders and let two of them grant it

Cause: a claim needed the answer of both holders of an id, so for the 2.5 s from an instance's death to the next view a quarter of all non-idempotent requests waited, and were refused or late. Change: three holders, any two that call the id new grant it; a new holder counts as knowing what came before once two of the old holders have told it all. Any two such pairs share a holder, within a view and across one. The lab's balancer remembers which connection of a port it led where, since ports are used again and lost requests were put down to the wrong instance.

--- a/crates/guavacart_lab/src/balancer.rs
+++ b/crates/guavacart_lab/src/balancer.rs
@@ -18,7 +18,7 @@
     task::{JoinHandle, JoinSet},
 };
 
-use crate::{client, sync::lock};
+use crate::{client, clock::now_us, sync::lock};
 
 /// How often health is asked for.
 pub const POLL: Duration = Duration::from_millis(200);
@@ -37,7 +37,8 @@
 struct Shared {
     backends: Mutex<BTreeMap<SmolStr, Backend>>,
     next: Mutex<usize>,
-    by_caller: Mutex<HashMap<SocketAddr, SmolStr>>,
+    /// When each connection was led where; a caller's port may be used again.
+    by_caller: Mutex<HashMap<SocketAddr, Vec<(u64, SmolStr)>>>,
 }
 
 #[derive(Debug)]
@@ -94,9 +95,12 @@
         healthy.map(|(name, _)| name.clone()).collect()
     }
 
-    /// The instance that the connection from `caller` was last led to.
-    pub fn backend_of(&self, caller: SocketAddr) -> Option<SmolStr> {
-        lock(&self.shared.by_caller).get(&caller).cloned()
+    /// The instance that the connection which `caller` had at a time was led to.
+    pub fn backend_of(&self, caller: SocketAddr, at_us: u64) -> Option<SmolStr> {
+        let by_caller = lock(&self.shared.by_caller);
+        let led = by_caller.get(&caller)?.iter();
+        let before = led.filter(|(since, _)| *since <= at_us);
+        before.last().map(|(_, name)| name.clone())
     }
 }
 
@@ -161,7 +165,8 @@
     let Some((name, address)) = shared.choose() else {
         return;
     };
-    lock(&shared.by_caller).insert(caller, name);
+    let led = (now_us(), name);
+    lock(&shared.by_caller).entry(caller).or_default().push(led);
     let Ok(mut far) = TcpStream::connect(address).await else {
         return;
     };
--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -393,7 +393,7 @@
         violations.add_batch(&self.batch.counts());
         violations.add_attempts(&attempts, &self.requests);
         violations.add_stops(&attempts, &lock(&self.stops), |attempt| {
-            self.balancer.backend_of(attempt.local?)
+            self.balancer.backend_of(attempt.local?, attempt.ended_us)
         });
         violations.add_config_writes(&self.store.history());
         violations.config_reverted += self.config_watch.reverted();
--- a/crates/guavacart_lab/src/scenario/instance_loss.rs
+++ b/crates/guavacart_lab/src/scenario/instance_loss.rs
@@ -68,7 +68,7 @@
         let name = format_smolstr!("elsewhere {:?}", attempt.ending);
         *summary.details.entry(name).or_default() += 1.0;
         let at_ms = (attempt.due_us - start_us) / 1_000;
-        tracing::info!(at_ms, id = %attempt.id, ending = ?attempt.ending, "affected elsewhere");
+        tracing::info!(at_ms, id = %attempt.id, idempotent = attempt.idempotent, ending = ?attempt.ending, "affected elsewhere");
     }
     summary.detail("kills", losses.len() as f64 - 1.0);
     summary.detail("unanswered", unanswered(&own).len() as f64);
@@ -120,7 +120,7 @@
     }
     let instance = attempt
         .local
-        .and_then(|local| bench.cluster.balancer.backend_of(local));
+        .and_then(|local| bench.cluster.balancer.backend_of(local, attempt.ended_us));
     losses.iter().any(|loss| {
         Some(&loss.instance) == instance.as_ref()
             && attempt.sent_us <= loss.to_us
--- a/crates/guavacart_scheduler/src/request/claim.rs
+++ b/crates/guavacart_scheduler/src/request/claim.rs
@@ -1,8 +1,8 @@
-//! Claims of non-idempotent request ids at the two holders of each.
+//! Claims of non-idempotent request ids at the holders of each.
 
 use guavacart_types::{InstanceId, ViewNumber};
 
-use super::ClaimAnswer;
+use super::{ClaimAnswer, ledger};
 
 /// A claim under way for a call.
 #[derive(Clone, Debug)]
@@ -17,7 +17,7 @@
 /// What the answers to a claim come to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Verdict {
-    /// Not all have answered, or in another view.
+    /// Too few have answered, or in another view.
     Open,
     /// The request may be dispatched.
     Granted,
@@ -41,14 +41,14 @@
         if answers().any(|a| a == Some(ClaimAnswer::Seen)) {
             return Verdict::Repeated;
         }
+        let new = answers().filter(|a| *a == Some(ClaimAnswer::New)).count();
+        if new >= ledger::quorum(self.holders.len()) {
+            return Verdict::Granted;
+        }
         let settled = |a| matches!(a, Some(ClaimAnswer::New | ClaimAnswer::Unsure));
         if self.holders.is_empty() || !answers().all(settled) {
             return Verdict::Open;
         }
-        if answers().any(|a| a == Some(ClaimAnswer::New)) {
-            Verdict::Granted
-        } else {
-            Verdict::Repeated
-        }
+        Verdict::Repeated
     }
 }
--- a/crates/guavacart_scheduler/src/request/ledger.rs
+++ b/crates/guavacart_scheduler/src/request/ledger.rs
@@ -10,7 +10,9 @@
 use crate::membership::{Member, View};
 
 /// Holders of one request id.
-const HOLDERS: usize = 2;
+const HOLDERS: usize = 3;
+/// Holders that must call an id new before it is granted: any two such sets share one.
+const QUORUM: usize = 2;
 /// Most ids that are held.
 const MAX_IDS: usize = 500_000;
 /// Most views that are looked back on.
@@ -82,8 +84,7 @@
         };
         for (number, from, before) in std::mem::take(&mut self.early) {
             if number == view.number {
-                era.covered.push(from);
-                era.before = before;
+                era.cover(from, before);
             } else if number > view.number {
                 self.early.push((number, from, before));
             }
@@ -175,10 +176,7 @@
         if view > self.view() {
             self.early.push((view, from, before));
         } else if let Some(era) = self.eras.back_mut().filter(|era| era.number == view) {
-            if !era.covered.contains(&from) {
-                era.covered.push(from);
-            }
-            era.before = before;
+            era.cover(from, before);
         }
     }
 
@@ -251,7 +249,8 @@
                 return true;
             }
             let old = holders(&era.before, id);
-            if era.covered.iter().any(|from| old.contains(&from)) {
+            let told = era.covered.iter().filter(|from| old.contains(from));
+            if told.count() >= quorum(old.len()) {
                 return true;
             }
             if !self.follows(place) {
@@ -294,6 +293,14 @@
 }
 
 impl Era {
+    /// Notes a member of the view before that told all that it knew; it may tell it again.
+    fn cover(&mut self, from: InstanceId, before: Vec<InstanceId>) {
+        if !self.covered.contains(&from) {
+            self.covered.push(from);
+        }
+        self.before = before;
+    }
+
     fn start_of(&self, id: &InstanceId) -> Option<Incarnation> {
         let place = self.members.iter().position(|other| other == id)?;
         self.starts.get(place).copied()
@@ -310,6 +317,11 @@
     pub(super) complete: bool,
 }
 
+/// How many of an id's holders must call it new.
+pub(super) fn quorum(holders: usize) -> usize {
+    holders.clamp(1, QUORUM)
+}
+
 /// The holders of an id among `members`.
 pub(super) fn holders<'a>(members: &'a [InstanceId], id: &RequestId) -> Vec<&'a InstanceId> {
     let key = format!("request/{id}");
