Repeat handovers of a view that has been followed by another

Cause: a handover that a newcomer missed, its address not yet known to the sender, was repeated only while its view was the last. Change: each view's handovers are repeated after 0.3, 1 and 4 s whatever followed, and are taken for any view that is remembered.

--- a/crates/guavacart_scheduler/src/request/claiming.rs
+++ b/crates/guavacart_scheduler/src/request/claiming.rs
@@ -15,7 +15,10 @@
 /// Time until an unanswered claim is sent again.
 const CLAIM_INTERVAL: Span = Span::millis(50);
 /// Times after the adoption of a view at which its handovers are sent again.
-const HANDOVER_REPEATS: [Span; 2] = [Span::secs(1), Span::secs(4)];
+///
+/// A later view does not end them: who lacks one handover of two knows nothing for as long as ids are
+/// kept.
+const HANDOVER_REPEATS: [Span; 3] = [Span::millis(300), Span::secs(1), Span::secs(4)];
 
 impl Requests {
     /// Asks the holders of a call's id to record it.
@@ -164,18 +167,22 @@
         let view = cx.membership.view();
         if view.number != self.ledger.view() {
             self.ledger.adopt(cx.now, view, cx.membership.me());
-            self.handovers_due = HANDOVER_REPEATS.map(|span| cx.now + span).to_vec();
-            self.hand_over(cx, effects);
+            let repeats = HANDOVER_REPEATS.map(|span| (cx.now + span, view.number));
+            self.handovers_due.extend(repeats);
+            self.hand_over(cx, view.number, effects);
         }
-        while self.handovers_due.first().is_some_and(|at| *at <= cx.now) {
-            self.handovers_due.remove(0);
-            self.hand_over(cx, effects);
+        while let Some((at, number)) = self.handovers_due.first().copied() {
+            if at > cx.now {
+                break;
+            }
+            self.handovers_due.pop_first();
+            self.hand_over(cx, number, effects);
         }
         self.ledger.expire(cx.now, keep_span(cx));
     }
 
-    fn hand_over(&self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
-        for handover in self.ledger.handovers(cx.now, keep_span(cx)) {
+    fn hand_over(&self, cx: &Cx<'_>, view: ViewNumber, effects: &mut Vec<Effect>) {
+        for handover in self.ledger.handovers(cx.now, keep_span(cx), view) {
             let message = PeerRequest::Handover {
                 view: handover.view,
                 before: handover.before,
--- a/crates/guavacart_scheduler/src/request/ledger.rs
+++ b/crates/guavacart_scheduler/src/request/ledger.rs
@@ -175,25 +175,25 @@
         let from = from.clone();
         if view > self.view() {
             self.early.push((view, from, before));
-        } else if let Some(era) = self.eras.back_mut().filter(|era| era.number == view) {
+        } else if let Some(era) = self.eras.iter_mut().find(|era| era.number == view) {
             era.cover(from, before);
         }
     }
 
-    /// What each other member of the view is to be told: its ids and whether they are all.
-    pub(super) fn handovers(&self, now: Timestamp, keep: Span) -> Vec<Handover> {
-        let eras = self.eras.len();
-        let Some(last) = self.eras.back() else {
+    /// What each other member of a view is to be told: its ids and whether they are all.
+    pub(super) fn handovers(&self, now: Timestamp, keep: Span, view: ViewNumber) -> Vec<Handover> {
+        let Some(place) = self.eras.iter().position(|era| era.number == view) else {
             return Vec::new();
         };
-        let Some(before) = eras.checked_sub(2).and_then(|i| self.eras.get(i)) else {
+        let last = &self.eras[place];
+        let Some(before) = place.checked_sub(1).and_then(|i| self.eras.get(i)) else {
             return Vec::new();
         };
         if !before.mine {
             return Vec::new();
         }
         let follows = before.number.next() == last.number;
-        let complete = follows && self.knows_all(now, keep, eras - 2);
+        let complete = follows && self.knows_all(now, keep, place - 1);
         let others = last.members.iter().filter(|id| **id != self.me);
         let handover = |to: &InstanceId| Handover {
             to: to.clone(),
--- a/crates/guavacart_scheduler/src/request/reducer.rs
+++ b/crates/guavacart_scheduler/src/request/reducer.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use guavacart_types::{
-    CallId, DispatchId, EndpointId, InstanceId, Reason, ServiceName, Span, Timestamp,
+    CallId, DispatchId, EndpointId, InstanceId, Reason, ServiceName, Span, Timestamp, ViewNumber,
 };
 
 use super::{
@@ -60,7 +60,7 @@
     pub(super) budget: RetryBudget,
     pub(super) loads: PeerLoads,
     pub(super) ledger: Ledger,
-    pub(super) handovers_due: Vec<Timestamp>,
+    pub(super) handovers_due: BTreeSet<(Timestamp, ViewNumber)>,
     /// When the last event was handled.
     pub(super) last_run: Timestamp,
     /// The end of the right to act, as of the event in hand.
@@ -83,7 +83,7 @@
             times: ServiceTimes::default(),
             budget: RetryBudget::default(),
             loads: PeerLoads::default(),
-            handovers_due: Vec::new(),
+            handovers_due: BTreeSet::new(),
             last_run: Timestamp::default(),
             right: None,
         }
