Take slopes by the thread's own processor clock, and memory from instances that are kept

Cause: the scheduler's statistics move only at a tick, so short costs read 0; freed memory of one size served the next, so its growth read 0.

--- a/crates/guavacart_lab/src/cost.rs
+++ b/crates/guavacart_lab/src/cost.rs
@@ -1,25 +1,24 @@
 //! Processor time of this thread and memory of this process, as the system counts them.
 
-use std::fs;
+use std::{fs, time::Duration};
+
+use nix::time::{ClockId, clock_gettime};
 
 /// Bytes of one page.
 const PAGE_BYTES: u64 = 4_096;
 
-/// Nanoseconds that this thread has run on a processor; 0 where the system does not say.
-pub fn thread_cpu_ns() -> u64 {
-    let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    number_at(&text, 0)
+/// How long this thread has run on a processor; zero where the system does not say.
+pub fn thread_cpu() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID);
+    time.map_or(Duration::ZERO, Duration::from)
 }
 
 /// Bytes of this process that are resident; 0 where the system does not say.
 pub fn resident_bytes() -> u64 {
     let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    number_at(&text, 1) * PAGE_BYTES
-}
-
-fn number_at(text: &str, place: usize) -> u64 {
-    let field = text.split_whitespace().nth(place);
-    field.and_then(|field| field.parse().ok()).unwrap_or(0)
+    let pages = text.split_whitespace().nth(1);
+    let pages: u64 = pages.and_then(|pages| pages.parse().ok()).unwrap_or(0);
+    pages * PAGE_BYTES
 }
 
 /// The least-squares line through points: what is there at size 0, and what each unit adds.
--- a/crates/guavacart_lab/src/scenario/slopes.rs
+++ b/crates/guavacart_lab/src/scenario/slopes.rs
@@ -15,7 +15,7 @@
 
 use super::{Scenario, ScenarioCx, ScenarioError, ScenarioRun};
 use crate::{
-    cost::{line, resident_bytes, thread_cpu_ns},
+    cost::{line, resident_bytes, thread_cpu},
     one_instance::{CELL_WORKERS, OneInstance, busy, configuration, id, job, listed},
     summary::Summary,
 };
@@ -67,13 +67,12 @@
     let mut series = Series {
         summary: &mut summary,
     };
+    memory(&mut series);
     series.of("heartbeat_bytes", &MEMBERS, |_| heartbeat_bytes());
     series.of("view_bytes", &MEMBERS, view_bytes);
     series.of("members_us_a_second", &MEMBERS, members_us);
     series.of("endpoints_idle_us_a_second", &ENDPOINTS, endpoints_idle_us);
     series.of("request_us", &ENDPOINTS, request_us);
-    series.of("endpoints_bytes", &ENDPOINTS, endpoints_bytes);
-    series.of("id_bytes", &IDS, ids_bytes);
     batch(&mut series);
     series.of("take_over_us", &TAKEN_OVER, |tasks| take_over(tasks).0);
     series.of("take_over_bytes", &TAKEN_OVER, |tasks| take_over(tasks).1);
@@ -107,9 +106,9 @@
 
 /// Microseconds of this thread's processor time that `work` takes.
 fn cpu_us(work: impl FnOnce()) -> f64 {
-    let before = thread_cpu_ns();
+    let before = thread_cpu();
     work();
-    (thread_cpu_ns() - before) as f64 / 1_000.0
+    (thread_cpu() - before).as_secs_f64() * 1e6
 }
 
 fn peer(n: usize) -> Member {
@@ -214,36 +213,49 @@
     total / f64::from(REQUESTS)
 }
 
-fn endpoints_bytes(endpoints: usize) -> f64 {
-    let before = resident_bytes();
-    let one = OneInstance::open(0, endpoints);
-    let grown = resident_bytes().saturating_sub(before);
-    black_box(&one);
-    grown as f64
+/// Memory that instances of growing size take; all are kept, so that none reuses another's.
+fn memory(series: &mut Series<'_>) {
+    // The first instance pays for what the process itself sets up.
+    let mut kept = vec![fleet(CELL_WORKERS)];
+    let mut grown = |name: &str, sizes: &[usize], grow: fn(usize) -> OneInstance| {
+        let mut points = Vec::new();
+        for size in sizes {
+            let before = resident_bytes();
+            kept.push(grow(*size));
+            let bytes = resident_bytes().saturating_sub(before);
+            points.push((*size as f64, bytes as f64));
+        }
+        series.add(name, &points);
+    };
+    grown("endpoint_bytes", &ENDPOINTS, |endpoints| {
+        OneInstance::open(0, endpoints)
+    });
+    grown("worker_bytes", &WORKERS, |workers| {
+        OneInstance::open(workers, 0)
+    });
+    grown("worker_and_its_tasks_bytes", &WORKERS, fleet);
+    grown("request_id_bytes", &IDS, |ids| {
+        let mut one = OneInstance::open(0, 65);
+        (0..ids).for_each(|_| one.request(false));
+        one
+    });
+    black_box(&kept);
 }
 
-fn ids_bytes(ids: usize) -> f64 {
-    let mut one = OneInstance::open(0, 65);
-    let before = resident_bytes();
-    (0..ids).for_each(|_| one.request(false));
-    let grown = resident_bytes().saturating_sub(before);
-    black_box(&one);
-    grown as f64
+fn fleet(workers: usize) -> OneInstance {
+    busy(workers, (workers as f64 * TASKS_A_WORKER) as usize)
 }
 
 /// Costs of all cells of a fleet by its workers, idle and at the peak of starts.
 fn batch(series: &mut Series<'_>) {
     let mut idle = Vec::new();
     let mut peak = Vec::new();
-    let mut memory = Vec::new();
     let mut appends = Vec::new();
     let mut bytes = Vec::new();
     let mut syncs = Vec::new();
     for workers in WORKERS {
         let size = workers as f64;
-        let before = resident_bytes();
-        let mut one = busy(workers, (size * TASKS_A_WORKER) as usize);
-        memory.push((size, resident_bytes().saturating_sub(before) as f64));
+        let mut one = fleet(workers);
         let quiet = cpu_us(|| one.run(Span::secs(SECONDS)));
         idle.push((size, quiet / SECONDS as f64));
         let from = one.counts;
@@ -263,7 +275,6 @@
     }
     series.add("batch_idle_us_a_second", &idle);
     series.add("batch_peak_us_a_second", &peak);
-    series.add("batch_bytes", &memory);
     series.add("batch_peak_appends_a_second", &appends);
     series.add("batch_peak_store_bytes_a_second", &bytes);
     series.add("batch_peak_syncs_a_second", &syncs);
