Keep the reducer's thread from waiting for its own inbox

Cause: a frame that a full queue gave back, and a dispatch whose call had ended, were reported by a blocking send into the bounded inbox by the very thread that empties it: a full inbox would have stopped the instance for good. Found by reading; not seen in a run. Change: such inputs go into a list of the thread's own.

--- a/crates/guavacart_entry/src/core.rs
+++ b/crates/guavacart_entry/src/core.rs
@@ -81,6 +81,10 @@
                 self.apply(Event::Tick);
                 continue;
             }
+            if let Some(input) = self.runner.later.pop_front() {
+                self.take(input);
+                continue;
+            }
             match self.next_input(self.clock.instant(next_tick)) {
                 Ok(input) => self.take(input),
                 Err(RecvTimeoutError::Timeout) => {}
--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -1,7 +1,7 @@
 //! Starts an entry instance and waits for its end.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
@@ -140,6 +140,7 @@
                     runtime: runtime.handle().clone(),
                     inbox: inbox.clone(),
                 },
+                later: VecDeque::new(),
                 submitters: HashMap::new(),
                 links: links.clone(),
                 heartbeats,
--- a/crates/guavacart_entry/src/links.rs
+++ b/crates/guavacart_entry/src/links.rs
@@ -21,7 +21,7 @@
 use guavacart_wire::{Frame, Question};
 use tokio::sync::oneshot;
 
-pub(crate) use self::accept::accept;
+pub(crate) use self::{accept::accept, dial::unsent};
 use crate::{calls::CallIds, core::Input, listing::Addresses, metrics::Metrics};
 
 /// Most frames that wait for one peer.
@@ -95,13 +95,13 @@
         }
     }
 
-    /// Queues a frame for a peer; what cannot be sent is reported as an input.
-    pub(crate) fn send(&self, to: &InstanceId, frame: Frame) {
+    /// Queues a frame for a peer, or gives it back where too many wait; never blocks.
+    pub(crate) fn send(&self, to: &InstanceId, frame: Frame) -> Result<(), Box<Frame>> {
         let queue = self.queue(to);
-        if let Err(err) = queue.try_send(frame) {
+        queue.try_send(frame).map_err(|err| {
             self.cx.metrics.count("links.queue_full");
-            dial::unsent(&self.cx, to, &err.into_inner());
-        }
+            Box::new(err.into_inner())
+        })
     }
 
     /// Asks a peer a question; none if no answer comes within `wait`.
@@ -117,7 +117,8 @@
         let mut asked = cx.asked.lock().unwrap_or_else(PoisonError::into_inner);
         asked.insert(id, tx);
         drop(asked);
-        self.send(to, Frame::Ask { id, question });
+        // An unsent question has no answer in time.
+        let _ = self.send(to, Frame::Ask { id, question });
         async move {
             let reply = tokio::time::timeout(wait, rx).await;
             let mut asked = cx.asked.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/guavacart_entry/src/links/accept.rs
+++ b/crates/guavacart_entry/src/links/accept.rs
@@ -66,7 +66,7 @@
     if matches!(err, LinkError::Wire(_)) {
         cx.metrics.count("links.refused");
     }
-    lost(cx, &peer);
+    lost(cx, &peer).await;
 }
 
 fn refused(cx: &LinkContext, err: &LinkError) {
@@ -146,7 +146,8 @@
             let links = links.clone();
             tokio::spawn(async move {
                 if let Ok(body) = rx.await {
-                    links.send(&from, Frame::Reply { id, body });
+                    // An unsent reply leaves the asker to its time limit.
+                    let _ = links.send(&from, Frame::Reply { id, body });
                 }
             });
             Input::Ask { question, reply }
--- a/crates/guavacart_entry/src/links/dial.rs
+++ b/crates/guavacart_entry/src/links/dial.rs
@@ -46,8 +46,7 @@
             Err(err) => {
                 debug!(event = "link_undialled", to = %to, error = %err);
                 cx.metrics.count("links.undialled");
-                unsent(&cx, &to, &first);
-                queue.drain().for_each(|frame| unsent(&cx, &to, &frame));
+                report_unsent(&cx, &to, [first].into_iter().chain(queue.drain())).await;
                 continue;
             }
         };
@@ -56,32 +55,44 @@
         };
         debug!(event = "link_broken", to = %to, error = %err);
         cx.metrics.count("links.broken");
-        queue.drain().for_each(|frame| unsent(&cx, &to, &frame));
-        lost(&cx, &to);
+        report_unsent(&cx, &to, queue.drain()).await;
+        lost(&cx, &to).await;
     }
 }
 
-/// Reports a frame of which no byte was sent.
-pub(super) fn unsent(cx: &LinkContext, to: &InstanceId, frame: &Frame) {
+/// What follows from a frame of which no byte was sent.
+pub(crate) fn unsent(to: &InstanceId, frame: &Frame) -> Option<RequestEvent> {
     let Frame::Forward(forward) = frame else {
-        return;
+        return None;
     };
-    let ended = RequestEvent::ForwardEnded {
+    Some(RequestEvent::ForwardEnded {
         call: CallId(forward.call),
         from: to.clone(),
         outcome: Outcome::NotRun(Reason::PeerLost),
         load: Default::default(),
-    };
-    // A closed inbox means that the process is ending.
-    let _ = cx.inbox.send(Input::Event(Event::Request(ended)));
+    })
+}
+
+/// Reports frames of which no byte was sent.
+async fn report_unsent(cx: &LinkContext, to: &InstanceId, frames: impl Iterator<Item = Frame>) {
+    for event in frames.filter_map(|frame| unsent(to, &frame)) {
+        // A closed inbox means that the process is ending.
+        let _ = cx
+            .inbox
+            .send_async(Input::Event(Event::Request(event)))
+            .await;
+    }
 }
 
 /// Reports that a link broke and what was under way on it may be lost.
-pub(super) fn lost(cx: &LinkContext, peer: &InstanceId) {
+pub(super) async fn lost(cx: &LinkContext, peer: &InstanceId) {
     let peer = peer.clone();
     let lost = RequestEvent::PeerLost { peer };
     // A closed inbox means that the process is ending.
-    let _ = cx.inbox.send(Input::Event(Event::Request(lost)));
+    let _ = cx
+        .inbox
+        .send_async(Input::Event(Event::Request(lost)))
+        .await;
 }
 
 async fn dial(cx: &LinkContext, to: &InstanceId) -> Result<Link, LinkError> {
--- a/crates/guavacart_entry/src/runner.rs
+++ b/crates/guavacart_entry/src/runner.rs
@@ -3,7 +3,7 @@
 mod config;
 mod requests;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use flume::Sender;
 use guavacart_config::Configuration;
@@ -14,7 +14,7 @@
     batch::{BatchEffect, call::JobReply},
     membership::{Load, MembershipEffect, MembershipEvent},
 };
-use guavacart_types::{CallId, Timestamp};
+use guavacart_types::{CallId, InstanceId, Timestamp};
 use guavacart_wire::{Frame, encode_peer_batch};
 use tokio::sync::{oneshot, watch};
 use tracing::{info, warn};
@@ -26,7 +26,7 @@
     core::Input,
     fence::Fence,
     heartbeats::HeartbeatSender,
-    links::Links,
+    links::{Links, unsent},
     meters::Meters,
     metrics::Metrics,
     view_store,
@@ -39,6 +39,8 @@
     pub(crate) fence: Fence,
     pub(crate) runtime: tokio::runtime::Handle,
     pub(crate) inbox: Sender<Input>,
+    /// Inputs of the reducer's own thread, which must not wait for room in its inbox.
+    pub(crate) later: VecDeque<Input>,
     pub(crate) store: S,
     pub(crate) endpoints: HttpEndpoints,
     pub(crate) batch: BatchRunner<S, HttpWorkers>,
@@ -86,7 +88,7 @@
                 }
             }
             Some(Outward::Tell { to, message }) => match encode_peer_batch(message) {
-                Ok(message) => self.links.send(&to, Frame::Batch(message)),
+                Ok(message) => self.tell_peer(&to, Frame::Batch(message)),
                 Err(err) => {
                     warn!(event = "batch_message_unencoded", to = %to, error = %err, "a message about batch work has no wire form");
                 }
@@ -94,6 +96,17 @@
         }
     }
 
+    /// Queues a frame for a peer; what follows from one that cannot be queued is taken later.
+    fn tell_peer(&mut self, to: &InstanceId, frame: Frame) {
+        let Err(frame) = self.links.send(to, frame) else {
+            return;
+        };
+        if let Some(event) = unsent(to, &frame) {
+            let event = Event::Request(event);
+            self.later.push_back(Input::Event(event));
+        }
+    }
+
     fn run_membership(&mut self, effect: MembershipEffect) {
         match effect {
             MembershipEffect::SendHeartbeat { to, heartbeat } => {
--- a/crates/guavacart_entry/src/runner/requests.rs
+++ b/crates/guavacart_entry/src/runner/requests.rs
@@ -36,7 +36,7 @@
                     return;
                 };
                 let frame = Frame::Forward(body.to_forward(call, head));
-                self.links.send(&to, frame);
+                self.tell_peer(&to, frame);
             }
             RequestEffect::Answer {
                 call,
@@ -44,7 +44,7 @@
                 body,
             } => self.answer(call, outcome, body, load),
             RequestEffect::Tell { to, message } => {
-                self.links.send(&to, Frame::Request(message.into()));
+                self.tell_peer(&to, Frame::Request(message.into()));
             }
             RequestEffect::Probe { endpoint, address } => self.probe(endpoint, address),
             RequestEffect::Count(counted) => self.metrics.count(counter(counted)),
@@ -86,14 +86,13 @@
     }
 
     /// Ends a dispatch whose call ended first.
-    fn unsent(&self, dispatch: DispatchId) {
+    fn unsent(&mut self, dispatch: DispatchId) {
         let ended = Input::Dispatched {
             dispatch,
             end: DispatchEnd::NotSent,
             answer: None,
         };
-        // A closed inbox means that the process is ending.
-        let _ = self.inbox.send(ended);
+        self.later.push_back(ended);
     }
 
     fn probe(&self, endpoint: EndpointId, address: SocketAddr) {
@@ -127,7 +126,7 @@
             Origin::Caller(_) => self.answer_caller(pending, outcome, body),
             Origin::Peer(peer, theirs) => {
                 let wire = OutcomeWire::new(theirs.0, outcome, load(), body.map(answer_to_wire));
-                self.links.send(peer, Frame::Outcome(wire));
+                self.tell_peer(peer, Frame::Outcome(wire));
             }
         }
     }
