--- a/crates/guavacart_lab/src/checks.rs
+++ b/crates/guavacart_lab/src/checks.rs
@@ -34,6 +34,8 @@
     pub cut_off_by_shutdown: u64,
     /// Configurations with a lower number than one before, in the store or in an instance.
     pub config_reverted: u64,
+    /// Accepted patches that the store's history of the configuration does not hold.
+    pub config_lost: u64,
     /// Accepted tasks that guavacart forgot.
     pub task_lost: u64,
 }
