Measure what an instance costs without load

Change: the scenario idle-cost (3, 6, 9 instances at 65 endpoints and 65 workers; 9 at 65, 300, 1,200) with slopes by least squares. Calls to workers are counted as control too. The lab's own polling of the status can be left out of a set-up.

--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -81,12 +81,14 @@
         let clock = Clock::start();
         let store = HttpStore::open(settings.store, STORE_TIMEOUT);
         let list = HttpInstanceList::open(settings.instance_list, LIST_TIMEOUT);
+        let workers = HttpWorkers::open();
         let meters = Meters {
             store_health: StoreHealth::new(clock),
             heartbeats: Traffic::default(),
             links: Traffic::default(),
             store: store.traffic().clone(),
             list: list.traffic().clone(),
+            workers: workers.traffic().clone(),
         };
         let store = CountedStore::new(store, meters.store_health.clone());
         let (inbox, inputs) = flume::bounded(INBOX_INPUTS);
@@ -133,7 +135,7 @@
                 endpoints: HttpEndpoints::open(),
                 batch: BatchRunner {
                     store: store.clone(),
-                    workers: HttpWorkers::open(),
+                    workers,
                     clock,
                     runtime: runtime.handle().clone(),
                     inbox: inbox.clone(),
--- a/crates/guavacart_entry/src/meters.rs
+++ b/crates/guavacart_entry/src/meters.rs
@@ -14,6 +14,7 @@
     pub(crate) links: Traffic,
     pub(crate) store: Traffic,
     pub(crate) list: Traffic,
+    pub(crate) workers: Traffic,
 }
 
 /// Bytes that one channel has carried since the start.
@@ -36,6 +37,7 @@
             ("links", &self.links),
             ("store", &self.store),
             ("list", &self.list),
+            ("workers", &self.workers),
         ];
         let status = |(channel, traffic): (&'static str, &Traffic)| {
             let (sent_bytes, received_bytes) = traffic.bytes();
--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -252,7 +252,9 @@
         });
         self.balancer.add(name, callers);
         lock(&self.callers).insert(name.into(), callers);
-        self.config_watch.add(name, instance.callers());
+        if self.spec.watch {
+            self.config_watch.add(name, instance.callers());
+        }
         self.instances.lock().await.insert(name.into(), instance);
         Ok(())
     }
@@ -375,6 +377,13 @@
         instances.iter().filter_map(used).collect()
     }
 
+    /// Memory that each running instance holds resident, in bytes.
+    pub async fn resident_bytes(&self) -> BTreeMap<SmolStr, u64> {
+        let instances = self.instances.lock().await;
+        let held = |(name, i): (&SmolStr, &Instance)| Some((name.clone(), i.resident_bytes()?));
+        instances.iter().filter_map(held).collect()
+    }
+
     /// Callers' way in: the balancer.
     pub fn entrances(&self) -> Entrances {
         Entrances::open(vec![self.balancer.address()])
--- a/crates/guavacart_lab/src/cluster/spec.rs
+++ b/crates/guavacart_lab/src/cluster/spec.rs
@@ -13,6 +13,8 @@
 pub const WRITER: &str = "lab-writer";
 /// Workers in a rack.
 const RACK: usize = 8;
+/// Workers in a cell of a set-up whose size is chosen.
+const CELL: usize = 64;
 
 /// What a run is made of.
 #[derive(Clone, Debug)]
@@ -37,6 +39,8 @@
     pub configuration: Value,
     /// True if fault proxies stand between all parties.
     pub network: bool,
+    /// True if every instance is asked for its configuration four times a second.
+    pub watch: bool,
     /// How long a stopping instance goes on taking requests.
     pub linger: SmolStr,
     /// Where instances log; none drops the logs with the run.
@@ -72,6 +76,7 @@
             teams,
             configuration,
             network: false,
+            watch: true,
             linger: "1s".into(),
             logs: None,
         }
@@ -81,6 +86,19 @@
         format_smolstr!("dc{}", place % self.data_centres + 1)
     }
 
+    /// The same with other numbers, and with cells of 64 workers.
+    pub fn sized(self, instances: usize, endpoints: usize, workers: usize) -> Self {
+        let mut configuration = self.configuration;
+        configuration["cells"] = json!(cells(workers));
+        Self {
+            instances,
+            endpoints,
+            workers,
+            configuration,
+            ..self
+        }
+    }
+
     /// The token of each team.
     pub fn tokens(&self) -> BTreeMap<SmolStr, SmolStr> {
         let token = |team: &SmolStr| (team.clone(), team_token(team));
@@ -123,6 +141,14 @@
     format_smolstr!("r{}", i + 1)
 }
 
+fn cells(workers: usize) -> BTreeMap<String, Value> {
+    let racks: Vec<SmolStr> = (0..workers.div_ceil(RACK)).map(rack).collect();
+    let cells = racks.chunks(CELL / RACK).enumerate();
+    cells
+        .map(|(i, racks)| (format!("c{}", i + 1), json!({ "racks": racks })))
+        .collect()
+}
+
 fn configuration(teams: &[SmolStr], workers: usize) -> Value {
     let racks: Vec<SmolStr> = (0..workers.div_ceil(RACK)).map(rack).collect();
     let half = racks.len().div_ceil(2);
--- a/crates/guavacart_lab/src/instance.rs
+++ b/crates/guavacart_lab/src/instance.rs
@@ -229,6 +229,14 @@
         Some((user + system) / CLOCK_TICKS)
     }
 
+    /// Memory that it holds resident, in bytes; none once it has ended.
+    pub fn resident_bytes(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let kib: u64 = line.split_ascii_whitespace().nth(1)?.parse().ok()?;
+        Some(kib << 10)
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         // Both fail only if the process has ended already.
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -3,6 +3,7 @@
 mod bad_network;
 mod config_race;
 mod demo;
+mod idle_cost;
 
 use std::{future::Future, path::PathBuf, pin::Pin, time::Duration};
 
@@ -68,6 +69,7 @@
     demo::SCENARIO,
     bad_network::SCENARIO,
     config_race::SCENARIO,
+    idle_cost::SCENARIO,
 ];
 
 /// The scenario of this name.
--- a/crates/guavacart_platform/src/worker.rs
+++ b/crates/guavacart_platform/src/worker.rs
@@ -8,8 +8,9 @@
 };
 use http_body_util::Full;
 use hyper::{
-    Request, StatusCode,
-    header::{CONTENT_TYPE, HOST},
+    HeaderMap, Request, StatusCode,
+    body::Body,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -17,7 +18,10 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-use crate::connection::{ExchangeError, Pools};
+use crate::{
+    connection::{ExchangeError, Pools, Whole},
+    traffic::Traffic,
+};
 
 /// Most connections to one worker.
 const CONNECTIONS: u32 = 2;
@@ -238,6 +242,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct HttpWorkers {
     pools: Pools,
+    traffic: Traffic,
 }
 
 impl HttpWorkers {
@@ -245,6 +250,11 @@
     pub fn open() -> Self {
         Self::default()
     }
+
+    /// What its calls have carried, those of its clones included.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
 }
 
 impl Workers for HttpWorkers {
@@ -263,6 +273,7 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|err| not_sent(format_smolstr!("{err}")))?;
+        self.traffic.sent(request_bytes(&req));
         let whole = self
             .pools
             .exchange(address, req, Some(CONNECTIONS), deadline, || true)
@@ -271,6 +282,7 @@
                 ExchangeError::NotSent(cause) => not_sent(cause),
                 ExchangeError::Broken(cause) => broken(cause),
             })?;
+        self.traffic.received(answer_bytes(&whole));
         match whole.status {
             StatusCode::OK => {
                 serde_json::from_slice(&whole.body).map_err(|err| broken(format_smolstr!("{err}")))
@@ -284,3 +296,23 @@
         }
     }
 }
+
+/// Bytes of a request on the wire: `hyper` adds the length.
+fn request_bytes(req: &Request<Full<Bytes>>) -> usize {
+    let body = req.body().size_hint().exact().unwrap_or_default();
+    let line = format!("{} {} HTTP/1.1\r\n\r\n", req.method(), req.uri());
+    let length = format!("{CONTENT_LENGTH}: {body}\r\n");
+    line.len() + headers_bytes(req.headers()) + length.len() + body as usize
+}
+
+fn answer_bytes(whole: &Whole) -> usize {
+    let line = format!("HTTP/1.1 {}\r\n\r\n", whole.status);
+    line.len() + headers_bytes(&whole.headers) + whole.body.len()
+}
+
+fn headers_bytes(headers: &HeaderMap) -> usize {
+    let line = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    headers.iter().map(line).sum()
+}
