--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -1,11 +1,13 @@
 //! The table of scenarios.
 
 mod bad_network;
+mod config_race;
 mod crest;
 mod demo;
 mod drain;
 mod fair;
 mod hol;
+mod idle_cost;
 mod instance_loss;
 mod load;
 mod partition;
@@ -92,6 +94,8 @@
     bad_network::SCENARIO,
     partition::SCENARIO,
     slopes::SCENARIO,
+    config_race::SCENARIO,
+    idle_cost::SCENARIO,
 ];
 
 /// The scenario of this name.
