Add the batch-chaos and batch-steady scenarios

Change: common set-up, jobs and figures of batch scenarios; a check of the journals' writes (no number twice, one owner at a time, epochs ascending); bytes read by the store's callers; task_lost counts cancelled, unheard and silent jobs too; two configuration switches for the baselines. Not measured yet.

--- a/crates/guavacart_config/src/configuration.rs
+++ b/crates/guavacart_config/src/configuration.rs
@@ -160,6 +160,10 @@
     pub weights: Weights,
     /// Most evictions in one minute in one cell.
     pub evictions_per_minute: u32,
+    /// How a task's worker is chosen.
+    pub placement: Placement,
+    /// How changes get into a cell's journal.
+    pub journal: JournalWrites,
 }
 
 impl Default for Sharing {
@@ -168,10 +172,34 @@
             policy: SharingPolicy::default(),
             weights: Weights::default(),
             evictions_per_minute: 6,
+            placement: Placement::default(),
+            journal: JournalWrites::default(),
         }
     }
 }
 
+/// How a worker is chosen among those that hold a task.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Placement {
+    /// The one that is the least loaded and costs services the least.
+    #[default]
+    LeastLoaded,
+    /// The first by id; for comparison.
+    FirstFit,
+}
+
+/// How changes get into a cell's journal.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JournalWrites {
+    /// What gathers within a short time goes into one record.
+    #[default]
+    Grouped,
+    /// Each change has a record of its own; for comparison.
+    Each,
+}
+
 /// How batch work is held back for services.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/guavacart_config/src/lib.rs
+++ b/crates/guavacart_config/src/lib.rs
@@ -11,8 +11,8 @@
 mod validate;
 
 pub use configuration::{
-    BatchRule, Cell, Configuration, Objectives, Queueing, Service, Sharing, SharingPolicy, Team,
-    Weights,
+    BatchRule, Cell, Configuration, JournalWrites, Objectives, Placement, Queueing, Service,
+    Sharing, SharingPolicy, Team, Weights,
 };
 pub use diagnostic::{Diagnostic, Place, SettingsFault};
 pub use diff::{Change, diff};
--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -33,6 +33,7 @@
     instance::{AccessSettings, Instance, InstanceError, InstanceSettings, binary},
     instance_list::{DEFAULT_LAG, InstanceList, ListView},
     jobs::Jobs,
+    journal_check::JOURNAL_FOLDER,
     request_ledger::RequestLedger,
     store::Store,
     sync::lock,
@@ -41,6 +42,8 @@
 
 /// Longest wait for a graceful stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest wait for the standing of unfinished jobs.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(15);
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -133,6 +136,7 @@
     async fn bind(spec: ClusterSpec) -> Result<Self, ClusterError> {
         let store = Store::bind(spec.seed).await?;
         store.keep_history(CONFIG_KEY);
+        store.keep_history(JOURNAL_FOLDER);
         let list = InstanceList::bind(DEFAULT_LAG).await?;
         let balancer = Balancer::bind().await?;
         let interference = SharedInterference::default();
@@ -395,9 +399,9 @@
         violations.add_stops(&attempts, &lock(&self.stops), |attempt| {
             self.balancer.backend_of(attempt.local?)
         });
-        violations.add_config_writes(&self.store.history());
+        violations.add_config_writes(&self.store.history_of(CONFIG_KEY));
         violations.config_reverted += self.config_watch.reverted();
-        violations.task_lost += self.jobs.lost().await;
+        violations.task_lost += self.jobs.lost(STATUS_TIMEOUT).await;
         violations
     }
 }
--- a/crates/guavacart_lab/src/jobs.rs
+++ b/crates/guavacart_lab/src/jobs.rs
@@ -171,25 +171,39 @@
             .collect()
     }
 
-    /// Unfinished tasks that guavacart no longer knows of or takes for finished.
-    pub async fn lost(&self) -> u64 {
+    /// Unfinished tasks of accepted jobs that guavacart no longer knows of, takes for finished or
+    /// cancelled, or does not tell about until `limit` has passed.
+    pub async fn lost(&self, limit: Duration) -> u64 {
+        let deadline = Instant::now() + limit;
         let mut lost = 0;
         for (id, left) in self.unfinished() {
             let tasks = lock(&self.record).get(&id).map_or(0, |r| r.tasks);
-            let Some((status, body)) = self.status(&id).await else {
-                continue;
-            };
-            lost += match status {
-                StatusCode::NOT_FOUND => u64::from(left),
-                _ => {
-                    let said = finished_count(&body).unwrap_or(0);
-                    said.saturating_sub(u64::from(tasks - left))
-                }
-            };
+            lost += self.lost_of(&id, u64::from(tasks), left, deadline).await;
         }
         lost
     }
 
+    async fn lost_of(&self, id: &JobId, tasks: u64, left: u32, deadline: Instant) -> u64 {
+        loop {
+            match self.status(id).await {
+                Some((StatusCode::NOT_FOUND, _)) => return u64::from(left),
+                Some((StatusCode::OK, body)) => {
+                    let count = |name| task_count(&body, name);
+                    // What finished since the answer must not count as lost.
+                    let finished = self.ledger.finished(id).len() as u64;
+                    let said = count("finished");
+                    let open = ["queued", "placed", "parked", "elsewhere"].map(count);
+                    let cancelled = count("cancelled");
+                    let known = said + cancelled + open.iter().sum::<u64>();
+                    let unheard = tasks.saturating_sub(known);
+                    return said.saturating_sub(finished) + cancelled + unheard;
+                }
+                _ if Instant::now() >= deadline => return u64::from(left),
+                _ => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
     /// Tasks of accepted jobs.
     pub fn tasks_submitted(&self) -> u64 {
         let record = lock(&self.record);
@@ -268,6 +282,8 @@
     )
 }
 
-fn finished_count(body: &Value) -> Option<u64> {
-    body.get("tasks")?.get("finished")?.as_u64()
+fn task_count(body: &Value, name: &str) -> u64 {
+    let counts = body.get("tasks");
+    let count = counts.and_then(|counts| counts.get(name));
+    count.and_then(Value::as_u64).unwrap_or_default()
 }
--- a/crates/guavacart_lab/src/lib.rs
+++ b/crates/guavacart_lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod instance;
 pub mod instance_list;
 pub mod jobs;
+pub mod journal_check;
 pub mod one_instance;
 pub mod progress;
 pub mod request_ledger;
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -1,6 +1,9 @@
 //! The table of scenarios.
 
 mod bad_network;
+mod batch;
+mod batch_chaos;
+mod batch_steady;
 mod crest;
 mod demo;
 mod drain;
@@ -92,6 +95,8 @@
     bad_network::SCENARIO,
     partition::SCENARIO,
     slopes::SCENARIO,
+    batch_steady::SCENARIO,
+    batch_chaos::SCENARIO,
 ];
 
 /// The scenario of this name.
--- a/crates/guavacart_lab/src/store.rs
+++ b/crates/guavacart_lab/src/store.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{Method, Request, StatusCode, header::HeaderValue};
+use hyper::{Method, Request, StatusCode, body::Body as _, header::HeaderValue};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::Serialize;
 use serde_json::json;
@@ -116,6 +116,16 @@
         lock(&self.shared.data).history.clone()
     }
 
+    /// The kept writes to keys that begin with `prefix`, in order.
+    pub fn history_of(&self, prefix: &str) -> Vec<Write> {
+        let data = lock(&self.shared.data);
+        let writes = data.history.iter();
+        writes
+            .filter(|w| w.key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
     /// Calls so far, by kind and second.
     pub fn calls(&self) -> Calls {
         lock(&self.shared.data).calls.clone()
@@ -195,6 +205,14 @@
             CallKind::Lease => lease(&mut data, path, req),
             CallKind::Watch | CallKind::Unknown => answer(StatusCode::NOT_FOUND, "unknown call"),
         };
+        if matches!(kind, CallKind::Get | CallKind::List | CallKind::Range) {
+            let read = match kind {
+                CallKind::Get => key(path, "/v1/kv/"),
+                _ => query(req, "prefix").unwrap_or_default(),
+            };
+            let bytes = answer.body().size_hint().exact().unwrap_or_default();
+            data.calls.count_read(read, bytes);
+        }
         let revision = data.revision;
         drop(data);
         self.written.send_if_modified(|seen| {
--- a/crates/guavacart_lab/src/store/data.rs
+++ b/crates/guavacart_lab/src/store/data.rs
@@ -40,6 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Calls {
     by_second: BTreeMap<(u64, CallKind), u64>,
+    read_bytes: BTreeMap<String, u64>,
 }
 
 impl Calls {
@@ -47,6 +48,16 @@
         *self.by_second.entry((second, kind)).or_default() += 1;
     }
 
+    pub(super) fn count_read(&mut self, key: &str, bytes: u64) {
+        let folder = key.split('/').next().unwrap_or_default();
+        *self.read_bytes.entry(folder.to_owned()).or_default() += bytes;
+    }
+
+    /// Bytes of the answers to reads of keys whose first part is `folder`, as they went out.
+    pub fn read_bytes(&self, folder: &str) -> u64 {
+        self.read_bytes.get(folder).copied().unwrap_or_default()
+    }
+
     /// Calls of one kind in all.
     pub fn total(&self, kind: CallKind) -> u64 {
         let of_kind = |((_, k), n): (&(u64, CallKind), &u64)| (*k == kind).then_some(*n);
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -351,7 +351,11 @@
                 return;
             }
             in_flight.retry_at = None;
-        } else if self.journal.cut(cx.now, io.me, io.sequence).is_none() {
+        } else if self
+            .journal
+            .cut(cx.now, io.me, io.sequence, cx.configuration.sharing.journal)
+            .is_none()
+        {
             return;
         } else {
             self.prepare_snapshot();
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use guavacart_config::Placement;
 use guavacart_types::{BatchClass, Resources, Span, TaskId, Timestamp, WorkerId};
 
 use super::{Cell, Reservation};
@@ -13,7 +14,7 @@
         journal::Change,
         ledger::QueueKey,
         link::{Link, Tracked},
-        placement::{Candidate, Occupant, Want, choose, displace, reserve},
+        placement::{Candidate, Occupant, Want, choose, choose_first, displace, reserve},
         quota,
         worker::AttemptId,
     },
@@ -230,7 +231,11 @@
             failed_on,
             reserved: reserved.as_ref(),
         };
-        if let Some(chosen) = choose(&pass.candidates, &want) {
+        let chosen = match cx.configuration.sharing.placement {
+            Placement::LeastLoaded => choose(&pass.candidates, &want),
+            Placement::FirstFit => choose_first(&pass.candidates, &want),
+        };
+        if let Some(chosen) = chosen {
             self.place(cx, pass, spec, id, &task, chosen);
             return Tried::Placed;
         }
--- a/crates/guavacart_scheduler/src/batch/journal.rs
+++ b/crates/guavacart_scheduler/src/batch/journal.rs
@@ -1,5 +1,6 @@
 //! Records of a cell's journal, and the one append that may be in flight.
 
+use guavacart_config::JournalWrites;
 use guavacart_types::{Attempt, CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, WorkerId};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
@@ -263,17 +264,22 @@
         now: Timestamp,
         writer: &Member,
         sequence: &mut u64,
+        writes: JournalWrites,
     ) -> Option<&InFlight> {
         if self.in_flight.is_some() || self.pending.is_empty() || now < self.next_cut {
             return None;
         }
-        self.next_cut = now + COMMIT_INTERVAL;
+        let (interval, most) = match writes {
+            JournalWrites::Grouped => (COMMIT_INTERVAL, MAX_CHANGES),
+            JournalWrites::Each => (Span::ZERO, 1),
+        };
+        self.next_cut = now + interval;
         let mut bytes = 0;
         let fits = |change: &&Change| {
             bytes += change.bytes();
             bytes <= MAX_RECORD_BYTES
         };
-        let count = self.pending.iter().take(MAX_CHANGES).take_while(fits);
+        let count = self.pending.iter().take(most).take_while(fits);
         let count = count.count().max(1);
         let changes: Vec<Change> = self.pending.drain(..count).collect();
         *sequence += 1;
--- a/crates/guavacart_scheduler/src/batch/placement.rs
+++ b/crates/guavacart_scheduler/src/batch/placement.rs
@@ -44,6 +44,11 @@
     fitting.min_by_key(|i| score(&candidates[*i], want))
 }
 
+/// Chooses the first worker that holds the task without breaking a reservation; for comparison.
+pub fn choose_first(candidates: &[Candidate], want: &Want<'_>) -> Option<usize> {
+    candidates.iter().position(|c| fits(c, want))
+}
+
 fn fits(candidate: &Candidate, want: &Want<'_>) -> bool {
     if candidate.openings == 0 || want.failed_on.contains(&candidate.worker) {
         return false;
