--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -4,6 +4,8 @@
 mod batch;
 mod batch_chaos;
 mod batch_steady;
+mod black_hole;
+mod cancel_wave;
 mod crest;
 mod demo;
 mod drain;
@@ -11,10 +13,14 @@
 mod hol;
 mod instance_loss;
 mod load;
+mod misdeclared;
 mod partition;
+mod racing_owners;
 mod slopes;
 mod steady;
 mod store_outage;
+mod takeover;
+mod urgent;
 
 use std::{future::Future, path::PathBuf, pin::Pin, time::Duration};
 
@@ -97,6 +103,12 @@
     slopes::SCENARIO,
     batch_steady::SCENARIO,
     batch_chaos::SCENARIO,
+    takeover::SCENARIO,
+    urgent::SCENARIO,
+    cancel_wave::SCENARIO,
+    black_hole::SCENARIO,
+    misdeclared::SCENARIO,
+    racing_owners::SCENARIO,
 ];
 
 /// The scenario of this name.
--- a/crates/guavacart_lab/src/scenario/batch.rs
+++ b/crates/guavacart_lab/src/scenario/batch.rs
@@ -44,8 +44,8 @@
 pub(super) struct Shape {
     /// How many.
     pub(super) tasks: u32,
-    /// Processors of each, in cores.
-    pub(super) cores: u64,
+    /// Processors of each as declared, in thousandths of a core.
+    pub(super) milli_cores: u64,
     /// Run time in truth, in milliseconds.
     pub(super) run_ms: u64,
     /// Run time as declared, in milliseconds.
@@ -61,7 +61,7 @@
     pub(super) fn normal(tasks: u32, cores: u64, run_ms: u64) -> Self {
         Self {
             tasks,
-            cores,
+            milli_cores: cores * 1_000,
             run_ms,
             declared_ms: run_ms,
             priority: "normal",
@@ -72,9 +72,13 @@
 
 /// Processors and 2 GiB of memory for each core.
 pub(super) fn cores(n: u64) -> Resources {
+    milli_cores(n * 1_000)
+}
+
+fn milli_cores(n: u64) -> Resources {
     Resources {
-        processors: Processors::cores(n),
-        memory: ByteSize::gib(2 * n),
+        processors: Processors(n),
+        memory: ByteSize::mib(2 * n * 1_024 / 1_000),
         ..Resources::default()
     }
 }
@@ -137,7 +141,7 @@
             team: teams[n % teams.len()].clone(),
             class: "deck".into(),
             tasks: shape.tasks,
-            resources: cores(shape.cores),
+            resources: milli_cores(shape.milli_cores),
             expected_ms: shape.declared_ms,
             priority: shape.priority.into(),
             payload,
