--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -1,6 +1,11 @@
 //! The table of scenarios.
 
 mod bad_network;
+mod batch;
+mod batch_chaos;
+mod batch_steady;
+mod black_hole;
+mod cancel_wave;
 mod config_race;
 mod crest;
 mod demo;
@@ -10,10 +15,14 @@
 mod idle_cost;
 mod instance_loss;
 mod load;
+mod misdeclared;
 mod partition;
+mod racing_owners;
 mod slopes;
 mod steady;
 mod store_outage;
+mod takeover;
+mod urgent;
 
 use std::{future::Future, path::PathBuf, pin::Pin, time::Duration};
 
@@ -96,6 +105,14 @@
     slopes::SCENARIO,
     config_race::SCENARIO,
     idle_cost::SCENARIO,
+    batch_steady::SCENARIO,
+    batch_chaos::SCENARIO,
+    takeover::SCENARIO,
+    urgent::SCENARIO,
+    cancel_wave::SCENARIO,
+    black_hole::SCENARIO,
+    misdeclared::SCENARIO,
+    racing_owners::SCENARIO,
 ];
 
 /// The scenario of this name.
