Catch the stop signals before an instance announces itself

Cause: the handlers were set by the wait, after the line on stdout that says where it listens; a SIGTERM in between ended the process by the signal. Found by tests/serve.rs on a busy machine. Change: they are bound with the listeners.

--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    io,
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
     thread,
@@ -34,6 +33,7 @@
     meters::Meters,
     metrics::Metrics,
     runner::Runner,
+    stop_signal::StopSignal,
     store_health::{CountedStore, StoreHealth},
 };
 
@@ -59,6 +59,7 @@
     front: Front,
     inbox: Sender<Input>,
     core: thread::JoinHandle<()>,
+    stop_signal: StopSignal,
 }
 
 impl Entry {
@@ -73,6 +74,7 @@
             .enable_all()
             .build()
             .map_err(EntryError::Runtime)?;
+        let stop_signal = StopSignal::bind(&runtime).map_err(EntryError::Runtime)?;
         let callers_listener = bind_tcp(settings.callers, "callers")?;
         let (peers_listener, peers_socket) = bind_peers(settings.peers)?;
         let callers = local(&callers_listener, settings.callers)?;
@@ -177,6 +179,7 @@
             front,
             inbox,
             core,
+            stop_signal,
         })
     }
 
@@ -200,10 +203,11 @@
             front,
             inbox,
             core,
+            mut stop_signal,
             ..
         } = self;
         runtime.block_on(async {
-            asked_to_stop().await.map_err(EntryError::Runtime)?;
+            stop_signal.received().await;
             front.stop_taking();
             inbox
                 .send_async(Input::Event(Event::StopRequested))
@@ -228,18 +232,6 @@
     Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
 }
 
-async fn asked_to_stop() -> io::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 fn bind_tcp(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, EntryError> {
     TcpListener::bind(address).map_err(|source| EntryError::Bind {
         address,
--- a/crates/guavacart_entry/src/lib.rs
+++ b/crates/guavacart_entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod rate;
 mod runner;
 mod status;
+mod stop_signal;
 mod store_health;
 mod view_store;
 
