Keep the legend of the burn plot off its bars and name the axis

Cause: the axis ended 10% beyond the longest bar, under the legend. Change: 15% of headroom, a name for the axis, and a test that compares the bars' ends with the legend. Conclusion: no bar is hidden.

--- a/crates/guavacart_report/src/svg.rs
+++ b/crates/guavacart_report/src/svg.rs
@@ -12,13 +12,15 @@
 /// Width of the plot, in pixels.
 const WIDTH: u32 = 1_000;
 /// Height of the plot without its bars, in pixels.
-const MARGINS: u32 = 90;
+const MARGINS: u32 = 106;
 /// Height of the bars of one objective, in pixels.
 const OBJECTIVE_HEIGHT: u32 = 52;
 /// Width of the labels, in pixels.
 const LABELS: u32 = 330;
 /// Least burn rate that the axis reaches.
 const LEAST_AXIS: f64 = 2.0;
+/// The axis over the greatest burn rate, so that the legend at its end hides no bar.
+const HEADROOM: f64 = 1.15;
 /// Share of an objective's height that its bars fill.
 const FILL: f64 = 0.8;
 
@@ -77,20 +79,24 @@
     bars: &[(String, &Burn)],
 ) -> Result<(), DrawingAreaErrorKind<DB::ErrorType>> {
     let rates = bars.iter().flat_map(|(_, burn)| burn.windows.values());
-    let greatest = rates.fold(LEAST_AXIS, |greatest, burn| greatest.max(burn.rate * 1.1));
+    let greatest = rates.fold(LEAST_AXIS, |greatest, burn| {
+        greatest.max(burn.rate * HEADROOM)
+    });
     let lines = bars.len().max(1) as f64;
     let title = format!("Burn rate, configuration {}", report.config);
     let mut chart = ChartBuilder::on(root)
         .caption(title, (FONT, 18))
         .margin(8)
         .y_label_area_size(LABELS)
-        .x_label_area_size(24)
+        .x_label_area_size(40)
         .build_cartesian_2d(0.0..greatest, lines..0.0)?;
     chart
         .configure_mesh()
         .disable_y_mesh()
         .y_labels(0)
         .x_label_style((FONT, 12))
+        .x_desc("burn rate; the line at 1 spends the budget exactly")
+        .axis_desc_style((FONT, 12))
         .draw()?;
     for (index, window) in Window::ALL.into_iter().enumerate() {
         let color = COLORS[index];
--- a/crates/guavacart_report/tests/burn.rs
+++ b/crates/guavacart_report/tests/burn.rs
@@ -182,6 +182,26 @@
     let svg = draw(&report).unwrap();
     assert!(svg.contains("engine (all) availability"));
     assert!(svg.trim_end().ends_with("</svg>"));
+    let rects: Vec<&str> = svg.lines().filter(|l| l.starts_with("<rect")).collect();
+    let frame = rects.iter().find(|rect| rect.contains(r#"fill="none""#));
+    let legend = number(frame.unwrap(), "x");
+    let bars = rects
+        .iter()
+        .skip(1)
+        .filter(|rect| number(rect, "x") < legend);
+    let ends: Vec<f64> = bars.map(|r| number(r, "x") + number(r, "width")).collect();
+    assert!(ends.len() >= Window::ALL.len());
+    assert!(
+        ends.iter().all(|end| *end < legend),
+        "the legend hides a bar"
+    );
+}
+
+/// A number among the attributes of an SVG element.
+fn number(element: &str, name: &str) -> f64 {
+    let begin = format!(" {name}=\"");
+    let value = element.split(&begin).nth(1).unwrap();
+    value.split('"').next().unwrap().parse().unwrap()
 }
 
 proptest::proptest! {
