--- a/crates/guavacart_entry/src/core.rs
+++ b/crates/guavacart_entry/src/core.rs
@@ -81,6 +81,10 @@
                 self.apply(Event::Tick);
                 continue;
             }
+            if let Some(input) = self.runner.later.pop_front() {
+                self.take(input);
+                continue;
+            }
             match self.next_input(self.clock.instant(next_tick)) {
                 Ok(input) => self.take(input),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -123,7 +127,11 @@
 
     fn apply(&mut self, event: Event) {
         let now = self.clock.now();
-        for effect in self.state.apply(now, event) {
+        let effects = self.state.apply(now, event);
+        self.runner
+            .fence
+            .raise(self.state.membership().generation());
+        for effect in effects {
             self.carry_out(effect);
         }
     }
--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -1,7 +1,7 @@
 //! Starts an entry instance and waits for its end.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
@@ -26,6 +26,7 @@
     calls::{CallIds, Calls},
     clock::Clock,
     core::{Core, Input},
+    fence::Fence,
     front::{Front, FrontContext},
     heartbeats::{self, HeartbeatSender},
     links::{self, LinkContext, Links},
@@ -93,11 +94,11 @@
         let store = CountedStore::new(store, meters.store_health.clone());
         let (inbox, inputs) = flume::bounded(INBOX_INPUTS);
         let addresses = Addresses::default();
-        let call_ids = CallIds::default();
         let member = Member {
             id: settings.instance.clone(),
             incarnation: incarnation(),
         };
+        let call_ids = CallIds::start(member.incarnation);
         let links = Links::new(
             Arc::new(LinkContext::new(
                 member.clone(),
@@ -129,6 +130,7 @@
             runner: Runner {
                 calls: Calls::default(),
                 clock,
+                fence: Fence::default(),
                 runtime: runtime.handle().clone(),
                 inbox: inbox.clone(),
                 store: store.clone(),
@@ -140,6 +142,7 @@
                     runtime: runtime.handle().clone(),
                     inbox: inbox.clone(),
                 },
+                later: VecDeque::new(),
                 submitters: HashMap::new(),
                 links: links.clone(),
                 heartbeats,
--- a/crates/guavacart_lab/src/scenario/config_race.rs
+++ b/crates/guavacart_lab/src/scenario/config_race.rs
@@ -41,6 +41,7 @@
     name: "config-race",
     about: "four operators submit 200 patches under outages, lost answers and restarts",
     baselines: &[],
+    seconds: 60,
     run,
 };
 
--- a/crates/guavacart_lab/src/scenario/idle_cost.rs
+++ b/crates/guavacart_lab/src/scenario/idle_cost.rs
@@ -12,7 +12,7 @@
 };
 use super::{Scenario, ScenarioCx, ScenarioError, ScenarioRun};
 use crate::{
-    cluster::{Cluster, ClusterSpec},
+    cluster::{Cluster, ClusterSpec, Size},
     summary::{Summary, Target},
 };
 
@@ -39,6 +39,7 @@
     name: "idle-cost",
     about: "processor time, memory and control bytes of each instance without load, by size",
     baselines: &[],
+    seconds: 20,
     run,
 };
 
@@ -88,9 +89,9 @@
     let spec = ClusterSpec {
         logs: cx.logs.clone(),
         watch: false,
-        ..ClusterSpec::full(cx.seed)
+        ..ClusterSpec::sized(Size::Pamoja, cx.seed)
     };
-    let spec = spec.sized(point.instances, point.listed, point.listed);
+    let spec = spec.with_numbers(point.instances, point.listed, point.listed);
     let cluster = Cluster::open(spec).await?;
     sleep(sample::REST).await;
     let before = Sample::take(&cluster).await;
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -1,6 +1,7 @@
 //! One cell that this instance owns: its journal, its workers and its queue.
 
 mod answer;
+mod colocate;
 mod schedule;
 mod standing;
 mod sync;
@@ -8,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use guavacart_types::{
-    CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, ViewNumber, WorkerId,
+    BatchClass, CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, ViewNumber, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -24,7 +25,12 @@
     ledger::Ledger,
     link::Link,
 };
-use crate::{Cx, Effect, directory::ListedWorker, membership::Member};
+use crate::{
+    Cx, Effect,
+    directory::ListedWorker,
+    interference::{self, Colocation},
+    membership::Member,
+};
 
 /// Time between two tries of a store call that failed.
 const STORE_RETRY: Span = Span::millis(200);
@@ -137,6 +143,10 @@
     contact: Timestamp,
     dirty: bool,
     next_pass: Timestamp,
+    colocation: Colocation,
+    /// Thousandths of each worker that each class presses on, as last told.
+    pressures: BTreeMap<(WorkerId, BatchClass), u32>,
+    next_sharing: Timestamp,
 }
 
 impl Cell {
@@ -167,6 +177,9 @@
             contact: cx.now,
             dirty: true,
             next_pass: cx.now,
+            colocation: Colocation::default(),
+            pressures: BTreeMap::new(),
+            next_sharing: cx.now,
         }
     }
 
@@ -216,6 +229,7 @@
         }
         self.lapse_leases(cx);
         if !cx.stopping {
+            self.share_workers(cx, io);
             self.schedule(cx);
         }
         self.append(cx, io);
@@ -337,7 +351,11 @@
                 return;
             }
             in_flight.retry_at = None;
-        } else if self.journal.cut(cx.now, io.me, io.sequence).is_none() {
+        } else if self
+            .journal
+            .cut(cx.now, io.me, io.sequence, cx.configuration.sharing.journal)
+            .is_none()
+        {
             return;
         } else {
             self.prepare_snapshot();
@@ -566,6 +584,8 @@
     SteppedDown,
     /// The cell's journal cannot be used.
     Stopped(JournalError),
+    /// Something was done for a service that shares a worker.
+    Shared(Box<interference::Decision>),
 }
 
 /// Sends an answer to whoever asked.
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use guavacart_types::{Resources, Span, TaskId, Timestamp, WorkerId};
+use guavacart_config::Placement;
+use guavacart_types::{BatchClass, Resources, Span, TaskId, Timestamp, WorkerId};
 
 use super::{Cell, Reservation};
 use crate::{
@@ -13,7 +14,7 @@
         journal::Change,
         ledger::QueueKey,
         link::{Link, Tracked},
-        placement::{Candidate, Occupant, Want, choose, displace, reserve},
+        placement::{Candidate, Occupant, Want, choose, choose_first, displace, reserve},
         quota,
         worker::AttemptId,
     },
@@ -42,6 +43,8 @@
     candidates: Vec<Candidate>,
     occupants: BTreeMap<WorkerId, Vec<Occupant>>,
     unplaced: Vec<Unplaced>,
+    /// The class whose price is on the candidates.
+    priced: Option<BatchClass>,
     places: usize,
     displacers: usize,
     reserved_normal: bool,
@@ -107,6 +110,7 @@
             candidates,
             occupants: self.occupants(cx),
             unplaced: Vec::new(),
+            priced: None,
             places: 0,
             displacers: 0,
             reserved_normal: false,
@@ -175,6 +179,7 @@
             return;
         };
         let spec = job.spec.clone();
+        self.price_candidates(cx, pass, &spec);
         for index in indices {
             if pass.places >= MAX_PLACES_PER_PASS {
                 return;
@@ -192,6 +197,17 @@
         self.waiting.remove(&spec.id);
     }
 
+    /// Puts the class's price on each candidate.
+    fn price_candidates(&self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec) {
+        if pass.priced.as_ref() == Some(&spec.class) {
+            return;
+        }
+        for candidate in &mut pass.candidates {
+            candidate.cost = self.price(cx, &candidate.worker, &spec.class);
+        }
+        pass.priced = Some(spec.class.clone());
+    }
+
     fn try_task(&mut self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec, id: &TaskId) -> Tried {
         if let Some(slice) = quota::slice(cx.configuration, &self.id, &spec.team) {
             let wanted = self.ledger.team_used(&spec.team).plus(&spec.resources);
@@ -215,7 +231,11 @@
             failed_on,
             reserved: reserved.as_ref(),
         };
-        if let Some(chosen) = choose(&pass.candidates, &want) {
+        let chosen = match cx.configuration.sharing.placement {
+            Placement::LeastLoaded => choose(&pass.candidates, &want),
+            Placement::FirstFit => choose_first(&pass.candidates, &want),
+        };
+        if let Some(chosen) = chosen {
             self.place(cx, pass, spec, id, &task, chosen);
             return Tried::Placed;
         }
