Build the instances' binary before the lab runs it

Cause: on a clean clone the README's first command ended with status 3, "guavacart is missing", since cargo run builds the lab alone; after a change it would have run a stale binary. Change: under cargo run the lab has Cargo build guavacart in its own profile first.

--- a/crates/guavacart_lab/src/instance.rs
+++ b/crates/guavacart_lab/src/instance.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, Stdio},
+    sync::OnceLock,
     thread,
     time::{Duration, Instant},
 };
@@ -15,7 +16,7 @@
     unistd::Pid,
 };
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
 /// How long a process may take to listen.
@@ -31,6 +32,9 @@
     /// The lab does not know its own place.
     #[error("the lab's own executable has no directory: {0}")]
     NoDirectory(io::Error),
+    /// Cargo could not build the binary.
+    #[error("`{0}` failed; its own message says why")]
+    NotBuilt(SmolStr),
     /// The binary is missing.
     #[error("{0} is missing; build it with `cargo build -p guavacart` in the same profile")]
     NoBinary(PathBuf),
@@ -130,9 +134,14 @@
 }
 
 /// The `guavacart` binary beside the lab's own executable, or one directory up for tests.
+///
+/// `cargo run` builds the lab alone, so under it the binary is built first.
 pub fn binary() -> Result<PathBuf, InstanceError> {
     let lab = std::env::current_exe().map_err(InstanceError::NoDirectory)?;
     let beside = lab.with_file_name("guavacart");
+    if lab.file_stem().is_some_and(|stem| stem == "guavacart-lab") {
+        build(&beside)?;
+    }
     if beside.is_file() {
         return Ok(beside);
     }
@@ -143,6 +152,35 @@
     }
 }
 
+/// Has Cargo build `binary` in the profile of its directory, if Cargo runs this process.
+fn build(binary: &Path) -> Result<(), InstanceError> {
+    static BUILT: OnceLock<bool> = OnceLock::new();
+    let Some(cargo) = std::env::var_os("CARGO") else {
+        return Ok(());
+    };
+    let profile = match binary.parent().and_then(Path::file_name) {
+        Some(directory) if directory != "debug" => directory.to_string_lossy().into_owned(),
+        _ => "dev".to_owned(),
+    };
+    let arguments = ["build", "--quiet", "-p", "guavacart", "--profile", &profile];
+    let built = BUILT.get_or_init(|| {
+        let mut command = Command::new(cargo);
+        // The manifest that Cargo names is the lab's; the workspace is the same.
+        if let Some(directory) = std::env::var_os("CARGO_MANIFEST_DIR") {
+            command.current_dir(directory);
+        }
+        let status = command.args(arguments).status();
+        status.is_ok_and(|status| status.success())
+    });
+    match built {
+        true => Ok(()),
+        false => Err(InstanceError::NotBuilt(format_smolstr!(
+            "cargo {}",
+            arguments.join(" ")
+        ))),
+    }
+}
+
 impl Instance {
     /// Starts `binary serve` with `settings`, with its files in `dir`, and waits until it listens.
     pub fn spawn(
