Hand tasks off between cells

Cause: a cell whose workers were full kept its queue while other cells had room, and a shape that only another cell holds was rejected.

Change: a task leaves by `sent` in its home, `received` in the other cell and `acknowledged` in the home, and comes back by `returned` and `acknowledged` with what became of it. Each move raises the attempt, so a repeat is told from a new move. Offers carry a ticket that the receiver issued (its epoch, its own clock, good for 5 s); tasks that went home are remembered for that long, so a late repeat cannot bring a task back into a cell that it left. An answer goes out only when what it says is durable. Owners tell one another the room of their cells each 500 ms. A task is sent after 1 s without room, or at once if no worker of the home holds it; a guest that waits 15 s goes back if the home has room. Status, listing and cancellation are the home's; a cancellation is confirmed when every task of the job is back, else it is unknown.

Tests: the model checks from the stored records that a task is in one cell, finishes once, and that the team is within its quota; messages between instances are lost, repeated and late. Conclusion: a shape is refused only if no cell holds it.

--- a/crates/guavacart_entry/src/jobs.rs
+++ b/crates/guavacart_entry/src/jobs.rs
@@ -159,5 +159,8 @@
         NotAccepted::CellFull => "nothing was accepted: the job's cell is full",
         NotAccepted::CellStopped => "nothing was accepted: the job's cell is stopped",
         NotAccepted::NoCells => "nothing was accepted: no cells are configured",
+        NotAccepted::HeldElsewhere => {
+            "nothing was accepted: another cell is the job's home; the cells have changed"
+        }
     }
 }
--- a/crates/guavacart_scheduler/src/batch.rs
+++ b/crates/guavacart_scheduler/src/batch.rs
@@ -7,6 +7,7 @@
 mod contact;
 pub mod decision;
 mod estimate;
+pub mod handoff;
 pub mod job;
 pub mod journal;
 mod ledger;
@@ -16,7 +17,10 @@
 pub mod quota;
 pub mod worker;
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use guavacart_types::{
     CallId, CellId, Epoch, InstanceId, JobId, Revision, TeamName, Timestamp, WorkerId, weight,
@@ -29,6 +33,7 @@
     caretaker::Caretaker,
     cell::{Cell, Io},
     contact::Contact,
+    handoff::{HandOff, Outgoing, Rooms},
     job::JobSpec,
     journal::{Appended, Record, Snapshot, SnapshotWritten, Stored},
     worker::{WorkerReport, WorkerSync},
@@ -227,6 +232,8 @@
     calls: Calls,
     caretaker: Caretaker,
     contact: Contact,
+    rooms: Rooms,
+    outbox: Vec<Outgoing>,
 }
 
 impl Batch {
@@ -239,6 +246,8 @@
             calls: Calls::default(),
             caretaker: Caretaker::default(),
             contact: Contact::new(),
+            rooms: Rooms::default(),
+            outbox: Vec::new(),
         }
     }
 
@@ -262,6 +271,7 @@
             cell.tick(cx, &mut io, contact);
         }
         self.take_care(cx, effects);
+        self.deliver(cx, effects);
         self.relay_own_replies(effects, first);
         for (call, reply) in self.calls.expired(cx.now) {
             effects.push(BatchEffect::Reply { call, reply }.into());
@@ -295,6 +305,7 @@
             BatchEvent::Peer { from, message } => self.peer(cx, effects, from, message),
             other => self.cell_event(cx, other, effects),
         }
+        self.deliver(cx, effects);
         self.relay_own_replies(effects, first);
     }
 
@@ -306,6 +317,8 @@
             me: &self.me,
             sequence: &mut self.sequence,
             effects,
+            outbox: &mut self.outbox,
+            rooms: &mut self.rooms,
         };
         (&mut self.cells, io)
     }
@@ -317,6 +330,8 @@
             me: &self.me,
             sequence: &mut self.sequence,
             effects,
+            outbox: &mut self.outbox,
+            rooms: &mut self.rooms,
         };
         self.caretaker.tick(cx, &mut io, acts);
     }
@@ -488,9 +503,45 @@
             PeerBatch::Reply { call, reply } => {
                 effects.push(BatchEffect::Reply { call, reply }.into());
             }
+            PeerBatch::Room { cell, room } => self.rooms.heard(cx.now, cell, room),
+            PeerBatch::HandOff { cell, message } => self.hand_off(cx, effects, &cell, message),
+        }
+    }
+
+    fn hand_off(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>, id: &CellId, message: HandOff) {
+        let (cells, mut io) = self.split(effects);
+        if let Some(cell) = cells.get_mut(id) {
+            cell.hand_off(cx, &mut io, message);
+        }
+    }
+
+    /// Brings what cells say to one another to their owners.
+    fn deliver(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>) {
+        while !self.outbox.is_empty() {
+            for outgoing in std::mem::take(&mut self.outbox) {
+                self.deliver_one(cx, effects, outgoing);
+            }
         }
     }
 
+    fn deliver_one(&mut self, cx: &Cx<'_>, effects: &mut Vec<Effect>, outgoing: Outgoing) {
+        let receivers: BTreeSet<InstanceId> = match &outgoing {
+            Outgoing::Room(..) => {
+                let cells = cx.configuration.cells.keys();
+                cells.filter_map(|cell| other_owner(cx, cell)).collect()
+            }
+            Outgoing::HandOff(cell, _) if self.cells.contains_key(cell) => BTreeSet::new(),
+            Outgoing::HandOff(cell, _) => other_owner(cx, cell).into_iter().collect(),
+        };
+        let message = outgoing.into_message();
+        for to in receivers {
+            let message = message.clone();
+            effects.push(BatchEffect::Tell { to, message }.into());
+        }
+        let me = self.me.id.clone();
+        self.peer(cx, effects, me, message);
+    }
+
     /// Merges the answers of cells to calls that were put to several.
     fn relay_own_replies(&mut self, effects: &mut Vec<Effect>, first: usize) {
         let tail = effects.split_off(first);
@@ -524,6 +575,14 @@
     configured && cx.membership.standing(&cell_key(cell), None) == Standing::Owner
 }
 
+/// The other instance that owns the cell.
+fn other_owner(cx: &Cx<'_>, cell: &CellId) -> Option<InstanceId> {
+    match cx.membership.standing(&cell_key(cell), None) {
+        Standing::Other(to) => Some(to),
+        _ => None,
+    }
+}
+
 /// The cell that a job belongs to, by its id alone.
 fn home_cell(cx: &Cx<'_>, job: &JobId) -> Option<CellId> {
     let cells = cx.configuration.cells.keys();
--- a/crates/guavacart_scheduler/src/batch/call.rs
+++ b/crates/guavacart_scheduler/src/batch/call.rs
@@ -140,6 +140,8 @@
     CellStopped,
     /// The configuration names no cells.
     NoCells,
+    /// Another cell is the job's home; the cells of the configuration have changed.
+    HeldElsewhere,
 }
 
 /// Where the answer to a call goes.
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod colocate;
+mod moves;
 mod schedule;
 mod sync;
 
@@ -16,6 +17,7 @@
     BatchEffect,
     call::{Asker, JobReply},
     decision::Decision,
+    handoff::{Outgoing, Rooms},
     journal::{
         Appended, Change, Journal, JournalError, Record, Snapshot, SnapshotWritten, Stored,
         record_key,
@@ -66,6 +68,8 @@
     pub(super) me: &'a Member,
     pub(super) sequence: &'a mut u64,
     pub(super) effects: &'a mut Vec<Effect>,
+    pub(super) outbox: &'a mut Vec<Outgoing>,
+    pub(super) rooms: &'a mut Rooms,
 }
 
 impl Io<'_> {
@@ -145,6 +149,7 @@
     /// Thousandths of each worker that each class presses on, as last told.
     pressures: BTreeMap<(WorkerId, BatchClass), u32>,
     next_sharing: Timestamp,
+    moves: moves::Moves,
 }
 
 impl Cell {
@@ -178,6 +183,7 @@
             colocation: Colocation::default(),
             pressures: BTreeMap::new(),
             next_sharing: cx.now,
+            moves: moves::Moves::default(),
         }
     }
 
@@ -200,6 +206,7 @@
 
     /// Gives the cell up; answers that still wait are not known to be true.
     pub(super) fn step_down(&mut self, io: &mut Io<'_>) {
+        self.forget_moves(io);
         for held in std::mem::take(&mut self.held) {
             reply(io, held.asker, JobReply::Unknown);
         }
@@ -230,6 +237,7 @@
             self.share_workers(cx, io);
             self.schedule(cx);
         }
+        self.move_tasks(cx, io);
         self.append(cx, io);
         self.sync_workers(cx, io);
     }
--- a/crates/guavacart_scheduler/src/batch/cell/answer.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/answer.rs
@@ -3,7 +3,7 @@
 use guavacart_types::{JobId, Resources, TeamName};
 use smol_str::ToSmolStr;
 
-use super::{Cell, Io, Phase, reply};
+use super::{Cell, Io, Phase, listed_workers, moves::cell_holds, reply};
 use crate::{
     Cx,
     batch::{
@@ -11,7 +11,7 @@
             Asker, JobCall, JobReply, JobStatus, JobSummary, NotAccepted, RejectReason, TaskStatus,
         },
         decision::Decision,
-        job::{Job, JobSpec, MAX_PAYLOAD_BYTES, MAX_TASKS_PER_JOB, TaskState},
+        job::{Job, JobSpec, MAX_PAYLOAD_BYTES, MAX_TASKS_PER_JOB, Task, TaskState},
         journal::Change,
         ledger::counts,
         quota,
@@ -39,7 +39,13 @@
         let answer = match call {
             JobCall::Submit(spec) => self.submit(cx, *spec),
             JobCall::Query(id) => self.status(&id),
-            JobCall::Cancel(ids) => self.cancel(cx, &ids),
+            JobCall::Cancel(ids) => match self.cancel(cx, &ids) {
+                JobReply::Cancelled(_) => {
+                    self.hold_cancelling(cx, io, asker, ids);
+                    return self.act(cx, io);
+                }
+                refused => refused,
+            },
             JobCall::List(team) => self.list(team.as_ref()),
         };
         match answer {
@@ -60,6 +66,7 @@
     fn submit(&mut self, cx: &Cx<'_>, spec: JobSpec) -> JobReply {
         if let Some(job) = self.ledger.jobs.get(&spec.id) {
             return match job.spec == spec {
+                _ if job.home.is_some() => JobReply::NotAccepted(NotAccepted::HeldElsewhere),
                 true => JobReply::Accepted(summary(job)),
                 false => JobReply::Conflict(spec.id),
             };
@@ -83,8 +90,8 @@
     }
 
     fn cancel(&mut self, cx: &Cx<'_>, ids: &[JobId]) -> JobReply {
-        let open = |job: &Job| !job.cancelled && job.ended.is_none();
-        let known = ids.iter().filter_map(|id| self.ledger.jobs.get(id));
+        let open = |job: &Job| !job.cancelled && job.ended.is_none() && job.home.is_none();
+        let known = ids.iter().filter_map(|id| self.own(id));
         let needs_record = known.into_iter().any(open);
         if needs_record && self.is_store_out(cx.now) {
             return JobReply::NotAccepted(NotAccepted::StoreUnavailable);
@@ -95,12 +102,23 @@
                 self.mark_cancelled(id);
             }
         }
-        let known = ids.iter().filter_map(|id| self.ledger.jobs.get(id));
+        self.cancelled(ids)
+    }
+
+    /// How cancelled jobs stand.
+    pub(super) fn cancelled(&self, ids: &[JobId]) -> JobReply {
+        let known = ids.iter().filter_map(|id| self.own(id));
         JobReply::Cancelled(known.map(summary).collect())
     }
 
+    /// A job whose home is this cell.
+    fn own(&self, id: &JobId) -> Option<&Job> {
+        let job = self.ledger.jobs.get(id);
+        job.filter(|job| job.home.is_none())
+    }
+
     /// Tells workers to stop the attempts of a cancelled job once that is durable.
-    fn mark_cancelled(&mut self, id: &JobId) {
+    pub(super) fn mark_cancelled(&mut self, id: &JobId) {
         let decided = self.journal.decided;
         self.waiting.remove(id);
         let tracked = self.links.values_mut().flat_map(|l| l.tracked.iter_mut());
@@ -112,17 +130,18 @@
 
     fn list(&self, team: Option<&TeamName>) -> JobReply {
         let jobs = self.ledger.jobs.values();
+        let jobs = jobs.filter(|job| job.home.is_none());
         let jobs = jobs.filter(|job| team.is_none_or(|team| job.spec.team == *team));
         JobReply::Listing(jobs.map(summary).collect())
     }
 
     fn status(&self, id: &JobId) -> JobReply {
-        let Some(job) = self.ledger.jobs.get(id) else {
+        let Some(job) = self.own(id) else {
             return JobReply::NotFound(id.clone());
         };
-        let open = (0..).zip(&job.tasks);
+        let open = job.tasks.iter();
         let open = open.filter(|(_, task)| task.state != TaskState::Finished);
-        let tasks = open.take(MAX_STATUS_TASKS).map(|(index, task)| {
+        let tasks = open.take(MAX_STATUS_TASKS).map(|(&index, task)| {
             let worker = match &task.state {
                 TaskState::Placed { worker, .. } => Some(worker.clone()),
                 _ => None,
@@ -131,7 +150,7 @@
                 index,
                 attempt: task.attempt,
                 worker,
-                decision: self.explain(job, index),
+                decision: self.explain(job, index, task),
             }
         });
         JobReply::Status(Box::new(JobStatus {
@@ -142,10 +161,10 @@
     }
 
     /// The last decision about a task, in words.
-    fn explain(&self, job: &Job, index: u32) -> smol_str::SmolStr {
+    fn explain(&self, job: &Job, index: u32, task: &Task) -> smol_str::SmolStr {
         let id = job.task_id(index);
         let decided = self.decisions.get(&id);
-        match &job.tasks[index as usize].state {
+        match &task.state {
             TaskState::Queued => {
                 let waiting = self.waiting.get(&job.spec.id);
                 waiting
@@ -160,6 +179,10 @@
             TaskState::Finished => "finished".into(),
             TaskState::Cancelled => "cancelled with its job".into(),
             TaskState::Parked(reason) => reason.to_smolstr(),
+            TaskState::HandedOff {
+                to,
+                acknowledged: false,
+            } => smol_str::format_smolstr!("on its way to cell {to}"),
             TaskState::HandedOff { to, .. } => smol_str::format_smolstr!("held by cell {to}"),
         }
     }
@@ -189,19 +212,18 @@
     if !cx.configuration.teams.contains_key(&spec.team) {
         return Some(RejectReason::UnknownTeam);
     }
+    let cells = || cx.configuration.cells.keys();
+    let slices = cells().map(|cell| quota::slice(cx.configuration, cell, &spec.team));
+    let within = |slice: Option<Resources>| slice.is_none_or(|s| spec.resources.fits_in(&s));
     let quota = quota::slice(cx.configuration, &cell.id, &spec.team);
-    if let Some(quota) = quota.filter(|quota| !spec.resources.fits_in(quota)) {
+    if let Some(quota) = quota.filter(|_| !slices.into_iter().any(within)) {
         return Some(RejectReason::OverQuota { quota });
     }
-    let listed = cell.listed(cx);
-    if listed.is_empty()
-        || listed
-            .iter()
-            .any(|(_, w)| spec.resources.fits_in(&w.capacity))
-    {
+    if cell.listed(cx).is_empty() || cells().any(|cell| cell_holds(cx, cell, spec)) {
         return None;
     }
-    let largest = listed.iter().map(|(_, w)| w.capacity);
+    let listed = cells().flat_map(|cell| listed_workers(cx, cell));
+    let largest = listed.map(|(_, w)| w.capacity);
     let largest = largest.max_by_key(|c: &Resources| fitting_parts(c, &spec.resources))?;
     Some(RejectReason::TooLarge { largest })
 }
--- a/crates/guavacart_scheduler/src/batch/job.rs
+++ b/crates/guavacart_scheduler/src/batch/job.rs
@@ -1,7 +1,9 @@
 //! Batch jobs, their tasks and what became of them.
 
+use std::collections::BTreeMap;
+
 use guavacart_types::{
-    Attempt, BatchClass, CellId, JobId, Resources, Span, TaskId, TeamName, WorkerId,
+    Attempt, BatchClass, CellId, Epoch, JobId, Resources, Span, TaskId, TeamName, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -126,16 +128,22 @@
 }
 
 impl TaskState {
-    /// True if the task needs nothing more from this cell.
+    /// True if the task will not run again.
     pub fn is_ended(&self) -> bool {
         match self {
-            Self::Queued | Self::Placed { .. } => false,
-            Self::HandedOff { acknowledged, .. } => *acknowledged,
+            Self::Queued | Self::Placed { .. } | Self::HandedOff { .. } => false,
             Self::Finished | Self::Cancelled | Self::Parked(_) => true,
         }
     }
 }
 
+impl TaskState {
+    /// True if a cell that is not the job's home holds the task only until the home takes it.
+    pub(super) fn is_for_home(&self) -> bool {
+        self.is_ended() || matches!(self, Self::HandedOff { .. })
+    }
+}
+
 /// A task and its history.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Task {
@@ -174,8 +182,19 @@
     pub cancelled: bool,
     /// Place in the order of ending, once no task waits or holds a place.
     pub ended: Option<u64>,
-    /// Its tasks by index.
-    pub tasks: Vec<Task>,
+    /// The cell that it was submitted to, if that is another one.
+    pub home: Option<Home>,
+    /// Its tasks by index; those that are here, if its home is another cell.
+    pub tasks: BTreeMap<u32, Task>,
+}
+
+/// The cell that a job was submitted to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Home {
+    /// The cell.
+    pub cell: CellId,
+    /// The epoch under which it last sent tasks of the job; an older owner may not know of them.
+    pub epoch: Epoch,
 }
 
 impl Job {
@@ -187,7 +206,7 @@
 
     /// True if no task waits, holds a place or is on its way to another cell.
     pub fn is_ended(&self) -> bool {
-        self.tasks.iter().all(|task| task.state.is_ended())
+        self.tasks.values().all(|task| task.state.is_ended())
     }
 }
 
--- a/crates/guavacart_scheduler/src/batch/journal.rs
+++ b/crates/guavacart_scheduler/src/batch/journal.rs
@@ -5,7 +5,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
-use super::job::{AttemptEnd, Job, JobSpec, StopReason};
+use super::job::{AttemptEnd, Home, Job, JobSpec, StopReason, Task};
 use crate::membership::Member;
 
 /// Most changes in one record.
@@ -57,6 +57,44 @@
         /// How.
         end: AttemptEnd,
     },
+    /// A queued task left for another cell.
+    Sent {
+        /// The task.
+        task: TaskId,
+        /// The attempt that the move counts as.
+        attempt: Attempt,
+        /// The cell.
+        to: CellId,
+    },
+    /// Tasks of another cell's job arrived.
+    Received(Box<Received>),
+    /// Tasks came back to the job's home.
+    Returned {
+        /// The job.
+        job: JobId,
+        /// The tasks, waiting or ended.
+        tasks: Vec<(u32, Task)>,
+    },
+    /// The other cell is known to hold a task that was sent, or that ended here.
+    Acknowledged {
+        /// The task.
+        task: TaskId,
+        /// The attempt.
+        attempt: Attempt,
+    },
+}
+
+/// Tasks of another cell's job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Received {
+    /// The job.
+    pub spec: JobSpec,
+    /// Where it was submitted.
+    pub home: Home,
+    /// True if it was cancelled.
+    pub cancelled: bool,
+    /// The tasks.
+    pub tasks: Vec<(u32, Task)>,
 }
 
 impl Change {
@@ -64,6 +102,10 @@
     fn bytes(&self) -> usize {
         match self {
             Self::Admitted(spec) => 4 * CHANGE_BYTES + spec.payload.len(),
+            Self::Received(received) => {
+                (4 + received.tasks.len()) * CHANGE_BYTES + received.spec.payload.len()
+            }
+            Self::Returned { tasks, .. } => (1 + tasks.len()) * CHANGE_BYTES,
             Self::Ended {
                 end:
                     AttemptEnd::Stopped {
--- a/crates/guavacart_scheduler/src/batch/ledger.rs
+++ b/crates/guavacart_scheduler/src/batch/ledger.rs
@@ -1,5 +1,7 @@
 //! What a cell's records add up to: jobs, places and what is committed on each worker.
 
+mod moves;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use guavacart_types::{Attempt, Epoch, JobId, Resources, TaskId, TeamName, WorkerId};
@@ -49,6 +51,8 @@
     suspects: BTreeMap<JobId, BTreeSet<WorkerId>>,
     /// Tasks that wait or hold a place.
     pub(super) live_tasks: usize,
+    /// Jobs with tasks that came from or went to another cell.
+    pub(super) moving: BTreeSet<JobId>,
     pub(super) jobs: BTreeMap<JobId, Job>,
     pub(super) queue: BTreeMap<QueueKey, Waiting>,
     pub(super) workers: BTreeMap<WorkerId, Places>,
@@ -75,8 +79,8 @@
 
     fn restore_job(&mut self, job: Job) {
         let key = (job.spec.priority, job.order);
-        for (index, task) in (0_u32..).zip(&job.tasks) {
-            let id = job.task_id(index);
+        for (index, task) in &job.tasks {
+            let id = job.task_id(*index);
             match &task.state {
                 TaskState::Queued => self.enqueue(key, &id),
                 TaskState::Placed { worker, .. } => {
@@ -85,15 +89,19 @@
                 _ => {}
             }
         }
-        let live = job.tasks.iter().filter(|task| !task.state.is_ended());
+        let away = |task: &Task| matches!(task.state, TaskState::HandedOff { .. });
+        if job.home.is_some() || job.tasks.values().any(away) {
+            self.moving.insert(job.spec.id.clone());
+        }
+        let live = job.tasks.values().filter(|task| !task.state.is_ended());
         self.live_tasks += live.count();
         if let Some(ended) = job.ended {
             self.ended.insert(ended, job.spec.id.clone());
         }
-        let finished = job.tasks.iter().any(|t| t.state == TaskState::Finished);
+        let finished = job.tasks.values().any(|t| t.state == TaskState::Finished);
         let failed_on: BTreeSet<WorkerId> = job
             .tasks
-            .iter()
+            .values()
             .flat_map(|task| task.failed_on.iter().cloned())
             .collect();
         if !finished && job.ended.is_none() && !failed_on.is_empty() {
@@ -144,12 +152,16 @@
                 reason,
             } => self.stopping(task, *attempt, *reason),
             Change::Ended { task, attempt, end } => self.ended(task, *attempt, end),
+            Change::Sent { task, attempt, to } => self.sent(task, *attempt, to),
+            Change::Received(received) => self.received(received),
+            Change::Returned { job, tasks } => self.returned(job, tasks),
+            Change::Acknowledged { task, attempt } => self.acknowledged(task, *attempt),
         }
     }
 
     /// The task, if its job is known.
     pub(super) fn task(&self, id: &TaskId) -> Option<&Task> {
-        self.jobs.get(&id.job)?.tasks.get(id.index as usize)
+        self.jobs.get(&id.job)?.tasks.get(&id.index)
     }
 
     /// The worker that holds this very attempt, and whether it is asked to stop.
@@ -197,7 +209,8 @@
             order: self.next_order,
             cancelled: false,
             ended: None,
-            tasks: vec![Task::default(); spec.tasks as usize],
+            home: None,
+            tasks: (0..spec.tasks).map(|i| (i, Task::default())).collect(),
         };
         self.next_order += 1;
         self.live_tasks += job.tasks.len();
@@ -216,7 +229,7 @@
             .get_mut(id)
             .ok_or_else(|| format_smolstr!("job {id} is cancelled but unknown"))?;
         job.cancelled = true;
-        for task in &mut job.tasks {
+        for task in job.tasks.values_mut() {
             match &mut task.state {
                 TaskState::Queued => {
                     task.state = TaskState::Cancelled;
@@ -236,7 +249,7 @@
         let job = self.job_mut(id)?;
         let key = (job.spec.priority, job.order);
         let spec = job.spec.clone();
-        let task = &mut job.tasks[id.index as usize];
+        let task = task_mut(job, id)?;
         if task.state != TaskState::Queued || attempt != task.attempt.next() {
             let Task { state, attempt, .. } = task;
             return Err(format_smolstr!(
@@ -260,7 +273,7 @@
         reason: StopReason,
     ) -> Result<(), SmolStr> {
         let job = self.job_mut(id)?;
-        let task = &mut job.tasks[id.index as usize];
+        let task = task_mut(job, id)?;
         match &mut task.state {
             TaskState::Placed { stopping, .. } if task.attempt == attempt => {
                 *stopping = Some(stopping.unwrap_or(reason));
@@ -279,7 +292,7 @@
         let key = (job.spec.priority, job.order);
         let spec = job.spec.clone();
         let cancelled = job.cancelled;
-        let task = &mut job.tasks[id.index as usize];
+        let task = task_mut(job, id)?;
         note_end(task, &worker, end);
         task.state = next_state(task, cancelled, end);
         let queued = task.state == TaskState::Queued;
@@ -306,7 +319,7 @@
     /// Counts a failure against the worker unless the job fails wherever it goes.
     fn failed(&mut self, worker: &WorkerId, job: &JobId) {
         let proven = self.jobs.get(job).is_some_and(|job| {
-            let mut tasks = job.tasks.iter();
+            let mut tasks = job.tasks.values();
             tasks.any(|task| task.state == TaskState::Finished)
         });
         let mut elsewhere = 0;
@@ -325,13 +338,14 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if job.ended.is_some() || !job.is_ended() {
+        if job.home.is_some() || job.ended.is_some() || !job.is_ended() {
             return;
         }
         job.ended = Some(self.next_ended);
         self.ended.insert(self.next_ended, id.clone());
         self.next_ended += 1;
         self.suspects.remove(id);
+        self.moving.remove(id);
         if self.ended.len() > MAX_ENDED_JOBS
             && let Some((_, oldest)) = self.ended.pop_first()
         {
@@ -341,7 +355,7 @@
 
     fn job_mut(&mut self, id: &TaskId) -> Result<&mut Job, SmolStr> {
         let job = self.jobs.get_mut(&id.job);
-        job.filter(|job| (id.index as usize) < job.tasks.len())
+        job.filter(|job| job.tasks.contains_key(&id.index))
             .ok_or_else(|| format_smolstr!("task {id} is unknown"))
     }
 
@@ -383,6 +397,11 @@
     }
 }
 
+fn task_mut<'a>(job: &'a mut Job, id: &TaskId) -> Result<&'a mut Task, SmolStr> {
+    let task = job.tasks.get_mut(&id.index);
+    task.ok_or_else(|| format_smolstr!("task {id} is unknown"))
+}
+
 fn note_end(task: &mut Task, worker: &WorkerId, end: &AttemptEnd) {
     match end {
         AttemptEnd::Failed => {
@@ -417,7 +436,7 @@
 /// Counts a job's tasks by where they stand.
 pub(super) fn counts(job: &Job) -> TaskCounts {
     let mut counts = TaskCounts::default();
-    for task in &job.tasks {
+    for task in job.tasks.values() {
         let count = match &task.state {
             TaskState::Queued => &mut counts.queued,
             TaskState::Placed { .. } => &mut counts.placed,
--- a/crates/guavacart_scheduler/src/batch/peer.rs
+++ b/crates/guavacart_scheduler/src/batch/peer.rs
@@ -3,7 +3,10 @@
 use guavacart_types::{CallId, CellId};
 use serde::{Deserialize, Serialize};
 
-use super::call::{JobCall, JobReply};
+use super::{
+    call::{JobCall, JobReply},
+    handoff::{HandOff, Room},
+};
 
 /// A message between entry instances about batch work.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -24,4 +27,18 @@
         /// The answer.
         reply: JobReply,
     },
+    /// What a cell of the sender could take.
+    Room {
+        /// The cell.
+        cell: CellId,
+        /// Its room.
+        room: Room,
+    },
+    /// About tasks that move to or from a cell of the receiver.
+    HandOff {
+        /// The receiver's cell.
+        cell: CellId,
+        /// What is said.
+        message: HandOff,
+    },
 }
--- a/crates/guavacart_scheduler/tests/batch/main.rs
+++ b/crates/guavacart_scheduler/tests/batch/main.rs
@@ -3,5 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod cases;
+mod handoff;
+mod history;
 mod model;
 mod random;
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::history::History;
 use guavacart_config::{BatchRule, Cell, Configuration, Team};
 use guavacart_scheduler::{
     Effect, Event, Start, State,
@@ -64,6 +65,8 @@
     pub(crate) slow_percent: u64,
     pub(crate) faults: Vec<Fault>,
     pub(crate) quota: Option<Resources>,
+    /// Cells whose workers have [`SMALL_CORES`].
+    pub(crate) small: BTreeSet<usize>,
 }
 
 impl Default for Setup {
@@ -78,6 +81,7 @@
             slow_percent: 0,
             faults: Vec::new(),
             quota: None,
+            small: BTreeSet::new(),
         }
     }
 }
@@ -126,7 +130,11 @@
         };
         for change in &record.changes {
             match change {
-                Change::TakenOver(_) => {}
+                Change::TakenOver(_)
+                | Change::Sent { .. }
+                | Change::Received(_)
+                | Change::Returned { .. }
+                | Change::Acknowledged { .. } => {}
                 Change::Admitted(spec) => {
                     self.admitted.insert(spec.id.clone());
                 }
@@ -217,9 +225,11 @@
     pub(crate) starts: Vec<u64>,
     pub(crate) store_writes: u64,
     pub(crate) snapshots: u64,
+    pub(crate) history: History,
 }
 
 const WORKER_CORES: u64 = 8;
+const SMALL_CORES: u64 = 2;
 /// How long the instance list shows what has ended.
 const LIST_LAG_MS: u64 = 3_000;
 /// Ticks between two readings of the instance list, on average.
@@ -247,6 +257,7 @@
             starts: vec![0; setup.workers],
             store_writes: 0,
             snapshots: 0,
+            history: History::default(),
             setup,
         };
         for index in 0..world.setup.nodes {
@@ -320,11 +331,19 @@
         let workers = workers.map(|w| Role::Worker {
             id: worker_id(w),
             rack: format!("r{}", w % cells).parse().unwrap(),
-            capacity: shape(WORKER_CORES),
+            capacity: self.capacity(w),
         });
         entries.chain(workers).map(listed).collect()
     }
 
+    fn capacity(&self, worker: usize) -> Resources {
+        let cell = worker % self.setup.cells;
+        shape(match self.setup.small.contains(&cell) {
+            true => SMALL_CORES,
+            false => WORKER_CORES,
+        })
+    }
+
     fn plan(&mut self, at: u64, action: Action) {
         self.count += 1;
         self.agenda.insert((at.max(self.now), self.count), action);
@@ -339,6 +358,15 @@
         self.draw(100) < self.setup.lost_percent
     }
 
+    /// How often a message between instances arrives.
+    fn copies(&mut self) -> usize {
+        match (self.loses(), self.loses()) {
+            (true, _) => 0,
+            (false, true) => 2,
+            (false, false) => 1,
+        }
+    }
+
     /// Hands a call of a submitter to an instance.
     pub(crate) fn call(&mut self, node: usize, event: impl FnOnce(CallId) -> BatchEvent) -> CallId {
         self.next_call += 1;
@@ -407,7 +435,7 @@
                     panic!("{reply:?}");
                 };
                 let counts = status.summary.counts;
-                if counts.queued + counts.placed == 0 {
+                if counts.queued + counts.placed + counts.elsewhere == 0 {
                     break;
                 }
                 assert!(self.now < end, "not finished in time: {status:#?}");
@@ -539,8 +567,11 @@
                 if let Some(to) = self.nodes.iter().position(|n| n.id == to) {
                     let event = Event::Batch(BatchEvent::Peer { from, message });
                     let incarnation = self.nodes[to].incarnation;
-                    let action = Action::Deliver(to, incarnation, Box::new(event));
-                    self.plan(self.now + delay, action);
+                    for _ in 0..self.copies() {
+                        let late = self.lateness();
+                        let action = Action::Deliver(to, incarnation, Box::new(event.clone()));
+                        self.plan(self.now + delay + late, action);
+                    }
                 }
             }
             BatchEffect::Sync {
@@ -809,9 +840,11 @@
         let stored = self.cells.entry(cell.clone()).or_default();
         let free = !stored.records.contains_key(&number);
         if free {
+            let quota = self.setup.quota;
             self.store_writes += 1;
             if number > stored.snapshot.through {
                 stored.note(&record);
+                self.history.note(cell, &record, quota);
             }
             stored.records.insert(number, record);
         }
@@ -917,7 +950,7 @@
     /// The promises that hold after every event.
     fn check(&self) {
         let mut running: BTreeMap<&TaskId, &AttemptId> = BTreeMap::new();
-        for worker in &self.workers {
+        for (index, worker) in self.workers.iter().enumerate() {
             let mut used = Resources::default();
             for (id, attempt) in &worker.attempts {
                 let ends = attempt.ends_at.min(attempt.lease_until);
@@ -929,7 +962,7 @@
                 let other = running.insert(&id.task, id);
                 assert!(other.is_none(), "{id:?} and {other:?} run at {}", self.now);
             }
-            assert!(used.fits_in(&shape(WORKER_CORES)), "{used} on one worker");
+            assert!(used.fits_in(&self.capacity(index)), "{used} on one worker");
         }
     }
 
--- a/crates/guavacart_scheduler/tests/batch/random.rs
+++ b/crates/guavacart_scheduler/tests/batch/random.rs
@@ -38,10 +38,11 @@
         1..3_usize,
         0..8_u64,
         0..4_u64,
+        any::<bool>(),
         faults,
     )
         .prop_map(
-            |(seed, nodes, workers, cells, lost_percent, slow_percent, faults)| Setup {
+            |(seed, nodes, workers, cells, lost_percent, slow_percent, small, faults)| Setup {
                 seed,
                 nodes,
                 workers: workers * cells,
@@ -49,15 +50,24 @@
                 lost_percent,
                 slow_percent,
                 faults,
+                small: (0..usize::from(small && cells > 1)).collect(),
                 ..Setup::default()
             },
         )
 }
 
+/// A number from the environment, for a longer search than the usual one.
+fn number(name: &str, usual: u64) -> u64 {
+    let given = std::env::var(name);
+    given.map_or(usual, |given| given.parse().unwrap())
+}
+
 fn check(setup: Setup) {
     let mut world = World::new(setup);
+    let wide = job("wide", 120, 1, 700);
     let jobs: Vec<_> = (0..8)
         .map(|n| job(&format!("job{n}"), 6 + n * 3, 1 + u64::from(n % 4), 900))
+        .chain([wide])
         .collect();
     for job in &jobs {
         world.submit(job);
@@ -79,8 +89,8 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 96,
-        rng_seed: RngSeed::Fixed(5),
+        cases: number("GUAVACART_CASES", 96) as u32,
+        rng_seed: RngSeed::Fixed(number("GUAVACART_SEED", 5)),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
--- a/crates/guavacart_wire/src/batch.rs
+++ b/crates/guavacart_wire/src/batch.rs
@@ -1,5 +1,7 @@
 //! Messages about batch work between entry instances: version, payload.
 
+mod handoff;
+
 use guavacart_scheduler::batch::{
     PeerBatch,
     call::{
@@ -10,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use self::handoff::{HandOffWire, RoomWire};
 use crate::{
     VERSION, WireError,
     journal::{JobSpecWire, PriorityWire},
@@ -19,6 +22,8 @@
 enum PeerBatchWire {
     Call(u64, CellId, JobCallWire),
     Reply(u64, JobReplyWire),
+    Room(CellId, RoomWire),
+    HandOff(CellId, HandOffWire),
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -76,6 +81,7 @@
     CellFull,
     CellStopped,
     NoCells,
+    HeldElsewhere,
 }
 
 /// Encodes a message for the links between entry instances.
@@ -112,6 +118,8 @@
                 request,
             } => Self::Call(call.0, cell, request.into()),
             PeerBatch::Reply { call, reply } => Self::Reply(call.0, reply.into()),
+            PeerBatch::Room { cell, room } => Self::Room(cell, room.into()),
+            PeerBatch::HandOff { cell, message } => Self::HandOff(cell, message.into()),
         }
     }
 }
@@ -128,6 +136,14 @@
                 call: CallId(call),
                 reply: reply.into(),
             },
+            PeerBatchWire::Room(cell, room) => Self::Room {
+                cell,
+                room: room.into(),
+            },
+            PeerBatchWire::HandOff(cell, message) => Self::HandOff {
+                cell,
+                message: message.into(),
+            },
         }
     }
 }
@@ -295,6 +311,7 @@
             NotAccepted::CellFull => Self::CellFull,
             NotAccepted::CellStopped => Self::CellStopped,
             NotAccepted::NoCells => Self::NoCells,
+            NotAccepted::HeldElsewhere => Self::HeldElsewhere,
         }
     }
 }
@@ -307,6 +324,7 @@
             NotAcceptedWire::CellFull => Self::CellFull,
             NotAcceptedWire::CellStopped => Self::CellStopped,
             NotAcceptedWire::NoCells => Self::NoCells,
+            NotAcceptedWire::HeldElsewhere => Self::HeldElsewhere,
         }
     }
 }
--- /dev/null
+++ b/crates/guavacart_wire/src/batch/handoff.rs
@@ -0,0 +1,132 @@
+//! What the owners of cells say to one another, between entry instances.
+
+use guavacart_scheduler::batch::handoff::{Back, HandOff, Offer, Room, Ticket};
+use guavacart_types::{Attempt, CellId, Epoch, JobId, Resources, TaskId, Timestamp};
+use serde::{Deserialize, Serialize};
+
+use crate::journal::{JobSpecWire, TaskIdWire, TaskWire, tasks_from_wire, tasks_to_wire};
+
+/// [`Ticket`]: epoch, and when it was issued by the issuer's clock in milliseconds.
+type TicketWire = (u64, u64);
+
+/// [`Room`] between instances.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(super) struct RoomWire {
+    ticket: TicketWire,
+    free: Vec<Resources>,
+    waiting: u32,
+}
+
+/// [`HandOff`] between instances.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(super) enum HandOffWire {
+    Offer(OfferWire),
+    /// From, epoch, job, tasks.
+    Back(CellId, u64, JobId, Vec<(u32, TaskWire)>),
+    Taken(CellId, Vec<(TaskIdWire, u32)>),
+}
+
+/// [`Offer`] between instances.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(super) struct OfferWire {
+    from: CellId,
+    epoch: u64,
+    ticket: TicketWire,
+    spec: JobSpecWire,
+    cancelled: bool,
+    tasks: Vec<(u32, TaskWire)>,
+}
+
+fn ticket_to_wire(ticket: Ticket) -> TicketWire {
+    (ticket.epoch.0, ticket.issued.0)
+}
+
+fn ticket_from_wire((epoch, issued): TicketWire) -> Ticket {
+    Ticket {
+        epoch: Epoch(epoch),
+        issued: Timestamp(issued),
+    }
+}
+
+impl From<Room> for RoomWire {
+    fn from(room: Room) -> Self {
+        Self {
+            ticket: ticket_to_wire(room.ticket),
+            free: room.free,
+            waiting: room.waiting,
+        }
+    }
+}
+
+impl From<RoomWire> for Room {
+    fn from(wire: RoomWire) -> Self {
+        Self {
+            ticket: ticket_from_wire(wire.ticket),
+            free: wire.free,
+            waiting: wire.waiting,
+        }
+    }
+}
+
+impl From<Offer> for OfferWire {
+    fn from(offer: Offer) -> Self {
+        Self {
+            from: offer.from,
+            epoch: offer.epoch.0,
+            ticket: ticket_to_wire(offer.ticket),
+            spec: offer.spec.into(),
+            cancelled: offer.cancelled,
+            tasks: tasks_to_wire(offer.tasks),
+        }
+    }
+}
+
+impl From<OfferWire> for Offer {
+    fn from(wire: OfferWire) -> Self {
+        Self {
+            from: wire.from,
+            epoch: Epoch(wire.epoch),
+            ticket: ticket_from_wire(wire.ticket),
+            spec: wire.spec.into(),
+            cancelled: wire.cancelled,
+            tasks: tasks_from_wire(wire.tasks),
+        }
+    }
+}
+
+impl From<HandOff> for HandOffWire {
+    fn from(message: HandOff) -> Self {
+        match message {
+            HandOff::Offer(offer) => Self::Offer((*offer).into()),
+            HandOff::Back(back) => {
+                let tasks = tasks_to_wire(back.tasks);
+                Self::Back(back.from, back.epoch.0, back.job, tasks)
+            }
+            HandOff::Taken { from, tasks } => {
+                let tasks = tasks.into_iter();
+                let tasks = tasks.map(|(task, attempt)| (TaskIdWire::from(task), attempt.0));
+                Self::Taken(from, tasks.collect())
+            }
+        }
+    }
+}
+
+impl From<HandOffWire> for HandOff {
+    fn from(wire: HandOffWire) -> Self {
+        match wire {
+            HandOffWire::Offer(offer) => Self::Offer(Box::new(offer.into())),
+            HandOffWire::Back(from, epoch, job, tasks) => Self::Back(Box::new(Back {
+                from,
+                epoch: Epoch(epoch),
+                job,
+                tasks: tasks_from_wire(tasks),
+            })),
+            HandOffWire::Taken(from, tasks) => {
+                let tasks = tasks.into_iter();
+                let tasks = tasks.map(|(task, attempt)| (TaskId::from(task), Attempt(attempt)));
+                let tasks = tasks.collect();
+                Self::Taken { from, tasks }
+            }
+        }
+    }
+}
--- a/crates/guavacart_wire/src/journal.rs
+++ b/crates/guavacart_wire/src/journal.rs
@@ -2,20 +2,22 @@
 
 mod job;
 
-use guavacart_scheduler::batch::journal::{Change, JournalError, Record, Snapshot};
-use guavacart_types::{Attempt, Epoch, JobId, TaskId, WorkerId};
+use guavacart_scheduler::batch::journal::{Change, JournalError, Received, Record, Snapshot};
+use guavacart_types::{Attempt, CellId, Epoch, JobId, TaskId, WorkerId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::format_smolstr;
 
 use self::job::{AttemptEndWire, JobWire, StopReasonWire};
-pub(crate) use self::job::{JobSpecWire, PriorityWire};
+pub(crate) use self::job::{
+    HomeWire, JobSpecWire, PriorityWire, TaskWire, tasks_from_wire, tasks_to_wire,
+};
 use crate::{WireError, heartbeat::MemberWire};
 
 /// Version of journal records and snapshots.
-const JOURNAL_VERSION: u8 = 1;
+const JOURNAL_VERSION: u8 = 2;
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct TaskIdWire {
+pub(crate) struct TaskIdWire {
     job: JobId,
     index: u32,
 }
@@ -28,6 +30,10 @@
     Placed(TaskIdWire, u32, WorkerId),
     Stopping(TaskIdWire, u32, StopReasonWire),
     Ended(TaskIdWire, u32, AttemptEndWire),
+    Sent(TaskIdWire, u32, CellId),
+    Received(JobSpecWire, HomeWire, bool, Vec<(u32, TaskWire)>),
+    Returned(JobId, Vec<(u32, TaskWire)>),
+    Acknowledged(TaskIdWire, u32),
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -165,6 +171,18 @@
                 reason,
             } => Self::Stopping(task.into(), attempt.0, reason.into()),
             Change::Ended { task, attempt, end } => Self::Ended(task.into(), attempt.0, end.into()),
+            Change::Sent { task, attempt, to } => Self::Sent(task.into(), attempt.0, to),
+            Change::Received(received) => {
+                let Received {
+                    spec,
+                    home,
+                    cancelled,
+                    tasks,
+                } = *received;
+                Self::Received(spec.into(), home.into(), cancelled, tasks_to_wire(tasks))
+            }
+            Change::Returned { job, tasks } => Self::Returned(job, tasks_to_wire(tasks)),
+            Change::Acknowledged { task, attempt } => Self::Acknowledged(task.into(), attempt.0),
         }
     }
 }
@@ -190,6 +208,27 @@
                 attempt: Attempt(attempt),
                 end: end.into(),
             },
+            ChangeWire::Sent(task, attempt, to) => Self::Sent {
+                task: task.into(),
+                attempt: Attempt(attempt),
+                to,
+            },
+            ChangeWire::Received(spec, home, cancelled, tasks) => {
+                Self::Received(Box::new(Received {
+                    spec: spec.into(),
+                    home: home.into(),
+                    cancelled,
+                    tasks: tasks_from_wire(tasks),
+                }))
+            }
+            ChangeWire::Returned(job, tasks) => Self::Returned {
+                job,
+                tasks: tasks_from_wire(tasks),
+            },
+            ChangeWire::Acknowledged(task, attempt) => Self::Acknowledged {
+                task: task.into(),
+                attempt: Attempt(attempt),
+            },
         }
     }
 }
--- a/crates/guavacart_wire/src/journal/job.rs
+++ b/crates/guavacart_wire/src/journal/job.rs
@@ -1,9 +1,11 @@
 //! Jobs and tasks as they stand in the store and travel between entry instances.
 
 use guavacart_scheduler::batch::job::{
-    AttemptEnd, Job, JobSpec, ParkReason, Priority, StopReason, Task, TaskState,
+    AttemptEnd, Home, Job, JobSpec, ParkReason, Priority, StopReason, Task, TaskState,
+};
+use guavacart_types::{
+    Attempt, BatchClass, CellId, Epoch, JobId, Resources, Span, TeamName, WorkerId,
 };
-use guavacart_types::{Attempt, BatchClass, CellId, JobId, Resources, Span, TeamName, WorkerId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -65,7 +67,7 @@
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct TaskWire {
+pub(crate) struct TaskWire {
     state: TaskStateWire,
     attempt: u32,
     checkpoint: Option<SmolStr>,
@@ -80,7 +82,15 @@
     order: u64,
     cancelled: bool,
     ended: Option<u64>,
-    tasks: Vec<TaskWire>,
+    home: Option<HomeWire>,
+    tasks: Vec<(u32, TaskWire)>,
+}
+
+/// [`Home`] in a record.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct HomeWire {
+    cell: CellId,
+    epoch: u64,
 }
 
 macro_rules! same_variants {
@@ -236,7 +246,8 @@
             order: job.order,
             cancelled: job.cancelled,
             ended: job.ended,
-            tasks: job.tasks.into_iter().map(TaskWire::from).collect(),
+            home: job.home.map(HomeWire::from),
+            tasks: tasks_to_wire(job.tasks),
         }
     }
 }
@@ -248,7 +259,38 @@
             order: wire.order,
             cancelled: wire.cancelled,
             ended: wire.ended,
-            tasks: wire.tasks.into_iter().map(Task::from).collect(),
+            home: wire.home.map(Home::from),
+            tasks: tasks_from_wire(wire.tasks),
+        }
+    }
+}
+
+impl From<Home> for HomeWire {
+    fn from(home: Home) -> Self {
+        Self {
+            cell: home.cell,
+            epoch: home.epoch.0,
         }
     }
 }
+
+impl From<HomeWire> for Home {
+    fn from(wire: HomeWire) -> Self {
+        Self {
+            cell: wire.cell,
+            epoch: Epoch(wire.epoch),
+        }
+    }
+}
+
+/// Tasks with their index in a record.
+pub(crate) fn tasks_to_wire(tasks: impl IntoIterator<Item = (u32, Task)>) -> Vec<(u32, TaskWire)> {
+    let tasks = tasks.into_iter();
+    tasks.map(|(index, task)| (index, task.into())).collect()
+}
+
+/// Tasks with their index from a record.
+pub(crate) fn tasks_from_wire<C: FromIterator<(u32, Task)>>(tasks: Vec<(u32, TaskWire)>) -> C {
+    let tasks = tasks.into_iter();
+    tasks.map(|(index, task)| (index, task.into())).collect()
+}
--- a/crates/guavacart_wire/tests/journal.rs
+++ b/crates/guavacart_wire/tests/journal.rs
@@ -2,16 +2,19 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
+
 use guavacart_scheduler::{
     batch::{
         PeerBatch,
         call::{JobCall, JobReply, NotAccepted},
-        job::{AttemptEnd, Job, JobSpec, Priority, StopReason, Task, TaskState},
-        journal::{Change, JournalError, Record, Snapshot},
+        handoff::{Back, HandOff, Offer, Room, Ticket},
+        job::{AttemptEnd, Home, Job, JobSpec, Priority, StopReason, Task, TaskState},
+        journal::{Change, JournalError, Received, Record, Snapshot},
     },
     membership::Member,
 };
-use guavacart_types::{Attempt, CallId, Epoch, Incarnation, Resources, Span, TaskId};
+use guavacart_types::{Attempt, CallId, Epoch, Incarnation, Resources, Span, TaskId, Timestamp};
 use guavacart_wire::{
     decode_peer_batch, decode_record, decode_snapshot, encode_peer_batch, encode_record,
     encode_snapshot,
@@ -33,6 +36,30 @@
     }
 }
 
+fn home() -> Home {
+    Home {
+        cell: "c1".parse().unwrap(),
+        epoch: Epoch(3),
+    }
+}
+
+fn tasks() -> Vec<(u32, Task)> {
+    let task = Task {
+        state: TaskState::Finished,
+        attempt: Attempt(4),
+        checkpoint: Some("saved".into()),
+        ..Task::default()
+    };
+    vec![(7, task)]
+}
+
+fn ticket() -> Ticket {
+    Ticket {
+        epoch: Epoch(5),
+        issued: Timestamp(77),
+    }
+}
+
 fn record() -> Record {
     let task = TaskId {
         job: "j".parse().unwrap(),
@@ -59,13 +86,29 @@
                 reason: StopReason::Displaced,
             },
             Change::Ended {
-                task,
+                task: task.clone(),
                 attempt,
                 end: AttemptEnd::Stopped {
                     checkpoint: Some("saved".into()),
                 },
             },
             Change::Cancelled("j".parse().unwrap()),
+            Change::Sent {
+                task: task.clone(),
+                attempt,
+                to: "c2".parse().unwrap(),
+            },
+            Change::Received(Box::new(Received {
+                spec: spec(),
+                home: home(),
+                cancelled: true,
+                tasks: tasks(),
+            })),
+            Change::Returned {
+                job: "j".parse().unwrap(),
+                tasks: tasks(),
+            },
+            Change::Acknowledged { task, attempt },
         ],
     }
 }
@@ -95,7 +138,8 @@
             order: 0,
             cancelled: false,
             ended: None,
-            tasks: vec![task],
+            home: Some(home()),
+            tasks: BTreeMap::from([(4, task)]),
         }],
         failing: vec![("w2".parse().unwrap(), 5)],
     };
@@ -117,10 +161,10 @@
 #[test]
 fn a_record_of_a_later_version_is_named_as_such() {
     let mut value = encode_record(record()).unwrap();
-    value[0] = 2;
+    value[0] = 3;
     let err = decode_record(KEY, &value).unwrap_err();
     let key = KEY.into();
-    assert_eq!(err, JournalError::UnknownVersion { key, version: 2 });
+    assert_eq!(err, JournalError::UnknownVersion { key, version: 3 });
 }
 
 macro_rules! travels {
@@ -144,4 +188,35 @@
         call: CallId(3),
         reply: JobReply::NotAccepted(NotAccepted::StoreUnavailable),
     };
+    a_cells_room_travels: PeerBatch::Room {
+        cell: "c2".parse().unwrap(),
+        room: Room { ticket: ticket(), free: vec![Resources::default()], waiting: 3 },
+    };
+    an_offer_travels: PeerBatch::HandOff {
+        cell: "c2".parse().unwrap(),
+        message: HandOff::Offer(Box::new(Offer {
+            from: "c1".parse().unwrap(),
+            epoch: Epoch(3),
+            ticket: ticket(),
+            spec: spec(),
+            cancelled: true,
+            tasks: tasks(),
+        })),
+    };
+    a_return_travels: PeerBatch::HandOff {
+        cell: "c1".parse().unwrap(),
+        message: HandOff::Back(Box::new(Back {
+            from: "c2".parse().unwrap(),
+            epoch: Epoch(3),
+            job: "j".parse().unwrap(),
+            tasks: tasks(),
+        })),
+    };
+    an_acknowledgement_travels: PeerBatch::HandOff {
+        cell: "c1".parse().unwrap(),
+        message: HandOff::Taken {
+            from: "c2".parse().unwrap(),
+            tasks: vec![(TaskId { job: "j".parse().unwrap(), index: 7 }, Attempt(4))],
+        },
+    };
 }
