--- a/crates/guavacart_entry/src/calls.rs
+++ b/crates/guavacart_entry/src/calls.rs
@@ -9,23 +9,39 @@
 };
 
 use bytes::Bytes;
+use guavacart_config::Configuration;
 use guavacart_platform::endpoint::EndpointAnswer;
 use guavacart_scheduler::request::RequestHead;
-use guavacart_types::{ByteSize, CallId, DispatchId, InstanceId, Outcome, Timestamp};
+use guavacart_types::{
+    ByteSize, CallId, DispatchId, Incarnation, InstanceId, Outcome, Span, Timestamp,
+};
 use guavacart_wire::{AnswerWire, ForwardWire};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-/// Hands out ids of calls, unique within the process.
-#[derive(Clone, Debug, Default)]
+/// Hands out ids of calls, unique among all starts of the instance.
+#[derive(Clone, Debug)]
 pub(crate) struct CallIds(Arc<AtomicU64>);
 
 impl CallIds {
+    /// Begins after the ids of earlier starts, which made fewer than one call a microsecond.
+    pub(crate) fn start(incarnation: Incarnation) -> Self {
+        Self(Arc::new(AtomicU64::new(incarnation.0)))
+    }
+
     pub(crate) fn next(&self) -> CallId {
         CallId(self.0.fetch_add(1, Ordering::Relaxed) + 1)
     }
 }
 
+/// A caller's request as it asked for it.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) head: RequestHead,
+    /// The deadline that the caller named.
+    pub(crate) deadline: Option<Span>,
+}
+
 /// The body of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestBody {
@@ -101,6 +117,19 @@
     }
 }
 
+impl Asked {
+    /// The head with the service's deadline where the caller named none.
+    ///
+    /// A service that the configuration does not name has none; its requests are refused as unknown.
+    pub(crate) fn into_head(self, configuration: &Configuration) -> RequestHead {
+        let Self { mut head, deadline } = self;
+        let service = configuration.services.get(&head.service);
+        let usual = service.map_or(Span::ZERO, |service| service.deadline);
+        head.deadline = deadline.unwrap_or(usual);
+        head
+    }
+}
+
 impl RequestBody {
     /// A forward of `call` with this body.
     pub(crate) fn to_forward(&self, call: CallId, head: RequestHead) -> ForwardWire {
--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -1,7 +1,7 @@
 //! Starts an entry instance and waits for its end.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
@@ -12,7 +12,8 @@
 use flume::Sender;
 use guavacart_config::Settings;
 use guavacart_platform::{
-    HttpStore, endpoint::HttpEndpoints, instance_list::HttpInstanceList, worker::HttpWorkers,
+    HttpStore, Traffic, endpoint::HttpEndpoints, instance_list::HttpInstanceList,
+    worker::HttpWorkers,
 };
 use guavacart_report::Recorder;
 use guavacart_scheduler::{Event, Start, State, membership::Member};
@@ -25,12 +26,15 @@
     calls::{CallIds, Calls},
     clock::Clock,
     core::{Core, Input},
+    fence::Fence,
     front::{Front, FrontContext},
     heartbeats::{self, HeartbeatSender},
     links::{self, LinkContext, Links},
     listing::{self, Addresses},
+    meters::Meters,
     metrics::Metrics,
     runner::Runner,
+    store_health::{CountedStore, StoreHealth},
 };
 
 /// Threads that serve sockets.
@@ -76,22 +80,34 @@
         let metrics =
             Metrics::open(&settings.instance, settings.metrics).map_err(EntryError::Runtime)?;
         let clock = Clock::start();
+        let store = HttpStore::open(settings.store, STORE_TIMEOUT);
+        let list = HttpInstanceList::open(settings.instance_list, LIST_TIMEOUT);
+        let workers = HttpWorkers::open();
+        let meters = Meters {
+            store_health: StoreHealth::new(clock),
+            heartbeats: Traffic::default(),
+            links: Traffic::default(),
+            store: store.traffic().clone(),
+            list: list.traffic().clone(),
+            workers: workers.traffic().clone(),
+        };
+        let store = CountedStore::new(store, meters.store_health.clone());
         let (inbox, inputs) = flume::bounded(INBOX_INPUTS);
         let addresses = Addresses::default();
-        let call_ids = CallIds::default();
         let member = Member {
             id: settings.instance.clone(),
             incarnation: incarnation(),
         };
+        let call_ids = CallIds::start(member.incarnation);
         let links = Links::new(
             Arc::new(LinkContext::new(
-                member.id.clone(),
-                member.incarnation,
+                member.clone(),
                 settings.access.peer_key.clone(),
                 addresses.clone(),
                 inbox.clone(),
                 call_ids.clone(),
                 metrics.clone(),
+                meters.links.clone(),
             )),
             runtime.handle().clone(),
         );
@@ -100,9 +116,9 @@
             socket: socket.clone(),
             addresses: addresses.clone(),
             key: settings.access.peer_key.clone(),
+            traffic: meters.heartbeats.clone(),
         };
         let (stopped, stopped_rx) = watch::channel(false);
-        let store = HttpStore::open(settings.store, STORE_TIMEOUT);
         let start = Start {
             member,
             data_centre: settings.data_centre.clone(),
@@ -114,21 +130,24 @@
             runner: Runner {
                 calls: Calls::default(),
                 clock,
+                fence: Fence::default(),
                 runtime: runtime.handle().clone(),
                 inbox: inbox.clone(),
                 store: store.clone(),
                 endpoints: HttpEndpoints::open(),
                 batch: BatchRunner {
                     store: store.clone(),
-                    workers: HttpWorkers::open(),
+                    workers,
                     clock,
                     runtime: runtime.handle().clone(),
                     inbox: inbox.clone(),
                 },
+                later: VecDeque::new(),
                 submitters: HashMap::new(),
                 links: links.clone(),
                 heartbeats,
                 metrics: metrics.clone(),
+                meters: meters.clone(),
                 recorder: Recorder::start(clock.now()),
                 stopped,
             },
@@ -136,8 +155,8 @@
             clock,
         };
         let core = spawn_thread("reducer", move || core.run())?;
-        spawn_receiver(&settings, socket, metrics.clone(), inbox.clone())?;
-        spawn_lister(&settings, addresses, inbox.clone())?;
+        spawn_receiver(&settings, socket, &metrics, &meters, inbox.clone())?;
+        spawn_lister(list, addresses, inbox.clone())?;
         let peers_listener = nonblocking(&runtime, peers_listener)?;
         runtime.spawn(links::accept(peers_listener, links.clone()));
         let callers_listener = nonblocking(&runtime, callers_listener)?;
@@ -284,23 +303,25 @@
 fn spawn_receiver(
     settings: &Settings,
     socket: Arc<UdpSocket>,
-    metrics: Metrics,
+    metrics: &Metrics,
+    meters: &Meters,
     inbox: Sender<Input>,
 ) -> Result<(), EntryError> {
+    let metrics = metrics.clone();
+    let traffic = meters.heartbeats.clone();
     let me = settings.instance.clone();
     let key = settings.access.peer_key.clone();
     spawn_thread("heartbeats", move || {
-        heartbeats::receive(&socket, &me, &key, &metrics, &inbox);
+        heartbeats::receive(&socket, &me, &key, &metrics, &traffic, &inbox);
     })?;
     Ok(())
 }
 
 fn spawn_lister(
-    settings: &Settings,
+    list: HttpInstanceList,
     addresses: Addresses,
     inbox: Sender<Input>,
 ) -> Result<(), EntryError> {
-    let list = HttpInstanceList::open(settings.instance_list, LIST_TIMEOUT);
     spawn_thread("instance-list", move || {
         listing::poll(&list, &addresses, &inbox);
     })?;
--- a/crates/guavacart_entry/src/links.rs
+++ b/crates/guavacart_entry/src/links.rs
@@ -15,11 +15,13 @@
 
 use flume::Sender;
 use guavacart_config::Secret;
+use guavacart_platform::Traffic;
+use guavacart_scheduler::membership::Member;
 use guavacart_types::{Incarnation, InstanceId};
 use guavacart_wire::{Frame, Question};
 use tokio::sync::oneshot;
 
-pub(crate) use self::accept::accept;
+pub(crate) use self::{accept::accept, dial::unsent};
 use crate::{calls::CallIds, core::Input, listing::Addresses, metrics::Metrics};
 
 /// Most frames that wait for one peer.
@@ -35,6 +37,8 @@
     pub(crate) inbox: Sender<Input>,
     pub(crate) call_ids: CallIds,
     pub(crate) metrics: Metrics,
+    /// Bytes of frames; what greets and what acknowledges is not counted.
+    pub(crate) traffic: Traffic,
     /// Questions to peers that wait for their replies.
     asked: Mutex<HashMap<u64, oneshot::Sender<Vec<u8>>>>,
     next_ask: AtomicU64,
@@ -42,22 +46,23 @@
 
 impl LinkContext {
     pub(crate) fn new(
-        me: InstanceId,
-        incarnation: Incarnation,
+        me: Member,
         key: Secret,
         addresses: Addresses,
         inbox: Sender<Input>,
         call_ids: CallIds,
         metrics: Metrics,
+        traffic: Traffic,
     ) -> Self {
         Self {
-            me,
-            incarnation,
+            me: me.id,
+            incarnation: me.incarnation,
             key,
             addresses,
             inbox,
             call_ids,
             metrics,
+            traffic,
             asked: Mutex::default(),
             next_ask: AtomicU64::new(0),
         }
@@ -90,13 +95,13 @@
         }
     }
 
-    /// Queues a frame for a peer; what cannot be sent is reported as an input.
-    pub(crate) fn send(&self, to: &InstanceId, frame: Frame) {
+    /// Queues a frame for a peer, or gives it back where too many wait; never blocks.
+    pub(crate) fn send(&self, to: &InstanceId, frame: Frame) -> Result<(), Box<Frame>> {
         let queue = self.queue(to);
-        if let Err(err) = queue.try_send(frame) {
+        queue.try_send(frame).map_err(|err| {
             self.cx.metrics.count("links.queue_full");
-            dial::unsent(&self.cx, to, &err.into_inner());
-        }
+            Box::new(err.into_inner())
+        })
     }
 
     /// Asks a peer a question; none if no answer comes within `wait`.
@@ -112,7 +117,8 @@
         let mut asked = cx.asked.lock().unwrap_or_else(PoisonError::into_inner);
         asked.insert(id, tx);
         drop(asked);
-        self.send(to, Frame::Ask { id, question });
+        // An unsent question has no answer in time.
+        let _ = self.send(to, Frame::Ask { id, question });
         async move {
             let reply = tokio::time::timeout(wait, rx).await;
             let mut asked = cx.asked.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/guavacart_entry/src/links/accept.rs
+++ b/crates/guavacart_entry/src/links/accept.rs
@@ -19,7 +19,7 @@
 
 use super::{
     LinkContext, Links,
-    channel::{LinkError, greet, greeted, read_frame},
+    channel::{LinkError, frame_bytes, greet, greeted, read_frame},
     dial::lost,
 };
 use crate::core::Input;
@@ -66,7 +66,7 @@
     if matches!(err, LinkError::Wire(_)) {
         cx.metrics.count("links.refused");
     }
-    lost(cx, &peer);
+    lost(cx, &peer).await;
 }
 
 fn refused(cx: &LinkContext, err: &LinkError) {
@@ -108,6 +108,7 @@
             Ok(payload) => payload,
             Err(err) => return err,
         };
+        links.cx.traffic.received(frame_bytes(&payload));
         match Frame::decode(&payload) {
             Ok(frame) => take(frame, peer, links).await,
             Err(err) => {
@@ -145,7 +146,8 @@
             let links = links.clone();
             tokio::spawn(async move {
                 if let Ok(body) = rx.await {
-                    links.send(&from, Frame::Reply { id, body });
+                    // An unsent reply leaves the asker to its time limit.
+                    let _ = links.send(&from, Frame::Reply { id, body });
                 }
             });
             Input::Ask { question, reply }
--- a/crates/guavacart_entry/src/links/dial.rs
+++ b/crates/guavacart_entry/src/links/dial.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use flume::Receiver;
+use guavacart_platform::Traffic;
 use guavacart_scheduler::{Event, request::RequestEvent};
 use guavacart_types::{CallId, InstanceId, Outcome, Reason};
 use guavacart_wire::{Frame, Hello, LinkSeal, Nonce, Welcome, WireError};
@@ -18,7 +19,7 @@
 
 use super::{
     LinkContext,
-    channel::{LinkError, greet, greeted, write_frame},
+    channel::{LinkError, frame_bytes, greet, greeted, write_frame},
 };
 use crate::core::Input;
 
@@ -34,6 +35,7 @@
     reader: OwnedReadHalf,
     writer: BufWriter<OwnedWriteHalf>,
     seal: LinkSeal,
+    traffic: Traffic,
 }
 
 /// Writes the frames of `queue` to the peer until the queue's senders are gone.
@@ -44,8 +46,7 @@
             Err(err) => {
                 debug!(event = "link_undialled", to = %to, error = %err);
                 cx.metrics.count("links.undialled");
-                unsent(&cx, &to, &first);
-                queue.drain().for_each(|frame| unsent(&cx, &to, &frame));
+                report_unsent(&cx, &to, [first].into_iter().chain(queue.drain())).await;
                 continue;
             }
         };
@@ -54,32 +55,44 @@
         };
         debug!(event = "link_broken", to = %to, error = %err);
         cx.metrics.count("links.broken");
-        queue.drain().for_each(|frame| unsent(&cx, &to, &frame));
-        lost(&cx, &to);
+        report_unsent(&cx, &to, queue.drain()).await;
+        lost(&cx, &to).await;
     }
 }
 
-/// Reports a frame of which no byte was sent.
-pub(super) fn unsent(cx: &LinkContext, to: &InstanceId, frame: &Frame) {
+/// What follows from a frame of which no byte was sent.
+pub(crate) fn unsent(to: &InstanceId, frame: &Frame) -> Option<RequestEvent> {
     let Frame::Forward(forward) = frame else {
-        return;
+        return None;
     };
-    let ended = RequestEvent::ForwardEnded {
+    Some(RequestEvent::ForwardEnded {
         call: CallId(forward.call),
         from: to.clone(),
         outcome: Outcome::NotRun(Reason::PeerLost),
         load: Default::default(),
-    };
-    // A closed inbox means that the process is ending.
-    let _ = cx.inbox.send(Input::Event(Event::Request(ended)));
+    })
+}
+
+/// Reports frames of which no byte was sent.
+async fn report_unsent(cx: &LinkContext, to: &InstanceId, frames: impl Iterator<Item = Frame>) {
+    for event in frames.filter_map(|frame| unsent(to, &frame)) {
+        // A closed inbox means that the process is ending.
+        let _ = cx
+            .inbox
+            .send_async(Input::Event(Event::Request(event)))
+            .await;
+    }
 }
 
 /// Reports that a link broke and what was under way on it may be lost.
-pub(super) fn lost(cx: &LinkContext, peer: &InstanceId) {
+pub(super) async fn lost(cx: &LinkContext, peer: &InstanceId) {
     let peer = peer.clone();
     let lost = RequestEvent::PeerLost { peer };
     // A closed inbox means that the process is ending.
-    let _ = cx.inbox.send(Input::Event(Event::Request(lost)));
+    let _ = cx
+        .inbox
+        .send_async(Input::Event(Event::Request(lost)))
+        .await;
 }
 
 async fn dial(cx: &LinkContext, to: &InstanceId) -> Result<Link, LinkError> {
@@ -108,12 +121,13 @@
         reader,
         writer,
         seal,
+        traffic: cx.traffic.clone(),
     })
 }
 
 /// Writes frames until the link breaks (an error) or the queue's senders are gone.
 async fn serve(mut link: Link, first: Frame, queue: &Receiver<Frame>) -> Result<(), LinkError> {
-    send(&mut link.writer, &mut link.seal, first, queue).await?;
+    send(&mut link, first, queue).await?;
     let mut byte = [0; 1];
     loop {
         tokio::select! {
@@ -121,7 +135,7 @@
                 let Ok(frame) = frame else {
                     return Ok(());
                 };
-                send(&mut link.writer, &mut link.seal, frame, queue).await?;
+                send(&mut link, frame, queue).await?;
             }
             // The peer never writes on this link; its end means that the link broke.
             read = link.reader.read(&mut byte) => {
@@ -133,16 +147,13 @@
 }
 
 /// Writes a frame and all that gathered behind it, then flushes.
-async fn send(
-    writer: &mut BufWriter<OwnedWriteHalf>,
-    seal: &mut LinkSeal,
-    first: Frame,
-    queue: &Receiver<Frame>,
-) -> Result<(), LinkError> {
+async fn send(link: &mut Link, first: Frame, queue: &Receiver<Frame>) -> Result<(), LinkError> {
+    let Link { writer, seal, .. } = link;
     let mut next = Some(first);
     while let Some(frame) = next {
         let payload = frame.encode()?;
         timeout(WRITE_TIMEOUT, write_frame(writer, seal, &payload)).await??;
+        link.traffic.sent(frame_bytes(&payload));
         next = queue.try_recv().ok();
     }
     timeout(WRITE_TIMEOUT, writer.flush()).await??;
--- a/crates/guavacart_entry/src/runner/requests.rs
+++ b/crates/guavacart_entry/src/runner/requests.rs
@@ -36,7 +36,7 @@
                     return;
                 };
                 let frame = Frame::Forward(body.to_forward(call, head));
-                self.links.send(&to, frame);
+                self.tell_peer(&to, frame);
             }
             RequestEffect::Answer {
                 call,
@@ -44,7 +44,7 @@
                 body,
             } => self.answer(call, outcome, body, load),
             RequestEffect::Tell { to, message } => {
-                self.links.send(&to, Frame::Request(message.into()));
+                self.tell_peer(&to, Frame::Request(message.into()));
             }
             RequestEffect::Probe { endpoint, address } => self.probe(endpoint, address),
             RequestEffect::Count(counted) => self.metrics.count(counter(counted)),
@@ -68,7 +68,7 @@
         let Some(body) = self.calls.body(call).cloned() else {
             return self.unsent(dispatch);
         };
-        let clock = self.clock;
+        let permit = self.fence.permit(self.clock, valid_until);
         let endpoints = self.endpoints.clone();
         let inbox = self.inbox.clone();
         self.runtime.spawn(async move {
@@ -79,23 +79,20 @@
                 connections,
                 timeout: timeout.into(),
             };
-            let result = endpoints
-                .run(address, request, || clock.now() < valid_until)
-                .await;
+            let result = endpoints.run(address, request, || permit.holds()).await;
             // A closed inbox means that the process is ending.
             let _ = inbox.send(dispatched(dispatch, result));
         });
     }
 
     /// Ends a dispatch whose call ended first.
-    fn unsent(&self, dispatch: DispatchId) {
+    fn unsent(&mut self, dispatch: DispatchId) {
         let ended = Input::Dispatched {
             dispatch,
             end: DispatchEnd::NotSent,
             answer: None,
         };
-        // A closed inbox means that the process is ending.
-        let _ = self.inbox.send(ended);
+        self.later.push_back(ended);
     }
 
     fn probe(&self, endpoint: EndpointId, address: SocketAddr) {
@@ -129,7 +126,7 @@
             Origin::Caller(_) => self.answer_caller(pending, outcome, body),
             Origin::Peer(peer, theirs) => {
                 let wire = OutcomeWire::new(theirs.0, outcome, load(), body.map(answer_to_wire));
-                self.links.send(peer, Frame::Outcome(wire));
+                self.tell_peer(peer, Frame::Outcome(wire));
             }
         }
     }
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -4,6 +4,7 @@
 mod colocate;
 mod moves;
 mod schedule;
+mod standing;
 mod sync;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -13,6 +14,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+pub use self::standing::{CellPhase, CellStanding, WorkerProbation};
 use super::{
     BatchEffect,
     call::{Asker, JobReply},
@@ -357,7 +359,11 @@
                 return;
             }
             in_flight.retry_at = None;
-        } else if self.journal.cut(cx.now, io.me, io.sequence).is_none() {
+        } else if self
+            .journal
+            .cut(cx.now, io.me, io.sequence, cx.configuration.sharing.journal)
+            .is_none()
+        {
             return;
         } else {
             self.prepare_snapshot();
