Keep a job's home when the cells change

Cause: a job's home was the cell of the greatest weight among all configured cells. After a cell was added, a repeated submission could reach another home, which did not know the job and ran it again; after one was removed, its jobs were lost to sight.

Change: the cells of the first configuration that names any stay the homes. A cell added later is marked `joined_later` by the patch's own code: it takes tasks by hand-off, no submissions. A patch that removes a cell is refused. Weighed: a look-up at former homes (needs their owners for each submission, and two configurations may be in force at once, so it needs fencing of its own); redirect records (a write per job and cell change). Price: the homes' journals stay as many as at first, and a task in a joined cell costs its hand-off.

Conclusion: a repeat finds its job whatever configuration each instance has.

--- a/crates/guavacart_config/src/configuration.rs
+++ b/crates/guavacart_config/src/configuration.rs
@@ -148,6 +148,10 @@
 pub struct Cell {
     /// The racks whose workers belong to the cell.
     pub racks: Vec<Rack>,
+    /// True if it was added beside others: jobs are submitted to those, and their tasks may move
+    /// here. So a job's home never changes. Set by the system.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub joined_later: bool,
 }
 
 /// How services and batch work share workers.
--- a/crates/guavacart_config/src/patch.rs
+++ b/crates/guavacart_config/src/patch.rs
@@ -3,7 +3,7 @@
 use guavacart_types::{ConfigNumber, PatchId, weight};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
-use smol_str::{SmolStr, ToSmolStr};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use thiserror::Error;
 
 use crate::{
@@ -94,6 +94,7 @@
         let merged = self.merge(current).map_err(invalid)?;
         let mut next = decode(&merged).map_err(invalid)?;
         next.number = current.number.next();
+        keep_homes(current, &mut next).map_err(invalid)?;
         validate(&next).map_err(invalid)?;
         Ok(next)
     }
@@ -116,6 +117,36 @@
     }
 }
 
+/// Keeps the cells that jobs are submitted to the same, once there are any.
+fn keep_homes(current: &Configuration, next: &mut Configuration) -> Result<(), Vec<Problem>> {
+    let mut problems = Vec::new();
+    for id in current
+        .cells
+        .keys()
+        .filter(|id| !next.cells.contains_key(*id))
+    {
+        let key = format_smolstr!("cells.{id}");
+        let fault = Fault::CellRemoved;
+        problems.push(Problem { key, fault });
+    }
+    let first = current.cells.is_empty();
+    for (id, cell) in &mut next.cells {
+        let before = current.cells.get(id);
+        let joined_later = before.map_or(!first, |cell| cell.joined_later);
+        let given = cell.joined_later;
+        if given != joined_later && (given || before.is_some()) {
+            let key = format_smolstr!("cells.{id}.joined_later");
+            let fault = Fault::ReadOnly;
+            problems.push(Problem { key, fault });
+        }
+        cell.joined_later = joined_later;
+    }
+    match problems.is_empty() {
+        true => Ok(()),
+        false => Err(problems),
+    }
+}
+
 fn invalid(mut problems: Vec<Problem>) -> PatchError {
     problems.truncate(MAX_PROBLEMS);
     PatchError::Invalid { problems }
--- a/crates/guavacart_config/src/validate.rs
+++ b/crates/guavacart_config/src/validate.rs
@@ -87,6 +87,9 @@
         /// The cell that holds it already.
         other: CellId,
     },
+    /// A cell that was there is not any more.
+    #[error("a cell cannot be removed: it may hold jobs, and it is the home of their ids")]
+    CellRemoved,
     /// The key may not be patched.
     #[error("is set by the system")]
     ReadOnly,
@@ -117,6 +120,9 @@
             Self::AllZero => "give at least one of them a value above zero".to_owned(),
             Self::Empty => "name at least one rack, or remove the cell".to_owned(),
             Self::RackTwice { other, .. } => format!("remove it here or from cells.{other}.racks"),
+            Self::CellRemoved => {
+                "keep it, with racks that have no workers if it is to run nothing".to_owned()
+            }
             Self::ReadOnly => "remove it from the patch and name the base instead".to_owned(),
             Self::Unreadable { .. } => "see the configuration's keys in docs/API.md".to_owned(),
             Self::TooManyBytes { .. } => {
--- a/crates/guavacart_config/tests/patches.rs
+++ b/crates/guavacart_config/tests/patches.rs
@@ -85,6 +85,8 @@
     percent_out_of_bounds: {"batch_classes": {"deck": {"throttled_percent": 101}}};
     rack_in_two_cells: {"cells": {"c2": {"racks": ["r2"]}, "c3": {"racks": []}}};
     rack_twice_in_one_cell: {"cells": {"c1": {"racks": ["r1", "r1"]}}};
+    cell_removed: {"cells": {"c1": null, "c2": {"racks": ["r3"]}}};
+    home_set_by_hand: {"cells": {"c1": {"joined_later": true}}};
     all_weights_zero: {"sharing": {"weights": {"tail": 0, "crest": 0, "throughput": 0, "evictions": 0}}};
 }
 
@@ -104,3 +106,11 @@
         .collect();
     assert_eq!(told(json!({"teams": teams})).lines().count(), 32);
 }
+
+#[test]
+fn a_cell_added_beside_others_is_no_home_of_jobs() {
+    let change = json!({"cells": {"c2": {"racks": ["r3"]}}});
+    let next = patch(1, change).apply(&start()).unwrap();
+    let joined = |id: &str| next.cells[&id.parse().unwrap()].joined_later;
+    assert!(joined("c2") && !joined("c1"));
+}
--- a/crates/guavacart_lab/src/one_instance.rs
+++ b/crates/guavacart_lab/src/one_instance.rs
@@ -312,7 +312,13 @@
 pub fn configuration(workers: usize) -> Configuration {
     let cell = |c: usize| {
         let racks = vec![id(&format!("r{c}"))];
-        (id(&format!("c{c}")), Cell { racks })
+        (
+            id(&format!("c{c}")),
+            Cell {
+                racks,
+                ..Cell::default()
+            },
+        )
     };
     Configuration {
         number: ConfigNumber(1),
--- a/crates/guavacart_scheduler/src/batch.rs
+++ b/crates/guavacart_scheduler/src/batch.rs
@@ -590,8 +590,11 @@
 
 /// The cell that a job belongs to, by its id alone.
 fn home_cell(cx: &Cx<'_>, job: &JobId) -> Option<CellId> {
-    let cells = cx.configuration.cells.keys();
-    let home = cells.max_by_key(|cell| weight(cell.as_str(), job.as_str()));
+    let cells = cx.configuration.cells.iter();
+    let homes = cells
+        .filter(|(_, cell)| !cell.joined_later)
+        .map(|(id, _)| id);
+    let home = homes.max_by_key(|cell| weight(cell.as_str(), job.as_str()));
     home.cloned()
 }
 
--- a/crates/guavacart_scheduler/tests/batch/handoff.rs
+++ b/crates/guavacart_scheduler/tests/batch/handoff.rs
@@ -122,6 +122,35 @@
     }
 }
 
+#[test]
+fn a_repeat_after_a_cell_joined_is_the_same_job() {
+    for seed in 1..4 {
+        let mut world = World::new(Setup {
+            seed,
+            joining: 1,
+            lost_percent: 3,
+            ..two_cells()
+        });
+        let names = (0..20).map(|n| format!("job{n}"));
+        let jobs: Vec<JobSpec> = names.map(|n| job(&n, 8, 2, 2_000)).collect();
+        for job in &jobs {
+            world.submit(job);
+        }
+        world.reconfigure(3_000);
+        for job in &jobs {
+            world.submit(job);
+        }
+        let ids: Vec<JobId> = jobs.iter().map(|job| job.id.clone()).collect();
+        world.finish(&ids, 300_000);
+        for job in &jobs {
+            world.submit(job);
+            let counts = status(&mut world, &job.id).summary.counts;
+            assert_eq!(counts.finished, job.tasks, "{counts:?}");
+        }
+        assert!(world.history.received > 0);
+    }
+}
+
 macro_rules! moved_tasks_finish_once {
     ($($name:ident: $setup:expr;)*) => {$(
         #[test]
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -67,6 +67,8 @@
     pub(crate) quota: Option<Resources>,
     /// Cells whose workers have [`SMALL_CORES`].
     pub(crate) small: BTreeSet<usize>,
+    /// The last cells, which only the second configuration names.
+    pub(crate) joining: usize,
 }
 
 impl Default for Setup {
@@ -82,6 +84,7 @@
             faults: Vec::new(),
             quota: None,
             small: BTreeSet::new(),
+            joining: 0,
         }
     }
 }
@@ -226,6 +229,7 @@
     pub(crate) store_writes: u64,
     pub(crate) snapshots: u64,
     pub(crate) history: History,
+    number: u64,
 }
 
 const WORKER_CORES: u64 = 8;
@@ -258,6 +262,7 @@
             store_writes: 0,
             snapshots: 0,
             history: History::default(),
+            number: 1,
             setup,
         };
         for index in 0..world.setup.nodes {
@@ -290,9 +295,25 @@
     }
 
     fn configuration(&self) -> Configuration {
-        let cells = self.setup.cells;
+        let joining = self.setup.joining;
+        let first = self.setup.cells - joining;
+        let named = if self.number > 1 {
+            self.setup.cells
+        } else {
+            first
+        };
         let racks = |cell: usize| vec![format!("r{cell}").parse().unwrap()];
-        let cells = (0..cells).map(|c| (cell_id(c), Cell { racks: racks(c) }));
+        let cells = (0..named).map(|c| {
+            let joined_later = c >= first;
+            let racks = racks(c);
+            (
+                cell_id(c),
+                Cell {
+                    racks,
+                    joined_later,
+                },
+            )
+        });
         let rule = BatchRule {
             checkpoints: true,
             throttled_percent: 25,
@@ -302,7 +323,7 @@
             ..Team::default()
         };
         Configuration {
-            number: guavacart_types::ConfigNumber(1),
+            number: guavacart_types::ConfigNumber(self.number),
             cells: cells.collect(),
             teams: BTreeMap::from([("team".parse().unwrap(), team)]),
             batch_classes: BTreeMap::from([("recode".parse().unwrap(), rule)]),
@@ -367,6 +388,18 @@
         }
     }
 
+    /// Brings the second configuration to instances, one after the other.
+    pub(crate) fn reconfigure(&mut self, gap_ms: u64) {
+        self.number = 2;
+        let configuration = Box::new(self.configuration());
+        for node in 0..self.nodes.len() {
+            let read = Event::Config(ConfigEvent::Read(configuration.clone()));
+            let incarnation = self.nodes[node].incarnation;
+            let action = Action::Deliver(node, incarnation, Box::new(read));
+            self.plan(self.now + node as u64 * gap_ms, action);
+        }
+    }
+
     /// Hands a call of a submitter to an instance.
     pub(crate) fn call(&mut self, node: usize, event: impl FnOnce(CallId) -> BatchEvent) -> CallId {
         self.next_call += 1;
