Read the instance list whole only when it changed

Change: a read names the tag of the list that it knows; an unchanged list is answered 304 and reaches the reducer as an event without contents. A platform without tags still works.

--- a/crates/guavacart_entry/src/listing.rs
+++ b/crates/guavacart_entry/src/listing.rs
@@ -9,7 +9,7 @@
 };
 
 use flume::Sender;
-use guavacart_platform::instance_list::{HttpInstanceList, InstanceList};
+use guavacart_platform::instance_list::{HttpInstanceList, InstanceList, Listing};
 use guavacart_scheduler::{
     Event,
     directory::{ListedInstance, Role},
@@ -47,17 +47,22 @@
 
 /// Reads the list again and again until the inbox closes.
 pub(crate) fn poll(list: &HttpInstanceList, addresses: &Addresses, inbox: &Sender<Input>) {
+    let mut known = None;
     loop {
-        match list.read() {
-            Ok(listed) => {
+        let event = match list.read(known.as_ref()) {
+            Ok(Listing::Whole(listed, tag)) => {
+                known = tag;
                 addresses.replace(&listed);
-                if inbox.send(Input::Event(Event::Listed(listed))).is_err() {
-                    return;
-                }
+                Some(Event::Listed(listed))
             }
+            Ok(Listing::Unchanged) => Some(Event::ListUnchanged),
             Err(err) => {
                 warn!(event = "list_unread", error = %err, "the instance list could not be read");
+                None
             }
+        };
+        if event.is_some_and(|event| inbox.send(Input::Event(event)).is_err()) {
+            return;
         }
         thread::sleep(LIST_INTERVAL);
     }
--- a/crates/guavacart_lab/src/instance_list.rs
+++ b/crates/guavacart_lab/src/instance_list.rs
@@ -10,8 +10,12 @@
 
 use bytes::Bytes;
 use guavacart_platform::instance_list::{ListedInstanceWire, RoleWire};
-use hyper::{Request, StatusCode};
+use hyper::{
+    Request, StatusCode,
+    header::{ETAG, HeaderValue, IF_NONE_MATCH},
+};
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     clock::now_ms,
@@ -166,7 +170,7 @@
 impl Handler for Registry {
     async fn handle(&self, req: Request<Bytes>) -> Result<Answer, Hangup> {
         Ok(match req.uri().path() {
-            "/v1/instances" => json(&self.listed()),
+            "/v1/instances" => tagged(&req, &self.listed()),
             _ => answer(StatusCode::NOT_FOUND, ""),
         })
     }
@@ -184,8 +188,23 @@
                 line.address = self.network.link(&self.from, &to, line.address).await;
             }
         }
-        Ok(json(&lines))
+        Ok(tagged(&req, &lines))
+    }
+}
+
+/// The list with a tag of its contents, or that it is still the one that the caller knows.
+fn tagged(req: &Request<Bytes>, lines: &[ListedInstanceWire]) -> Answer {
+    let mut whole = json(&lines);
+    let contents = serde_json::to_vec(lines).unwrap_or_default();
+    let tag = format!("\"{:016x}\"", xxh3_64(&contents));
+    let known = req.headers().get(IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return answer(StatusCode::NOT_MODIFIED, "");
+    }
+    if let Ok(tag) = HeaderValue::from_str(&tag) {
+        whole.headers_mut().insert(ETAG, tag);
     }
+    whole
 }
 
 fn name(role: &RoleWire) -> SmolStr {
--- a/crates/guavacart_lab/tests/network.rs
+++ b/crates/guavacart_lab/tests/network.rs
@@ -12,7 +12,7 @@
     server::{Answer, Handler, Hangup, Server, answer},
 };
 use guavacart_platform::instance_list::{
-    HttpInstanceList, InstanceList as _, ListedInstanceWire, RoleWire,
+    HttpInstanceList, InstanceList as _, ListTag, ListedInstanceWire, Listing, RoleWire,
 };
 use guavacart_scheduler::directory::ListedInstance;
 use hyper::{Request, StatusCode};
@@ -34,12 +34,34 @@
 }
 
 async fn read(address: SocketAddr) -> Vec<ListedInstance> {
+    match read_again(address, None).await {
+        Listing::Whole(listed, _) => listed,
+        Listing::Unchanged => panic!("no list was known"),
+    }
+}
+
+async fn read_again(address: SocketAddr, known: Option<ListTag>) -> Listing {
     let list = HttpInstanceList::open(address, TIMEOUT);
-    tokio::task::spawn_blocking(move || list.read().unwrap())
+    tokio::task::spawn_blocking(move || list.read(known.as_ref()).unwrap())
         .await
         .unwrap()
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn list_is_sent_again_only_when_it_changed() {
+    let list = InstanceList::bind(Duration::ZERO).await.unwrap();
+    let at = SocketAddr::from(([127, 0, 0, 1], 7));
+    list.register(entry("e1", at));
+    let Listing::Whole(_, tag) = read_again(list.address(), None).await else {
+        panic!("no list was known");
+    };
+    let again = read_again(list.address(), tag.clone()).await;
+    assert_eq!(again, Listing::Unchanged);
+    list.register(entry("e2", at));
+    let changed = read_again(list.address(), tag).await;
+    assert!(matches!(changed, Listing::Whole(listed, _) if listed.len() == 2));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn list_tells_late() {
     let list = InstanceList::bind(Duration::from_millis(500))
--- a/crates/guavacart_platform/src/instance_list.rs
+++ b/crates/guavacart_platform/src/instance_list.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 
 use crate::{
-    plain_http::{CallError, Outgoing, call, unexpected},
+    plain_http::{CallError, NOT_MODIFIED, Outgoing, call, unexpected},
     traffic::Traffic,
 };
 
@@ -43,10 +43,23 @@
     },
 }
 
+/// Names the contents of a list, as the platform does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListTag(SmolStr);
+
+/// What a read of the list brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Listing {
+    /// The whole list, and its tag if the platform names one.
+    Whole(Vec<ListedInstance>, Option<ListTag>),
+    /// The list is still the known one.
+    Unchanged,
+}
+
 /// The platform's instance list; calls block.
 pub trait InstanceList: Clone + Send + Sync + 'static {
-    /// Reads the list as the platform sees it, seconds late.
-    fn read(&self) -> Result<Vec<ListedInstance>, InstanceListError>;
+    /// Reads the list as the platform sees it, seconds late, unless it is still the `known` one.
+    fn read(&self, known: Option<&ListTag>) -> Result<Listing, InstanceListError>;
 }
 
 /// Client of the instance list over HTTP/1.1.
@@ -123,10 +136,16 @@
 }
 
 impl InstanceList for HttpInstanceList {
-    fn read(&self) -> Result<Vec<ListedInstance>, InstanceListError> {
+    fn read(&self, known: Option<&ListTag>) -> Result<Listing, InstanceListError> {
         let url = format!("http://{}/v1/instances", self.address);
-        let req = Outgoing::bodiless(Method::Get, url);
+        let mut req = Outgoing::bodiless(Method::Get, url);
+        if let Some(ListTag(tag)) = known {
+            req = req.with_header("If-None-Match", tag);
+        }
         let res = call(req, self.timeout, &self.traffic).map_err(|err| self.no_answer(err))?;
+        if res.status_code == NOT_MODIFIED && known.is_some() {
+            return Ok(Listing::Unchanged);
+        }
         if res.status_code != 200 {
             return Err(self.no_answer(unexpected(&res)));
         }
@@ -135,7 +154,9 @@
                 address: self.address,
                 cause: format_smolstr!("{err}"),
             })?;
-        lines.into_iter().map(ListedInstance::try_from).collect()
+        let listed: Result<Vec<_>, _> = lines.into_iter().map(ListedInstance::try_from).collect();
+        let tag = res.header("etag").map(|tag| ListTag(tag.into()));
+        Ok(Listing::Whole(listed?, tag))
     }
 }
 
--- a/crates/guavacart_platform/src/plain_http.rs
+++ b/crates/guavacart_platform/src/plain_http.rs
@@ -11,7 +11,7 @@
 /// Status of a platform service that is out.
 pub(crate) const UNAVAILABLE: u16 = 503;
 /// Status of an answer that has no body by definition.
-const NOT_MODIFIED: u16 = 304;
+pub(crate) const NOT_MODIFIED: u16 = 304;
 
 /// Why a call failed.
 #[derive(Debug)]
@@ -36,6 +36,14 @@
         Self { req, bytes }
     }
 
+    /// The same with a header.
+    pub(crate) fn with_header(self, name: &str, value: &str) -> Self {
+        Self {
+            bytes: self.bytes + name.len() + value.len() + ": \r\n".len(),
+            req: self.req.with_header(name, value),
+        }
+    }
+
     /// Writes `body` to `url`.
     pub(crate) fn put(url: String, body: &[u8]) -> Self {
         let length = format!("Content-Length: {}\r\n", body.len());
--- a/crates/guavacart_platform/tests/store.rs
+++ b/crates/guavacart_platform/tests/store.rs
@@ -99,6 +99,6 @@
 fn instance_list_with_a_bad_id() {
     let answer = "HTTP/1.1 200 OK\r\nContent-Length: 95\r\n\r\n[{\"data_centre\":\"a b\",\"address\":\"127.0.0.1:1\",\"leaving\":false,\"role\":{\"entry\":{\"id\":\"e1\"}}}]    ";
     let list = HttpInstanceList::open(server(answer), TIMEOUT);
-    let err = list.read().unwrap_err();
+    let err = list.read(None).unwrap_err();
     assert!(matches!(err, InstanceListError::Id { .. }), "{err}");
 }
--- a/crates/guavacart_scheduler/src/event.rs
+++ b/crates/guavacart_scheduler/src/event.rs
@@ -17,6 +17,8 @@
     Tick,
     /// The platform's instance list was read.
     Listed(Vec<ListedInstance>),
+    /// The platform's instance list was read and is as before.
+    ListUnchanged,
     /// An operator or the platform asked this instance to stop gracefully.
     StopRequested,
     /// Views, heartbeats and the right to act.
--- a/crates/guavacart_scheduler/src/state.rs
+++ b/crates/guavacart_scheduler/src/state.rs
@@ -134,6 +134,15 @@
                 directory.replace(now, instances);
                 membership.listed(now, directory, effects);
             }
+            Event::ListUnchanged => {
+                let Shared {
+                    membership,
+                    directory,
+                    ..
+                } = &mut self.shared;
+                directory.read_at = Some(now);
+                membership.listed(now, directory, effects);
+            }
             Event::StopRequested => {
                 self.shared.stopping_since.get_or_insert(now);
                 self.shared.membership.leave(now, effects);
