--- a/crates/guavacart_lab/src/scenario/batch.rs
+++ b/crates/guavacart_lab/src/scenario/batch.rs
@@ -20,6 +20,7 @@
     jobs::{JobSpec, Submitted},
     journal_check::{self, JOURNAL_FOLDER, JournalCounts},
     progress::Progress,
+    store::CallKind,
     summary::{Summary, Target},
     sync::lock,
 };
@@ -249,7 +250,11 @@
             Target::at_most("journal_faults", 0.0, journals.faults() as f64),
             Target::at_most("started_after_cancel", 0.0, started_late),
         ];
+        let calls = self.cluster.store.calls();
         let details = [
+            ("store_puts", calls.total(CallKind::Put)),
+            ("store_deletes", calls.total(CallKind::Delete)),
+            ("store_leases", calls.total(CallKind::Lease)),
             ("jobs_rejected", rejected),
             ("jobs_unknown", unknown),
             ("tasks_unfinished", left),
--- a/crates/guavacart_lab/src/scenario/batch_chaos.rs
+++ b/crates/guavacart_lab/src/scenario/batch_chaos.rs
@@ -19,6 +19,10 @@
 const TASKS_A_JOB: u32 = 50;
 /// Jobs; 10,000 tasks in all.
 const JOBS: usize = 200;
+/// One job in so many has tasks that outlast a lease, so that leases lapse under them.
+const LONG_EVERY: usize = 20;
+/// Run time of such a task, in milliseconds.
+const LONG_MS: u64 = 16_000;
 /// Workers.
 const WORKERS: usize = 24;
 /// Entry instances.
@@ -31,6 +35,8 @@
 const OWNER_PAUSE: Duration = Duration::from_secs(8);
 /// How long a worker is paused: longer than a lease.
 const WORKER_PAUSE: Duration = Duration::from_secs(16);
+/// The worker that dies.
+const DYING: &str = "w8";
 /// Time between two faults.
 const GAP: Duration = Duration::from_secs(4);
 /// Time for the tasks to end after the last fault.
@@ -63,16 +69,22 @@
     let mut summary = bench.summary(SCENARIO.name).await;
     let finished = summary.tasks_finished as f64;
     let all = JOBS as f64 * f64::from(TASKS_A_JOB);
-    summary
-        .targets
-        .push(Target::at_least("min_tasks_finished", all, finished));
+    let lapsed = bench.cluster.batch.counts().lapsed as f64;
+    summary.targets.extend([
+        Target::at_least("min_tasks_finished", all, finished),
+        // The run shows nothing of lapses without any.
+        Target::at_least("min_attempts_lapsed", 1.0, lapsed),
+    ]);
     summary.detail("jobs_accepted", accepted as f64);
     Ok(summary)
 }
 
 fn job(bench: &Bench, n: usize) -> Result<JobSpec, ScenarioError> {
     let drawn = mix(bench.cx.seed, n as u64);
-    let run_ms = 200 + drawn % 1_000;
+    let run_ms = match n.is_multiple_of(LONG_EVERY) {
+        true => LONG_MS,
+        false => 200 + drawn % 1_000,
+    };
     bench.job(
         "chaos",
         n,
@@ -84,6 +96,7 @@
 async fn disturb(bench: &Bench) -> Result<(), ScenarioError> {
     sleep(GAP).await;
     round(bench, "c1", INSTANCES + 1).await?;
+    bench.cluster.kill_worker(DYING);
     sleep(GAP).await;
     let store = &bench.cluster.store;
     store.set_faults(|f| f.outage = Outage::Silent);
--- a/crates/guavacart_lab/src/scenario/takeover.rs
+++ b/crates/guavacart_lab/src/scenario/takeover.rs
@@ -24,9 +24,11 @@
 const CORES: u64 = 3;
 const WORKERS: usize = 60;
 const INSTANCES: usize = 3;
-const TASKS_A_JOB: u32 = 50;
+const TASKS_A_JOB: u32 = 10;
 /// Tasks beyond those that run and wait, for what ends before the death.
 const SPARE: usize = 400;
+/// Tasks that have ended when the owner dies, so that places come free all the time.
+const ENDED: usize = 60;
 /// Longest time until new tasks start and new jobs are accepted, in seconds.
 const LIMIT_S: f64 = 10.0;
 /// Longest wait for the workers to be full, and for the cell to be taken over.
@@ -87,6 +89,7 @@
     let count = (RUNNING + queued + SPARE) / TASKS_A_JOB as usize;
     let jobs: Result<Vec<JobSpec>, ScenarioError> = (0..count).map(|n| job(&bench, n)).collect();
     bench.offer(jobs?, Duration::from_secs(2)).await?;
+    wait_started(&bench, RUNNING + ENDED).await;
     bench.wait_running(RUNNING, WAIT).await;
     let running = bench.running();
     let counts = bench.cluster.batch.counts();
@@ -116,6 +119,13 @@
     })
 }
 
+async fn wait_started(bench: &Bench, tasks: usize) {
+    let deadline = Instant::now() + WAIT;
+    while bench.runs("takeover").len() < tasks && Instant::now() < deadline {
+        sleep(LOOK).await;
+    }
+}
+
 /// Tasks of 10 to 40 s, so that some end in every second.
 fn job(bench: &Bench, n: usize) -> Result<JobSpec, ScenarioError> {
     let run_ms = 10_000 + mix(bench.cx.seed, n as u64) % 30_000;
