Move shares of team quotas between cells

Cause: a quota was cut into fixed even slices. One cell could never use more than its slice though the others were idle, a task larger than a slice was rejected, and a new configuration was in force in one cell before another had shrunk, so the sum could pass the quota.

Change: one home cell divides a team's quota (the same for ever, as homes stay). A grant is durable before it is told, and grows only under a new number; what a cell gave up is durable before the divider hears of it. So the sum never passes the quota, whatever is lost or repeated, and after a change nothing grows before others have shrunk. Also: a shape is refused only if every cell lists workers and none holds it (a search found a refusal while the only large worker was away).

The model checks the quota after every record. Conclusion: the sum is kept by records, not by timing.

--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -4,6 +4,7 @@
 mod colocate;
 mod moves;
 mod schedule;
+mod shares;
 mod standing;
 mod sync;
 
@@ -152,6 +153,7 @@
     pressures: BTreeMap<(WorkerId, BatchClass), u32>,
     next_sharing: Timestamp,
     moves: moves::Moves,
+    shares: shares::Shares,
 }
 
 impl Cell {
@@ -186,6 +188,7 @@
             pressures: BTreeMap::new(),
             next_sharing: cx.now,
             moves: moves::Moves::default(),
+            shares: shares::Shares::default(),
         }
     }
 
--- a/crates/guavacart_scheduler/src/batch/cell/answer.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/answer.rs
@@ -14,7 +14,6 @@
         job::{Job, JobSpec, MAX_PAYLOAD_BYTES, MAX_TASKS_PER_JOB, Task, TaskState},
         journal::Change,
         ledger::counts,
-        quota,
     },
 };
 
@@ -71,7 +70,7 @@
                 false => JobReply::Conflict(spec.id),
             };
         }
-        if let Some(reason) = reject(cx, self, &spec) {
+        if let Some(reason) = reject(cx, &spec) {
             return JobReply::Rejected(reason);
         }
         if self.is_store_out(cx.now) || cx.stopping {
@@ -199,8 +198,8 @@
     }
 }
 
-/// Why the job can never run as it is.
-fn reject(cx: &Cx<'_>, cell: &Cell, spec: &JobSpec) -> Option<RejectReason> {
+/// Why the job can never run as it is; a cell that lists no workers may hold any shape again.
+fn reject(cx: &Cx<'_>, spec: &JobSpec) -> Option<RejectReason> {
     if spec.tasks == 0 || spec.tasks > MAX_TASKS_PER_JOB {
         let limit = MAX_TASKS_PER_JOB;
         return Some(RejectReason::Tasks { limit });
@@ -213,13 +212,12 @@
         return Some(RejectReason::UnknownTeam);
     }
     let cells = || cx.configuration.cells.keys();
-    let slices = cells().map(|cell| quota::slice(cx.configuration, cell, &spec.team));
-    let within = |slice: Option<Resources>| slice.is_none_or(|s| spec.resources.fits_in(&s));
-    let quota = quota::slice(cx.configuration, &cell.id, &spec.team);
-    if let Some(quota) = quota.filter(|_| !slices.into_iter().any(within)) {
+    let quota = cx.configuration.teams.get(&spec.team).and_then(|t| t.quota);
+    if let Some(quota) = quota.filter(|quota| !spec.resources.fits_in(quota)) {
         return Some(RejectReason::OverQuota { quota });
     }
-    if cell.listed(cx).is_empty() || cells().any(|cell| cell_holds(cx, cell, spec)) {
+    let unknown = |cell| listed_workers(cx, cell).is_empty();
+    if cells().any(|cell| unknown(cell) || cell_holds(cx, cell, spec)) {
         return None;
     }
     let listed = cells().flat_map(|cell| listed_workers(cx, cell));
--- a/crates/guavacart_scheduler/src/batch/cell/moves.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/moves.rs
@@ -13,7 +13,6 @@
         handoff::{Back, HandOff, Offer, Outgoing, Room, Ticket},
         job::{Home, Job, JobSpec, Task, TaskState},
         journal::{Change, Received},
-        quota,
     },
 };
 
@@ -21,6 +20,8 @@
 const REVIEW_INTERVAL: Span = Span::millis(100);
 /// Time between two words about the cell's room.
 const ROOM_INTERVAL: Span = Span::millis(500);
+/// How much earlier that is said if a team's quota blocks a job.
+const SHARE_INTERVAL: Span = Span::millis(350);
 /// Time after which an unanswered message about a task is repeated.
 const RESEND_INTERVAL: Span = Span::millis(600);
 /// How long a ticket is good, by the clock of the owner that issued it.
@@ -89,7 +90,13 @@
             self.send_waiting(cx, io);
         }
         self.tell_moving(cx, io);
-        if cx.configuration.cells.len() > 1 && cx.now >= self.moves.next_room && !cx.stopping {
+        self.divide_quotas(cx, io);
+        let early = match self.wants_share() {
+            true => SHARE_INTERVAL,
+            false => Span::ZERO,
+        };
+        let due = cx.now + early >= self.moves.next_room;
+        if cx.configuration.cells.len() > 1 && due && !cx.stopping {
             self.moves.next_room = cx.now + ROOM_INTERVAL;
             let room = self.room(cx);
             io.outbox.push(Outgoing::Room(self.id.clone(), room));
@@ -104,6 +111,7 @@
         match message {
             HandOff::Offer(offer) => self.offered(cx, *offer),
             HandOff::Back(back) => self.came_back(*back),
+            HandOff::Share(order) => self.share_ordered(cx, *order),
             HandOff::Taken { from, tasks } => {
                 for (task, attempt) in tasks {
                     self.acknowledge(cx.now, &from, task, attempt);
@@ -409,6 +417,7 @@
             },
             free: free.collect(),
             waiting: u32::try_from(self.ledger.queue.len()).unwrap_or(u32::MAX),
+            shares: self.share_reports(cx),
         }
     }
 
@@ -491,10 +500,8 @@
     })
 }
 
-/// True if a worker of the cell holds a task of the job within the team's quota there.
+/// True if a worker of the cell holds a task of the job.
 pub(super) fn cell_holds(cx: &Cx<'_>, cell: &CellId, spec: &JobSpec) -> bool {
-    let slice = quota::slice(cx.configuration, cell, &spec.team);
-    let within = slice.is_none_or(|slice| spec.resources.fits_in(&slice));
     let mut listed = listed_workers(cx, cell).into_iter();
-    within && listed.any(|(_, w)| spec.resources.fits_in(&w.capacity))
+    listed.any(|(_, w)| spec.resources.fits_in(&w.capacity))
 }
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -15,7 +15,6 @@
         ledger::QueueKey,
         link::{Link, Tracked},
         placement::{Candidate, Occupant, Want, choose, choose_first, displace, reserve},
-        quota,
         worker::AttemptId,
     },
 };
@@ -209,7 +208,7 @@
     }
 
     fn try_task(&mut self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec, id: &TaskId) -> Tried {
-        if let Some(slice) = quota::slice(cx.configuration, &self.id, &spec.team) {
+        if let Some(slice) = self.team_slice(cx, &spec.team) {
             let wanted = self.ledger.team_used(&spec.team).plus(&spec.resources);
             if !wanted.fits_in(&slice) {
                 let team = spec.team.clone();
--- a/crates/guavacart_scheduler/src/batch/handoff.rs
+++ b/crates/guavacart_scheduler/src/batch/handoff.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use guavacart_types::{Attempt, CellId, Epoch, JobId, Resources, Span, TaskId, Timestamp};
+use guavacart_types::{
+    Attempt, CellId, Epoch, JobId, Resources, Span, TaskId, TeamName, Timestamp,
+};
 use serde::{Deserialize, Serialize};
 
 use super::{
     PeerBatch,
     job::{JobSpec, Task},
+    journal::Share,
 };
 
 /// Age at which what a cell said about its room no longer counts.
@@ -31,6 +34,36 @@
     pub free: Vec<Resources>,
     /// Jobs that wait there.
     pub waiting: u32,
+    /// How it stands with team quotas; none while that is not durable.
+    pub shares: Vec<ShareReport>,
+}
+
+/// How a cell stands with a team's quota.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShareReport {
+    /// The team.
+    pub team: TeamName,
+    /// What it holds of the quota.
+    pub share: Share,
+    /// What the team's tasks take there.
+    pub used: Resources,
+    /// True if a job waits for a greater share.
+    pub waits: bool,
+    /// True if it was told to hold less than its share.
+    pub capped: bool,
+}
+
+/// What the cell that divides a team's quota tells another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShareOrder {
+    /// The cell that divides the quota.
+    pub from: CellId,
+    /// The team.
+    pub team: TeamName,
+    /// What the receiver was granted.
+    pub share: Share,
+    /// What it is to go down to as tasks end.
+    pub cap: Option<Resources>,
 }
 
 /// Tasks from their home to another cell.
@@ -70,6 +103,8 @@
     Offer(Box<Offer>),
     /// Tasks that come home.
     Back(Box<Back>),
+    /// A share of a team's quota.
+    Share(Box<ShareOrder>),
     /// Tasks that the sender holds durably.
     Taken {
         /// The sender's cell.
--- a/crates/guavacart_scheduler/src/batch/journal.rs
+++ b/crates/guavacart_scheduler/src/batch/journal.rs
@@ -1,7 +1,11 @@
 //! Records of a cell's journal, and the one append that may be in flight.
 
 use guavacart_config::JournalWrites;
-use guavacart_types::{Attempt, CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, WorkerId};
+use std::collections::BTreeMap;
+
+use guavacart_types::{
+    Attempt, CellId, Epoch, JobId, Resources, Revision, Span, TaskId, TeamName, Timestamp, WorkerId,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
@@ -76,6 +80,22 @@
         /// The tasks, waiting or ended.
         tasks: Vec<(u32, Task)>,
     },
+    /// The most that another cell may hold of a team's quota.
+    Granted {
+        /// The team.
+        team: TeamName,
+        /// The cell.
+        cell: CellId,
+        /// Its share.
+        share: Share,
+    },
+    /// The most that this cell may hold of a team's quota that another cell divides.
+    Allowed {
+        /// The team.
+        team: TeamName,
+        /// The share.
+        share: Share,
+    },
     /// The other cell is known to hold a task that was sent, or that ended here.
     Acknowledged {
         /// The task.
@@ -85,6 +105,15 @@
     },
 }
 
+/// A part of a team's quota; it grows only under a new number.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Share {
+    /// The number of the grant.
+    pub sequence: u64,
+    /// The most that the team's tasks may hold.
+    pub amount: Resources,
+}
+
 /// Tasks of another cell's job.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Received {
@@ -152,6 +181,10 @@
     pub jobs: Vec<Job>,
     /// Failures in a row of each worker that has any.
     pub failing: Vec<(WorkerId, u32)>,
+    /// What other cells may hold of the quotas that this cell divides.
+    pub granted: BTreeMap<TeamName, BTreeMap<CellId, Share>>,
+    /// What this cell may hold of the quotas that others divide.
+    pub allowed: BTreeMap<TeamName, Share>,
 }
 
 /// What the store holds of a cell.
--- a/crates/guavacart_scheduler/src/batch/ledger.rs
+++ b/crates/guavacart_scheduler/src/batch/ledger.rs
@@ -1,10 +1,11 @@
 //! What a cell's records add up to: jobs, places and what is committed on each worker.
 
 mod moves;
+mod shares;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_types::{Attempt, Epoch, JobId, Resources, TaskId, TeamName, WorkerId};
+use guavacart_types::{Attempt, CellId, Epoch, JobId, Resources, TaskId, TeamName, WorkerId};
 use smol_str::{SmolStr, format_smolstr};
 
 use super::{
@@ -13,7 +14,7 @@
         AttemptEnd, Job, JobSpec, MAX_ENDED_JOBS, MAX_FAILED_WORKERS, MAX_FAILURES, ParkReason,
         Priority, StopReason, Task, TaskState,
     },
-    journal::{Change, Snapshot},
+    journal::{Change, Share, Snapshot},
 };
 
 /// Estimated bytes of a job in a snapshot, with the tasks that have ended.
@@ -57,6 +58,10 @@
     pub(super) queue: BTreeMap<QueueKey, Waiting>,
     pub(super) workers: BTreeMap<WorkerId, Places>,
     pub(super) teams: BTreeMap<TeamName, Resources>,
+    /// What other cells may hold of the quotas that this cell divides.
+    granted: BTreeMap<TeamName, BTreeMap<CellId, Share>>,
+    /// What this cell may hold of the quotas that others divide.
+    pub(super) allowed: BTreeMap<TeamName, Share>,
 }
 
 impl Ledger {
@@ -66,6 +71,8 @@
             epoch: snapshot.epoch,
             next_order: snapshot.next_order,
             next_ended: snapshot.next_ended,
+            allowed: snapshot.allowed,
+            granted: snapshot.granted,
             ..Self::default()
         };
         for (worker, failures) in snapshot.failing {
@@ -119,6 +126,8 @@
             epoch: self.epoch,
             next_order: self.next_order,
             next_ended: self.next_ended,
+            granted: self.granted.clone(),
+            allowed: self.allowed.clone(),
             jobs: self.jobs.values().cloned().collect(),
             failing: failing
                 .map(|(id, places)| (id.clone(), places.failures_in_a_row))
@@ -152,6 +161,8 @@
                 reason,
             } => self.stopping(task, *attempt, *reason),
             Change::Ended { task, attempt, end } => self.ended(task, *attempt, end),
+            Change::Granted { team, cell, share } => self.grant(team, cell, *share),
+            Change::Allowed { team, share } => self.allow(team, *share),
             Change::Sent { task, attempt, to } => self.sent(task, *attempt, to),
             Change::Received(received) => self.received(received),
             Change::Returned { job, tasks } => self.returned(job, tasks),
--- a/crates/guavacart_scheduler/src/batch/quota.rs
+++ b/crates/guavacart_scheduler/src/batch/quota.rs
@@ -3,7 +3,8 @@
 use guavacart_config::Configuration;
 use guavacart_types::{Accelerators, ByteSize, CellId, Processors, Resources, TeamName, weight};
 
-/// The part of a team's quota that its tasks in one cell may hold; none means no limit.
+/// A cell's even part of a team's quota, which it keeps while others want more; none means no
+/// limit.
 pub fn slice(configuration: &Configuration, cell: &CellId, team: &TeamName) -> Option<Resources> {
     let quota = configuration.teams.get(team)?.quota?;
     let cells = configuration.cells.len().max(1) as u64;
@@ -22,3 +23,36 @@
     let cells = configuration.cells.keys();
     cells.max_by_key(|cell| weight(cell.as_str(), team.as_str()))
 }
+
+/// The cell that divides a team's quota; never another one, as homes stay the same.
+pub fn bank<'a>(configuration: &'a Configuration, team: &TeamName) -> Option<&'a CellId> {
+    let cells = configuration.cells.iter();
+    let homes = cells
+        .filter(|(_, cell)| !cell.joined_later)
+        .map(|(id, _)| id);
+    homes.max_by_key(|cell| weight(cell.as_str(), team.as_str()))
+}
+
+/// The smaller of each part.
+pub(super) fn least(one: &Resources, other: &Resources) -> Resources {
+    Resources {
+        processors: one.processors.min(other.processors),
+        memory: one.memory.min(other.memory),
+        accelerators: one.accelerators.min(other.accelerators),
+    }
+}
+
+/// The greater of each part.
+pub(super) fn greatest(one: &Resources, other: &Resources) -> Resources {
+    Resources {
+        processors: one.processors.max(other.processors),
+        memory: one.memory.max(other.memory),
+        accelerators: one.accelerators.max(other.accelerators),
+    }
+}
+
+/// What is left of each part; zero where more is taken.
+pub(super) fn left(whole: &Resources, taken: &Resources) -> Resources {
+    let taken = least(whole, taken);
+    whole.minus(&taken).unwrap_or_default()
+}
--- a/crates/guavacart_scheduler/tests/batch/handoff.rs
+++ b/crates/guavacart_scheduler/tests/batch/handoff.rs
@@ -77,6 +77,29 @@
     assert_eq!(small.sum::<u64>(), 0);
 }
 
+#[test]
+fn a_shape_is_accepted_while_the_only_worker_that_holds_it_is_away() {
+    let setup = Setup {
+        workers: 2,
+        small: BTreeSet::from([0]),
+        faults: vec![Fault::WorkerKill {
+            at: 1_500,
+            worker: 1,
+            ms: 20_000,
+        }],
+        ..two_cells()
+    };
+    let mut world = World::new(setup);
+    let listed = world.now + 8_000;
+    world.run_while(listed, |_| true);
+    let jobs = large_jobs();
+    for job in &jobs {
+        world.submit(job);
+    }
+    let ids: Vec<JobId> = jobs.iter().map(|job| job.id.clone()).collect();
+    world.finish(&ids, 300_000);
+}
+
 #[test]
 fn the_status_at_home_names_the_cell_that_holds_a_task() {
     let mut world = World::new(two_cells());
--- a/crates/guavacart_scheduler/tests/batch/main.rs
+++ b/crates/guavacart_scheduler/tests/batch/main.rs
@@ -6,4 +6,5 @@
 mod handoff;
 mod history;
 mod model;
+mod quotas;
 mod random;
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -69,6 +69,8 @@
     pub(crate) small: BTreeSet<usize>,
     /// The last cells, which only the second configuration names.
     pub(crate) joining: usize,
+    /// The quota of the second configuration.
+    pub(crate) later_quota: Option<Resources>,
 }
 
 impl Default for Setup {
@@ -85,6 +87,7 @@
             quota: None,
             small: BTreeSet::new(),
             joining: 0,
+            later_quota: None,
         }
     }
 }
@@ -137,6 +140,8 @@
                 | Change::Sent { .. }
                 | Change::Received(_)
                 | Change::Returned { .. }
+                | Change::Granted { .. }
+                | Change::Allowed { .. }
                 | Change::Acknowledged { .. } => {}
                 Change::Admitted(spec) => {
                     self.admitted.insert(spec.id.clone());
@@ -319,7 +324,10 @@
             throttled_percent: 25,
         };
         let team = Team {
-            quota: self.setup.quota,
+            quota: match self.number {
+                1 => self.setup.quota,
+                _ => self.setup.later_quota.or(self.setup.quota),
+            },
             ..Team::default()
         };
         Configuration {
@@ -873,7 +881,8 @@
         let stored = self.cells.entry(cell.clone()).or_default();
         let free = !stored.records.contains_key(&number);
         if free {
-            let quota = self.setup.quota;
+            let quota = self.setup.quota.into_iter().chain(self.setup.later_quota);
+            let quota = quota.max_by_key(|quota| quota.processors);
             self.store_writes += 1;
             if number > stored.snapshot.through {
                 stored.note(&record);
--- a/crates/guavacart_scheduler/tests/batch/random.rs
+++ b/crates/guavacart_scheduler/tests/batch/random.rs
@@ -1,8 +1,8 @@
 //! Random faults against the promises of batch work.
 
-use crate::model::{Fault, Setup, World, job};
+use crate::model::{Fault, Setup, World, job, shape};
 use guavacart_scheduler::batch::{BatchEvent, call::JobReply};
-use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use proptest::{collection::vec, option, prelude::*, test_runner::RngSeed};
 
 fn fault() -> impl Strategy<Value = Fault> {
     let at = 3_000..60_000_u64;
@@ -39,19 +39,23 @@
         0..8_u64,
         0..4_u64,
         any::<bool>(),
+        option::of(4..24_u64),
         faults,
     )
         .prop_map(
-            |(seed, nodes, workers, cells, lost_percent, slow_percent, small, faults)| Setup {
-                seed,
-                nodes,
-                workers: workers * cells,
-                cells,
-                lost_percent,
-                slow_percent,
-                faults,
-                small: (0..usize::from(small && cells > 1)).collect(),
-                ..Setup::default()
+            |(seed, nodes, workers, cells, lost_percent, slow_percent, small, quota, faults)| {
+                Setup {
+                    seed,
+                    nodes,
+                    workers: workers * cells,
+                    cells,
+                    lost_percent,
+                    slow_percent,
+                    faults,
+                    quota: quota.map(shape),
+                    small: (0..usize::from(small && cells > 1)).collect(),
+                    ..Setup::default()
+                }
             },
         )
 }
--- a/crates/guavacart_wire/src/batch/handoff.rs
+++ b/crates/guavacart_wire/src/batch/handoff.rs
@@ -1,10 +1,14 @@
 //! What the owners of cells say to one another, between entry instances.
 
-use guavacart_scheduler::batch::handoff::{Back, HandOff, Offer, Room, Ticket};
-use guavacart_types::{Attempt, CellId, Epoch, JobId, Resources, TaskId, Timestamp};
+use guavacart_scheduler::batch::handoff::{
+    Back, HandOff, Offer, Room, ShareOrder, ShareReport, Ticket,
+};
+use guavacart_types::{Attempt, CellId, Epoch, JobId, Resources, TaskId, TeamName, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::journal::{JobSpecWire, TaskIdWire, TaskWire, tasks_from_wire, tasks_to_wire};
+use crate::journal::{
+    JobSpecWire, ShareWire, TaskIdWire, TaskWire, tasks_from_wire, tasks_to_wire,
+};
 
 /// [`Ticket`]: epoch, and when it was issued by the issuer's clock in milliseconds.
 type TicketWire = (u64, u64);
@@ -15,8 +19,12 @@
     ticket: TicketWire,
     free: Vec<Resources>,
     waiting: u32,
+    shares: Vec<ShareReportWire>,
 }
 
+/// Team, share, used, waits, capped.
+type ShareReportWire = (TeamName, ShareWire, Resources, bool, bool);
+
 /// [`HandOff`] between instances.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(super) enum HandOffWire {
@@ -24,6 +32,8 @@
     /// From, epoch, job, tasks.
     Back(CellId, u64, JobId, Vec<(u32, TaskWire)>),
     Taken(CellId, Vec<(TaskIdWire, u32)>),
+    /// From, team, share, cap.
+    Share(CellId, TeamName, ShareWire, Option<Resources>),
 }
 
 /// [`Offer`] between instances.
@@ -48,12 +58,25 @@
     }
 }
 
+fn share_from_wire((team, share, used, waits, capped): ShareReportWire) -> ShareReport {
+    ShareReport {
+        team,
+        share: share.into(),
+        used,
+        waits,
+        capped,
+    }
+}
+
 impl From<Room> for RoomWire {
     fn from(room: Room) -> Self {
         Self {
             ticket: ticket_to_wire(room.ticket),
             free: room.free,
             waiting: room.waiting,
+            shares: (room.shares.into_iter())
+                .map(|s| (s.team, s.share.into(), s.used, s.waits, s.capped))
+                .collect(),
         }
     }
 }
@@ -64,6 +87,7 @@
             ticket: ticket_from_wire(wire.ticket),
             free: wire.free,
             waiting: wire.waiting,
+            shares: wire.shares.into_iter().map(share_from_wire).collect(),
         }
     }
 }
@@ -102,6 +126,15 @@
                 let tasks = tasks_to_wire(back.tasks);
                 Self::Back(back.from, back.epoch.0, back.job, tasks)
             }
+            HandOff::Share(order) => {
+                let ShareOrder {
+                    from,
+                    team,
+                    share,
+                    cap,
+                } = *order;
+                Self::Share(from, team, share.into(), cap)
+            }
             HandOff::Taken { from, tasks } => {
                 let tasks = tasks.into_iter();
                 let tasks = tasks.map(|(task, attempt)| (TaskIdWire::from(task), attempt.0));
@@ -121,6 +154,12 @@
                 job,
                 tasks: tasks_from_wire(tasks),
             })),
+            HandOffWire::Share(from, team, share, cap) => Self::Share(Box::new(ShareOrder {
+                from,
+                team,
+                share: share.into(),
+                cap,
+            })),
             HandOffWire::Taken(from, tasks) => {
                 let tasks = tasks.into_iter();
                 let tasks = tasks.map(|(task, attempt)| (TaskId::from(task), Attempt(attempt)));
--- a/crates/guavacart_wire/src/journal.rs
+++ b/crates/guavacart_wire/src/journal.rs
@@ -1,9 +1,10 @@
 //! Journal records and snapshots as they stand in the store: version, payload.
 
 mod job;
+mod share;
 
 use guavacart_scheduler::batch::journal::{Change, JournalError, Received, Record, Snapshot};
-use guavacart_types::{Attempt, CellId, Epoch, JobId, TaskId, WorkerId};
+use guavacart_types::{Attempt, CellId, Epoch, JobId, TaskId, TeamName, WorkerId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::format_smolstr;
 
@@ -11,6 +12,8 @@
 pub(crate) use self::job::{
     HomeWire, JobSpecWire, PriorityWire, TaskWire, tasks_from_wire, tasks_to_wire,
 };
+pub(crate) use self::share::ShareWire;
+use self::share::{granted_from_wire, granted_to_wire};
 use crate::{WireError, heartbeat::MemberWire};
 
 /// Version of journal records and snapshots.
@@ -34,6 +37,8 @@
     Received(JobSpecWire, HomeWire, bool, Vec<(u32, TaskWire)>),
     Returned(JobId, Vec<(u32, TaskWire)>),
     Acknowledged(TaskIdWire, u32),
+    Granted(TeamName, CellId, ShareWire),
+    Allowed(TeamName, ShareWire),
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -51,6 +56,8 @@
     next_ended: u64,
     jobs: Vec<JobWire>,
     failing: Vec<(WorkerId, u32)>,
+    granted: Vec<(TeamName, CellId, ShareWire)>,
+    allowed: Vec<(TeamName, ShareWire)>,
 }
 
 /// What stands at a snapshot's key: the snapshot, or where its parts are.
@@ -182,6 +189,8 @@
                 Self::Received(spec.into(), home.into(), cancelled, tasks_to_wire(tasks))
             }
             Change::Returned { job, tasks } => Self::Returned(job, tasks_to_wire(tasks)),
+            Change::Granted { team, cell, share } => Self::Granted(team, cell, share.into()),
+            Change::Allowed { team, share } => Self::Allowed(team, share.into()),
             Change::Acknowledged { task, attempt } => Self::Acknowledged(task.into(), attempt.0),
         }
     }
@@ -225,6 +234,15 @@
                 job,
                 tasks: tasks_from_wire(tasks),
             },
+            ChangeWire::Granted(team, cell, share) => Self::Granted {
+                team,
+                cell,
+                share: share.into(),
+            },
+            ChangeWire::Allowed(team, share) => Self::Allowed {
+                team,
+                share: share.into(),
+            },
             ChangeWire::Acknowledged(task, attempt) => Self::Acknowledged {
                 task: task.into(),
                 attempt: Attempt(attempt),
@@ -262,6 +280,10 @@
             next_ended: snapshot.next_ended,
             jobs: snapshot.jobs.into_iter().map(JobWire::from).collect(),
             failing: snapshot.failing,
+            granted: granted_to_wire(snapshot.granted),
+            allowed: (snapshot.allowed.into_iter())
+                .map(|(team, share)| (team, share.into()))
+                .collect(),
         }
     }
 }
@@ -275,6 +297,10 @@
             next_ended: wire.next_ended,
             jobs: wire.jobs.into_iter().map(Into::into).collect(),
             failing: wire.failing,
+            granted: granted_from_wire(wire.granted),
+            allowed: (wire.allowed.into_iter())
+                .map(|(team, share)| (team, share.into()))
+                .collect(),
         }
     }
 }
--- a/crates/guavacart_wire/tests/journal.rs
+++ b/crates/guavacart_wire/tests/journal.rs
@@ -8,9 +8,9 @@
     batch::{
         PeerBatch,
         call::{JobCall, JobReply, NotAccepted},
-        handoff::{Back, HandOff, Offer, Room, Ticket},
+        handoff::{Back, HandOff, Offer, Room, ShareOrder, ShareReport, Ticket},
         job::{AttemptEnd, Home, Job, JobSpec, Priority, StopReason, Task, TaskState},
-        journal::{Change, JournalError, Received, Record, Snapshot},
+        journal::{Change, JournalError, Received, Record, Share, Snapshot},
     },
     membership::Member,
 };
@@ -36,6 +36,13 @@
     }
 }
 
+fn share() -> Share {
+    Share {
+        sequence: 4,
+        amount: Resources::default(),
+    }
+}
+
 fn home() -> Home {
     Home {
         cell: "c1".parse().unwrap(),
@@ -109,6 +116,15 @@
                 tasks: tasks(),
             },
             Change::Acknowledged { task, attempt },
+            Change::Granted {
+                team: "red".parse().unwrap(),
+                cell: "c2".parse().unwrap(),
+                share: share(),
+            },
+            Change::Allowed {
+                team: "red".parse().unwrap(),
+                share: share(),
+            },
         ],
     }
 }
@@ -142,6 +158,11 @@
             tasks: BTreeMap::from([(4, task)]),
         }],
         failing: vec![("w2".parse().unwrap(), 5)],
+        granted: BTreeMap::from([(
+            "red".parse().unwrap(),
+            BTreeMap::from([("c2".parse().unwrap(), share())]),
+        )]),
+        allowed: BTreeMap::from([("blue".parse().unwrap(), share())]),
     };
     let value = encode_snapshot(snapshot.clone()).unwrap();
     assert_eq!(decode_snapshot(KEY, &value).unwrap(), snapshot);
@@ -190,7 +211,18 @@
     };
     a_cells_room_travels: PeerBatch::Room {
         cell: "c2".parse().unwrap(),
-        room: Room { ticket: ticket(), free: vec![Resources::default()], waiting: 3 },
+        room: Room {
+            ticket: ticket(),
+            free: vec![Resources::default()],
+            waiting: 3,
+            shares: vec![ShareReport {
+                team: "red".parse().unwrap(),
+                share: share(),
+                used: Resources::default(),
+                waits: true,
+                capped: false,
+            }],
+        },
     };
     an_offer_travels: PeerBatch::HandOff {
         cell: "c2".parse().unwrap(),
@@ -212,6 +244,15 @@
             tasks: tasks(),
         })),
     };
+    a_share_travels: PeerBatch::HandOff {
+        cell: "c2".parse().unwrap(),
+        message: HandOff::Share(Box::new(ShareOrder {
+            from: "c1".parse().unwrap(),
+            team: "red".parse().unwrap(),
+            share: share(),
+            cap: Some(Resources::default()),
+        })),
+    };
     an_acknowledgement_travels: PeerBatch::HandOff {
         cell: "c1".parse().unwrap(),
         message: HandOff::Taken {
