--- a/crates/guavacart_lab/src/balancer.rs
+++ b/crates/guavacart_lab/src/balancer.rs
@@ -98,9 +98,9 @@
     /// The instance that the connection which `caller` had at a time was led to.
     pub fn backend_of(&self, caller: SocketAddr, at_us: u64) -> Option<SmolStr> {
         let by_caller = lock(&self.shared.by_caller);
-        let led = by_caller.get(&caller)?.iter();
-        let before = led.filter(|(since, _)| *since <= at_us);
-        before.last().map(|(_, name)| name.clone())
+        let mut latest_first = by_caller.get(&caller)?.iter().rev();
+        let led = latest_first.find(|(since, _)| *since <= at_us);
+        led.map(|(_, name)| name.clone())
     }
 }
 
