--- a/crates/guavacart_scheduler/tests/batch/main.rs
+++ b/crates/guavacart_scheduler/tests/batch/main.rs
@@ -3,5 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod cases;
+mod handoff;
+mod history;
 mod model;
+mod quotas;
 mod random;
--- a/crates/guavacart_wire/src/journal.rs
+++ b/crates/guavacart_wire/src/journal.rs
@@ -1,21 +1,26 @@
 //! Journal records and snapshots as they stand in the store: version, payload.
 
 mod job;
+mod share;
 
-use guavacart_scheduler::batch::journal::{Change, JournalError, Record, Snapshot};
-use guavacart_types::{Attempt, Epoch, JobId, TaskId, WorkerId};
+use guavacart_scheduler::batch::journal::{Change, JournalError, Received, Record, Snapshot};
+use guavacart_types::{Attempt, CellId, Epoch, JobId, TaskId, TeamName, WorkerId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::format_smolstr;
 
 use self::job::{AttemptEndWire, JobWire, StopReasonWire};
-pub(crate) use self::job::{JobSpecWire, PriorityWire};
+pub(crate) use self::job::{
+    HomeWire, JobSpecWire, PriorityWire, TaskWire, tasks_from_wire, tasks_to_wire,
+};
+pub(crate) use self::share::ShareWire;
+use self::share::{granted_from_wire, granted_to_wire};
 use crate::{WireError, heartbeat::MemberWire};
 
 /// Version of journal records and snapshots.
-const JOURNAL_VERSION: u8 = 1;
+const JOURNAL_VERSION: u8 = 2;
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct TaskIdWire {
+pub(crate) struct TaskIdWire {
     job: JobId,
     index: u32,
 }
@@ -28,6 +33,12 @@
     Placed(TaskIdWire, u32, WorkerId),
     Stopping(TaskIdWire, u32, StopReasonWire),
     Ended(TaskIdWire, u32, AttemptEndWire),
+    Sent(TaskIdWire, u32, CellId),
+    Received(JobSpecWire, HomeWire, bool, Vec<(u32, TaskWire)>),
+    Returned(JobId, Vec<(u32, TaskWire)>),
+    Acknowledged(TaskIdWire, u32),
+    Granted(TeamName, CellId, ShareWire),
+    Allowed(TeamName, ShareWire),
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -45,6 +56,8 @@
     next_ended: u64,
     jobs: Vec<JobWire>,
     failing: Vec<(WorkerId, u32)>,
+    granted: Vec<(TeamName, CellId, ShareWire)>,
+    allowed: Vec<(TeamName, ShareWire)>,
 }
 
 /// What stands at a snapshot's key: the snapshot, or where its parts are.
@@ -165,6 +178,20 @@
                 reason,
             } => Self::Stopping(task.into(), attempt.0, reason.into()),
             Change::Ended { task, attempt, end } => Self::Ended(task.into(), attempt.0, end.into()),
+            Change::Sent { task, attempt, to } => Self::Sent(task.into(), attempt.0, to),
+            Change::Received(received) => {
+                let Received {
+                    spec,
+                    home,
+                    cancelled,
+                    tasks,
+                } = *received;
+                Self::Received(spec.into(), home.into(), cancelled, tasks_to_wire(tasks))
+            }
+            Change::Returned { job, tasks } => Self::Returned(job, tasks_to_wire(tasks)),
+            Change::Granted { team, cell, share } => Self::Granted(team, cell, share.into()),
+            Change::Allowed { team, share } => Self::Allowed(team, share.into()),
+            Change::Acknowledged { task, attempt } => Self::Acknowledged(task.into(), attempt.0),
         }
     }
 }
@@ -190,6 +217,36 @@
                 attempt: Attempt(attempt),
                 end: end.into(),
             },
+            ChangeWire::Sent(task, attempt, to) => Self::Sent {
+                task: task.into(),
+                attempt: Attempt(attempt),
+                to,
+            },
+            ChangeWire::Received(spec, home, cancelled, tasks) => {
+                Self::Received(Box::new(Received {
+                    spec: spec.into(),
+                    home: home.into(),
+                    cancelled,
+                    tasks: tasks_from_wire(tasks),
+                }))
+            }
+            ChangeWire::Returned(job, tasks) => Self::Returned {
+                job,
+                tasks: tasks_from_wire(tasks),
+            },
+            ChangeWire::Granted(team, cell, share) => Self::Granted {
+                team,
+                cell,
+                share: share.into(),
+            },
+            ChangeWire::Allowed(team, share) => Self::Allowed {
+                team,
+                share: share.into(),
+            },
+            ChangeWire::Acknowledged(task, attempt) => Self::Acknowledged {
+                task: task.into(),
+                attempt: Attempt(attempt),
+            },
         }
     }
 }
@@ -223,6 +280,10 @@
             next_ended: snapshot.next_ended,
             jobs: snapshot.jobs.into_iter().map(JobWire::from).collect(),
             failing: snapshot.failing,
+            granted: granted_to_wire(snapshot.granted),
+            allowed: (snapshot.allowed.into_iter())
+                .map(|(team, share)| (team, share.into()))
+                .collect(),
         }
     }
 }
@@ -236,6 +297,10 @@
             next_ended: wire.next_ended,
             jobs: wire.jobs.into_iter().map(Into::into).collect(),
             failing: wire.failing,
+            granted: granted_from_wire(wire.granted),
+            allowed: (wire.allowed.into_iter())
+                .map(|(team, share)| (team, share.into()))
+                .collect(),
         }
     }
 }
