--- a/crates/guavacart_lab/src/balancer.rs
+++ b/crates/guavacart_lab/src/balancer.rs
@@ -99,8 +99,8 @@
     pub fn backend_of(&self, caller: SocketAddr, at_us: u64) -> Option<SmolStr> {
         let by_caller = lock(&self.shared.by_caller);
         let led = by_caller.get(&caller)?.iter();
-        let before = led.filter(|(since, _)| *since <= at_us);
-        before.last().map(|(_, name)| name.clone())
+        let mut before = led.filter(|(since, _)| *since <= at_us);
+        before.next_back().map(|(_, name)| name.clone())
     }
 }
 
