Follow the balancer's new lookup in its test

Change: the test gives the time of its call, and asserts that nothing was led anywhere at time 0. Conclusion: as strict as before and one case more.

--- a/crates/guavacart_lab/tests/network.rs
+++ b/crates/guavacart_lab/tests/network.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use guavacart_lab::{
     balancer::Balancer,
+    clock::now_us,
     fault::{FaultProxy, Faults, Network},
     instance_list::InstanceList,
     server::{Answer, Handler, Hangup, Server, answer},
@@ -133,7 +134,8 @@
         stream.read_to_string(&mut text).await.unwrap();
         assert!(text.starts_with("HTTP/1.1 200"), "{text}");
         let local = stream.local_addr().unwrap();
-        assert_eq!(balancer.backend_of(local).as_deref(), Some("e1"));
+        assert_eq!(balancer.backend_of(local, now_us()).as_deref(), Some("e1"));
+        assert_eq!(balancer.backend_of(local, 0), None);
     }
     drop(serving);
     while !balancer.healthy().is_empty() {
