--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -2,7 +2,9 @@
 
 mod answer;
 mod colocate;
+mod moves;
 mod schedule;
+mod shares;
 mod standing;
 mod sync;
 
@@ -18,6 +20,7 @@
     BatchEffect,
     call::{Asker, JobReply},
     decision::Decision,
+    handoff::{Outgoing, Rooms},
     journal::{
         Appended, Change, Journal, JournalError, Record, Snapshot, SnapshotWritten, Stored,
         record_key,
@@ -68,6 +71,8 @@
     pub(super) me: &'a Member,
     pub(super) sequence: &'a mut u64,
     pub(super) effects: &'a mut Vec<Effect>,
+    pub(super) outbox: &'a mut Vec<Outgoing>,
+    pub(super) rooms: &'a mut Rooms,
 }
 
 impl Io<'_> {
@@ -147,6 +152,8 @@
     /// Thousandths of each worker that each class presses on, as last told.
     pressures: BTreeMap<(WorkerId, BatchClass), u32>,
     next_sharing: Timestamp,
+    moves: moves::Moves,
+    shares: shares::Shares,
 }
 
 impl Cell {
@@ -180,6 +187,8 @@
             colocation: Colocation::default(),
             pressures: BTreeMap::new(),
             next_sharing: cx.now,
+            moves: moves::Moves::default(),
+            shares: shares::Shares::default(),
         }
     }
 
@@ -202,6 +211,7 @@
 
     /// Gives the cell up; answers that still wait are not known to be true.
     pub(super) fn step_down(&mut self, io: &mut Io<'_>) {
+        self.forget_moves(io);
         for held in std::mem::take(&mut self.held) {
             reply(io, held.asker, JobReply::Unknown);
         }
@@ -232,6 +242,7 @@
             self.share_workers(cx, io);
             self.schedule(cx);
         }
+        self.move_tasks(cx, io);
         self.append(cx, io);
         self.sync_workers(cx, io);
     }
@@ -351,7 +362,11 @@
                 return;
             }
             in_flight.retry_at = None;
-        } else if self.journal.cut(cx.now, io.me, io.sequence).is_none() {
+        } else if self
+            .journal
+            .cut(cx.now, io.me, io.sequence, cx.configuration.sharing.journal)
+            .is_none()
+        {
             return;
         } else {
             self.prepare_snapshot();
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use guavacart_config::Placement;
 use guavacart_types::{BatchClass, Resources, Span, TaskId, Timestamp, WorkerId};
 
 use super::{Cell, Reservation};
@@ -13,8 +14,7 @@
         journal::Change,
         ledger::QueueKey,
         link::{Link, Tracked},
-        placement::{Candidate, Occupant, Want, choose, displace, reserve},
-        quota,
+        placement::{Candidate, Occupant, Want, choose, choose_first, displace, reserve},
         worker::AttemptId,
     },
 };
@@ -208,7 +208,7 @@
     }
 
     fn try_task(&mut self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec, id: &TaskId) -> Tried {
-        if let Some(slice) = quota::slice(cx.configuration, &self.id, &spec.team) {
+        if let Some(slice) = self.team_slice(cx, &spec.team) {
             let wanted = self.ledger.team_used(&spec.team).plus(&spec.resources);
             if !wanted.fits_in(&slice) {
                 let team = spec.team.clone();
@@ -230,7 +230,11 @@
             failed_on,
             reserved: reserved.as_ref(),
         };
-        if let Some(chosen) = choose(&pass.candidates, &want) {
+        let chosen = match cx.configuration.sharing.placement {
+            Placement::LeastLoaded => choose(&pass.candidates, &want),
+            Placement::FirstFit => choose_first(&pass.candidates, &want),
+        };
+        if let Some(chosen) = chosen {
             self.place(cx, pass, spec, id, &task, chosen);
             return Tried::Placed;
         }
