--- a/crates/guavacart_scheduler/src/batch/journal.rs
+++ b/crates/guavacart_scheduler/src/batch/journal.rs
@@ -18,7 +18,7 @@
 /// Records after which a snapshot is written whatever their size.
 const SNAPSHOT_RECORDS: u64 = 2_000;
 /// Shortest time between the first tries of two records, so that changes gather.
-const COMMIT_INTERVAL: Span = Span::millis(40);
+const COMMIT_INTERVAL: Span = Span::millis(100);
 /// Estimated bytes of a change without text of its own.
 const CHANGE_BYTES: usize = 64;
 
