--- a/crates/guavacart_lab/src/batch_ledger.rs
+++ b/crates/guavacart_lab/src/batch_ledger.rs
@@ -172,6 +172,13 @@
         lock(&self.inner).runs.clone()
     }
 
+    /// Tasks that ran in two places at once or finished more than once, with their runs.
+    pub fn doubled(&self) -> BTreeMap<TaskId, Vec<Run>> {
+        let mut runs = self.runs();
+        runs.retain(|_, runs| is_doubled(runs));
+        runs
+    }
+
     /// Sums up.
     pub fn counts(&self) -> BatchCounts {
         let inner = lock(&self.inner);
@@ -212,7 +219,7 @@
         self.failed += ended(RunEnd::Failed);
         self.evictions += ended(RunEnd::Stopped);
         self.lapsed += ended(RunEnd::Lapsed);
-        self.double_run += u64::from(finishes > 1 || any_overlap(runs));
+        self.double_run += u64::from(is_doubled(runs));
         let done: u64 = runs
             .iter()
             .map(|r| u64::from(r.to_ppm.saturating_sub(r.from_ppm)))
@@ -223,6 +230,10 @@
     }
 }
 
+fn is_doubled(runs: &[Run]) -> bool {
+    runs.iter().filter(|run| run.finished()).count() > 1 || any_overlap(runs)
+}
+
 fn any_overlap(runs: &[Run]) -> bool {
     let pairs = runs.iter().enumerate();
     pairs
--- a/crates/guavacart_lab/src/scenario/batch.rs
+++ b/crates/guavacart_lab/src/scenario/batch.rs
@@ -236,6 +236,9 @@
             seed: self.cx.seed,
             ..Summary::default()
         };
+        for (task, runs) in self.cluster.batch.doubled() {
+            tracing::error!(%task, ?runs, "the task ran twice");
+        }
         let batch = self.cluster.batch.counts();
         let journals = self.journals();
         summary.tasks_submitted = self.cluster.jobs.tasks_submitted();
