--- a/crates/guavacart_entry/src/entry.rs
+++ b/crates/guavacart_entry/src/entry.rs
@@ -1,8 +1,7 @@
 //! Starts an entry instance and waits for its end.
 
 use std::{
-    collections::HashMap,
-    io,
+    collections::{HashMap, VecDeque},
     net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
     thread,
@@ -34,6 +33,7 @@
     meters::Meters,
     metrics::Metrics,
     runner::Runner,
+    stop_signal::StopSignal,
     store_health::{CountedStore, StoreHealth},
 };
 
@@ -59,6 +59,7 @@
     front: Front,
     inbox: Sender<Input>,
     core: thread::JoinHandle<()>,
+    stop_signal: StopSignal,
 }
 
 impl Entry {
@@ -73,6 +74,7 @@
             .enable_all()
             .build()
             .map_err(EntryError::Runtime)?;
+        let stop_signal = StopSignal::bind(&runtime).map_err(EntryError::Runtime)?;
         let callers_listener = bind_tcp(settings.callers, "callers")?;
         let (peers_listener, peers_socket) = bind_peers(settings.peers)?;
         let callers = local(&callers_listener, settings.callers)?;
@@ -82,12 +84,14 @@
         let clock = Clock::start();
         let store = HttpStore::open(settings.store, STORE_TIMEOUT);
         let list = HttpInstanceList::open(settings.instance_list, LIST_TIMEOUT);
+        let workers = HttpWorkers::open();
         let meters = Meters {
             store_health: StoreHealth::new(clock),
             heartbeats: Traffic::default(),
             links: Traffic::default(),
             store: store.traffic().clone(),
             list: list.traffic().clone(),
+            workers: workers.traffic().clone(),
         };
         let store = CountedStore::new(store, meters.store_health.clone());
         let (inbox, inputs) = flume::bounded(INBOX_INPUTS);
@@ -135,11 +139,13 @@
                 endpoints: HttpEndpoints::open(),
                 batch: BatchRunner {
                     store: store.clone(),
-                    workers: HttpWorkers::open(),
+                    workers,
                     clock,
                     runtime: runtime.handle().clone(),
                     inbox: inbox.clone(),
                 },
+                config_taken: Arc::default(),
+                later: VecDeque::new(),
                 submitters: HashMap::new(),
                 links: links.clone(),
                 heartbeats,
@@ -174,6 +180,7 @@
             front,
             inbox,
             core,
+            stop_signal,
         })
     }
 
@@ -197,10 +204,11 @@
             front,
             inbox,
             core,
+            mut stop_signal,
             ..
         } = self;
         runtime.block_on(async {
-            asked_to_stop().await.map_err(EntryError::Runtime)?;
+            stop_signal.received().await;
             front.stop_taking();
             inbox
                 .send_async(Input::Event(Event::StopRequested))
@@ -225,18 +233,6 @@
     Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
 }
 
-async fn asked_to_stop() -> io::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 fn bind_tcp(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, EntryError> {
     TcpListener::bind(address).map_err(|source| EntryError::Bind {
         address,
--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -256,7 +256,9 @@
         });
         self.balancer.add(name, callers);
         lock(&self.callers).insert(name.into(), callers);
-        self.config_watch.add(name, instance.callers());
+        if self.spec.watch {
+            self.config_watch.add(name, instance.callers());
+        }
         self.instances.lock().await.insert(name.into(), instance);
         Ok(())
     }
@@ -379,6 +381,13 @@
         instances.iter().filter_map(used).collect()
     }
 
+    /// Memory that each running instance holds resident, in bytes.
+    pub async fn resident_bytes(&self) -> BTreeMap<SmolStr, u64> {
+        let instances = self.instances.lock().await;
+        let held = |(name, i): (&SmolStr, &Instance)| Some((name.clone(), i.resident_bytes()?));
+        instances.iter().filter_map(held).collect()
+    }
+
     /// Callers' way in: the balancer.
     pub fn entrances(&self) -> Entrances {
         Entrances::open(vec![self.balancer.address()])
@@ -397,7 +406,7 @@
         violations.add_batch(&self.batch.counts());
         violations.add_attempts(&attempts, &self.requests);
         violations.add_stops(&attempts, &lock(&self.stops), |attempt| {
-            self.balancer.backend_of(attempt.local?)
+            self.balancer.backend_of(attempt.local?, attempt.ended_us)
         });
         violations.add_config_writes(&self.store.history_of(CONFIG_KEY));
         violations.config_reverted += self.config_watch.reverted();
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -6,11 +6,13 @@
 mod batch_steady;
 mod black_hole;
 mod cancel_wave;
+mod config_race;
 mod crest;
 mod demo;
 mod drain;
 mod fair;
 mod hol;
+mod idle_cost;
 mod instance_loss;
 mod load;
 mod misdeclared;
@@ -101,6 +103,8 @@
     bad_network::SCENARIO,
     partition::SCENARIO,
     slopes::SCENARIO,
+    config_race::SCENARIO,
+    idle_cost::SCENARIO,
     batch_steady::SCENARIO,
     batch_chaos::SCENARIO,
     takeover::SCENARIO,
--- a/crates/guavacart_scheduler/src/batch/journal.rs
+++ b/crates/guavacart_scheduler/src/batch/journal.rs
@@ -1,12 +1,16 @@
 //! Records of a cell's journal, and the one append that may be in flight.
 
 use guavacart_config::JournalWrites;
-use guavacart_types::{Attempt, CellId, Epoch, JobId, Revision, Span, TaskId, Timestamp, WorkerId};
+use std::collections::BTreeMap;
+
+use guavacart_types::{
+    Attempt, CellId, Epoch, JobId, Resources, Revision, Span, TaskId, TeamName, Timestamp, WorkerId,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
-use super::job::{AttemptEnd, Job, JobSpec, StopReason};
+use super::job::{AttemptEnd, Home, Job, JobSpec, StopReason, Task};
 use crate::membership::Member;
 
 /// Most changes in one record.
@@ -58,6 +62,69 @@
         /// How.
         end: AttemptEnd,
     },
+    /// A queued task left for another cell.
+    Sent {
+        /// The task.
+        task: TaskId,
+        /// The attempt that the move counts as.
+        attempt: Attempt,
+        /// The cell.
+        to: CellId,
+    },
+    /// Tasks of another cell's job arrived.
+    Received(Box<Received>),
+    /// Tasks came back to the job's home.
+    Returned {
+        /// The job.
+        job: JobId,
+        /// The tasks, waiting or ended.
+        tasks: Vec<(u32, Task)>,
+    },
+    /// The most that another cell may hold of a team's quota.
+    Granted {
+        /// The team.
+        team: TeamName,
+        /// The cell.
+        cell: CellId,
+        /// Its share.
+        share: Share,
+    },
+    /// The most that this cell may hold of a team's quota that another cell divides.
+    Allowed {
+        /// The team.
+        team: TeamName,
+        /// The share.
+        share: Share,
+    },
+    /// The other cell is known to hold a task that was sent, or that ended here.
+    Acknowledged {
+        /// The task.
+        task: TaskId,
+        /// The attempt.
+        attempt: Attempt,
+    },
+}
+
+/// A part of a team's quota; it grows only under a new number.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Share {
+    /// The number of the grant.
+    pub sequence: u64,
+    /// The most that the team's tasks may hold.
+    pub amount: Resources,
+}
+
+/// Tasks of another cell's job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Received {
+    /// The job.
+    pub spec: JobSpec,
+    /// Where it was submitted.
+    pub home: Home,
+    /// True if it was cancelled.
+    pub cancelled: bool,
+    /// The tasks.
+    pub tasks: Vec<(u32, Task)>,
 }
 
 impl Change {
@@ -65,6 +132,10 @@
     fn bytes(&self) -> usize {
         match self {
             Self::Admitted(spec) => 4 * CHANGE_BYTES + spec.payload.len(),
+            Self::Received(received) => {
+                (4 + received.tasks.len()) * CHANGE_BYTES + received.spec.payload.len()
+            }
+            Self::Returned { tasks, .. } => (1 + tasks.len()) * CHANGE_BYTES,
             Self::Ended {
                 end:
                     AttemptEnd::Stopped {
@@ -110,6 +181,10 @@
     pub jobs: Vec<Job>,
     /// Failures in a row of each worker that has any.
     pub failing: Vec<(WorkerId, u32)>,
+    /// What other cells may hold of the quotas that this cell divides.
+    pub granted: BTreeMap<TeamName, BTreeMap<CellId, Share>>,
+    /// What this cell may hold of the quotas that others divide.
+    pub allowed: BTreeMap<TeamName, Share>,
 }
 
 /// What the store holds of a cell.
--- a/crates/guavacart_wire/tests/journal.rs
+++ b/crates/guavacart_wire/tests/journal.rs
@@ -2,16 +2,19 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
+
 use guavacart_scheduler::{
     batch::{
         PeerBatch,
         call::{JobCall, JobReply, NotAccepted},
-        job::{AttemptEnd, Job, JobSpec, Priority, StopReason, Task, TaskState},
-        journal::{Change, JournalError, Record, Snapshot},
+        handoff::{Back, HandOff, Offer, Room, ShareOrder, ShareReport, Ticket},
+        job::{AttemptEnd, Home, Job, JobSpec, Priority, StopReason, Task, TaskState},
+        journal::{Change, JournalError, Received, Record, Share, Snapshot},
     },
     membership::Member,
 };
-use guavacart_types::{Attempt, CallId, Epoch, Incarnation, Resources, Span, TaskId};
+use guavacart_types::{Attempt, CallId, Epoch, Incarnation, Resources, Span, TaskId, Timestamp};
 use guavacart_wire::{
     decode_peer_batch, decode_record, decode_snapshot, encode_peer_batch, encode_record,
     encode_snapshot,
@@ -33,6 +36,37 @@
     }
 }
 
+fn share() -> Share {
+    Share {
+        sequence: 4,
+        amount: Resources::default(),
+    }
+}
+
+fn home() -> Home {
+    Home {
+        cell: "c1".parse().unwrap(),
+        epoch: Epoch(3),
+    }
+}
+
+fn tasks() -> Vec<(u32, Task)> {
+    let task = Task {
+        state: TaskState::Finished,
+        attempt: Attempt(4),
+        checkpoint: Some("saved".into()),
+        ..Task::default()
+    };
+    vec![(7, task)]
+}
+
+fn ticket() -> Ticket {
+    Ticket {
+        epoch: Epoch(5),
+        issued: Timestamp(77),
+    }
+}
+
 fn record() -> Record {
     let task = TaskId {
         job: "j".parse().unwrap(),
@@ -59,13 +93,38 @@
                 reason: StopReason::Displaced,
             },
             Change::Ended {
-                task,
+                task: task.clone(),
                 attempt,
                 end: AttemptEnd::Stopped {
                     checkpoint: Some("saved".into()),
                 },
             },
             Change::Cancelled("j".parse().unwrap()),
+            Change::Sent {
+                task: task.clone(),
+                attempt,
+                to: "c2".parse().unwrap(),
+            },
+            Change::Received(Box::new(Received {
+                spec: spec(),
+                home: home(),
+                cancelled: true,
+                tasks: tasks(),
+            })),
+            Change::Returned {
+                job: "j".parse().unwrap(),
+                tasks: tasks(),
+            },
+            Change::Acknowledged { task, attempt },
+            Change::Granted {
+                team: "red".parse().unwrap(),
+                cell: "c2".parse().unwrap(),
+                share: share(),
+            },
+            Change::Allowed {
+                team: "red".parse().unwrap(),
+                share: share(),
+            },
         ],
     }
 }
@@ -95,9 +154,15 @@
             order: 0,
             cancelled: false,
             ended: None,
-            tasks: vec![task],
+            home: Some(home()),
+            tasks: BTreeMap::from([(4, task)]),
         }],
         failing: vec![("w2".parse().unwrap(), 5)],
+        granted: BTreeMap::from([(
+            "red".parse().unwrap(),
+            BTreeMap::from([("c2".parse().unwrap(), share())]),
+        )]),
+        allowed: BTreeMap::from([("blue".parse().unwrap(), share())]),
     };
     let value = encode_snapshot(snapshot.clone()).unwrap();
     assert_eq!(decode_snapshot(KEY, &value).unwrap(), snapshot);
@@ -117,10 +182,10 @@
 #[test]
 fn a_record_of_a_later_version_is_named_as_such() {
     let mut value = encode_record(record()).unwrap();
-    value[0] = 2;
+    value[0] = 3;
     let err = decode_record(KEY, &value).unwrap_err();
     let key = KEY.into();
-    assert_eq!(err, JournalError::UnknownVersion { key, version: 2 });
+    assert_eq!(err, JournalError::UnknownVersion { key, version: 3 });
 }
 
 macro_rules! travels {
@@ -144,4 +209,55 @@
         call: CallId(3),
         reply: JobReply::NotAccepted(NotAccepted::StoreUnavailable),
     };
+    a_cells_room_travels: PeerBatch::Room {
+        cell: "c2".parse().unwrap(),
+        room: Room {
+            ticket: ticket(),
+            free: vec![Resources::default()],
+            waiting: 3,
+            shares: vec![ShareReport {
+                team: "red".parse().unwrap(),
+                share: share(),
+                used: Resources::default(),
+                waits: true,
+                capped: false,
+            }],
+        },
+    };
+    an_offer_travels: PeerBatch::HandOff {
+        cell: "c2".parse().unwrap(),
+        message: HandOff::Offer(Box::new(Offer {
+            from: "c1".parse().unwrap(),
+            epoch: Epoch(3),
+            ticket: ticket(),
+            spec: spec(),
+            cancelled: true,
+            tasks: tasks(),
+        })),
+    };
+    a_return_travels: PeerBatch::HandOff {
+        cell: "c1".parse().unwrap(),
+        message: HandOff::Back(Box::new(Back {
+            from: "c2".parse().unwrap(),
+            epoch: Epoch(3),
+            job: "j".parse().unwrap(),
+            tasks: tasks(),
+        })),
+    };
+    a_share_travels: PeerBatch::HandOff {
+        cell: "c2".parse().unwrap(),
+        message: HandOff::Share(Box::new(ShareOrder {
+            from: "c1".parse().unwrap(),
+            team: "red".parse().unwrap(),
+            share: share(),
+            cap: Some(Resources::default()),
+        })),
+    };
+    an_acknowledgement_travels: PeerBatch::HandOff {
+        cell: "c1".parse().unwrap(),
+        message: HandOff::Taken {
+            from: "c2".parse().unwrap(),
+            tasks: vec![(TaskId { job: "j".parse().unwrap(), index: 7 }, Attempt(4))],
+        },
+    };
 }
