Spread a job's tasks over racks or data centres, and heed deadlines

Cause: a job could not ask for spread, and its deadline was carried but unused.

Change: `spread` is `rack` or `data_centre`; among workers that hold a task, the rack or data centre with the fewest tasks of the job goes first, before cost and load. Among jobs of one priority the earlier deadline goes first, those without one last. A worker reserved for a job stays reserved.

Tests: two cases in the model, one that least-loaded placement alone would fail (three workers on two racks), one over the order of placements. Conclusion: spread holds within one cell; over cells it is up to the hand-off.

--- a/crates/guavacart_entry/src/jobs.rs
+++ b/crates/guavacart_entry/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use guavacart_scheduler::batch::{
     call::{JobReply, JobStatus, JobSummary, NotAccepted, RejectReason},
-    job::{JobSpec, Priority},
+    job::{JobSpec, Priority, Spread},
 };
 use guavacart_types::{BatchClass, JobId, Resources, Span, TeamName};
 use hyper::StatusCode;
@@ -28,6 +28,8 @@
     #[serde(default)]
     deadline_ms: Option<u64>,
     #[serde(default)]
+    spread: Option<Spread>,
+    #[serde(default)]
     payload: Value,
 }
 
@@ -61,6 +63,7 @@
         run_time: Span(job.expected_ms),
         priority: job.priority,
         deadline: job.deadline_ms.map(Span),
+        spread: job.spread,
         payload: job.payload.to_smolstr(),
     })
 }
--- a/crates/guavacart_lab/src/one_instance.rs
+++ b/crates/guavacart_lab/src/one_instance.rs
@@ -55,6 +55,7 @@
         run_time,
         priority: Priority::Normal,
         deadline: None,
+        spread: None,
         payload: "null".into(),
     })
 }
--- a/crates/guavacart_scheduler/benches/placement.rs
+++ b/crates/guavacart_scheduler/benches/placement.rs
@@ -42,6 +42,8 @@
 fn choice(c: &mut Criterion) {
     let candidate = |w: usize| Candidate {
         worker: id(&format!("w{w}")),
+        data_centre: id("dc1"),
+        beside: 0,
         rack: id("r0"),
         capacity: resources(32),
         used: resources(w as u64 % 29),
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -5,6 +5,7 @@
 mod moves;
 mod schedule;
 mod shares;
+mod spread;
 mod standing;
 mod sync;
 
@@ -154,6 +155,8 @@
     next_sharing: Timestamp,
     moves: moves::Moves,
     shares: shares::Shares,
+    /// When jobs with a deadline that wait should be done.
+    due: BTreeMap<JobId, Timestamp>,
 }
 
 impl Cell {
@@ -189,6 +192,7 @@
             next_sharing: cx.now,
             moves: moves::Moves::default(),
             shares: shares::Shares::default(),
+            due: BTreeMap::new(),
         }
     }
 
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -38,8 +38,8 @@
 }
 
 /// What one pass works on.
-struct Pass {
-    candidates: Vec<Candidate>,
+pub(super) struct Pass {
+    pub(super) candidates: Vec<Candidate>,
     occupants: BTreeMap<WorkerId, Vec<Occupant>>,
     unplaced: Vec<Unplaced>,
     /// The class whose price is on the candidates.
@@ -71,7 +71,7 @@
         }
         self.drain_leaving(cx);
         let mut pass = self.begin_pass(cx);
-        let keys: Vec<QueueKey> = self.ledger.queue.keys().copied().collect();
+        let keys = self.ordered_queue(cx);
         for key in keys.into_iter().take(MAX_JOBS_PER_PASS) {
             if pass.places >= MAX_PLACES_PER_PASS {
                 self.dirty = true;
@@ -97,6 +97,8 @@
             candidates.push(Candidate {
                 worker: worker.clone(),
                 rack: listed.rack.clone(),
+                data_centre: listed.data_centre.clone(),
+                beside: 0,
                 capacity: listed.capacity,
                 used: self.ledger.used(worker),
                 openings,
@@ -179,6 +181,7 @@
         };
         let spec = job.spec.clone();
         self.price_candidates(cx, pass, &spec);
+        self.count_beside(pass, &spec);
         for index in indices {
             if pass.places >= MAX_PLACES_PER_PASS {
                 return;
@@ -272,6 +275,7 @@
         }
         candidate.used = candidate.used.plus(&spec.resources);
         candidate.openings = candidate.openings.saturating_sub(1);
+        pass.add_beside(spec.spread, chosen);
         pass.places += 1;
         if let Some(reservation) = self.reservations.remove(id) {
             pass.release(&reservation.worker, &spec.resources);
--- /dev/null
+++ b/crates/guavacart_scheduler/src/batch/cell/spread.rs
@@ -0,0 +1,92 @@
+//! Spread of a job's tasks over racks or data centres, and deadlines in the queue's order.
+
+use std::collections::BTreeMap;
+
+use guavacart_types::{JobId, Timestamp, WorkerId};
+
+use super::{Cell, schedule::Pass};
+use crate::{
+    Cx,
+    batch::{
+        job::{JobSpec, Spread, TaskState},
+        ledger::QueueKey,
+        placement::Candidate,
+    },
+};
+
+impl Cell {
+    /// Counts the job's tasks in each candidate's rack or data centre.
+    pub(super) fn count_beside(&self, pass: &mut Pass, spec: &JobSpec) {
+        for candidate in &mut pass.candidates {
+            candidate.beside = 0;
+        }
+        let Some(job) = self
+            .ledger
+            .jobs
+            .get(&spec.id)
+            .filter(|_| spec.spread.is_some())
+        else {
+            return;
+        };
+        let mut places: BTreeMap<&WorkerId, u32> = BTreeMap::new();
+        for task in job.tasks.values() {
+            if let TaskState::Placed { worker, .. } = &task.state {
+                *places.entry(worker).or_default() += 1;
+            }
+        }
+        for index in 0..pass.candidates.len() {
+            let count = places.get(&pass.candidates[index].worker);
+            for _ in 0..count.copied().unwrap_or(0) {
+                pass.add_beside(spec.spread, index);
+            }
+        }
+    }
+
+    /// Jobs that wait, in order of priority, deadline and admission.
+    pub(super) fn ordered_queue(&mut self, cx: &Cx<'_>) -> Vec<QueueKey> {
+        let mut before = std::mem::take(&mut self.due);
+        let mut order: Vec<(QueueKey, Option<Timestamp>)> = Vec::new();
+        for (key, waiting) in &self.ledger.queue {
+            let due = self.due_at(cx, &mut before, &waiting.job);
+            if let Some(due) = due {
+                self.due.insert(waiting.job.clone(), due);
+            }
+            order.push((*key, due));
+        }
+        if !self.due.is_empty() {
+            let latest = Timestamp(u64::MAX);
+            order.sort_by_key(|((priority, n), due)| (*priority, due.unwrap_or(latest), *n));
+        }
+        order.into_iter().map(|(key, _)| key).collect()
+    }
+
+    /// When a job should be done, counted from when this owner first saw it wait.
+    fn due_at(
+        &self,
+        cx: &Cx<'_>,
+        before: &mut BTreeMap<JobId, Timestamp>,
+        id: &JobId,
+    ) -> Option<Timestamp> {
+        let known = before.remove(id);
+        let deadline = self.ledger.jobs.get(id)?.spec.deadline?;
+        Some(known.unwrap_or(cx.now + deadline))
+    }
+}
+
+impl Pass {
+    /// Counts one more task of the job on a candidate.
+    pub(super) fn add_beside(&mut self, spread: Option<Spread>, chosen: usize) {
+        let Some(spread) = spread else {
+            return;
+        };
+        let rack = self.candidates[chosen].rack.clone();
+        let data_centre = self.candidates[chosen].data_centre.clone();
+        let near = |candidate: &&mut Candidate| match spread {
+            Spread::Rack => candidate.rack == rack,
+            Spread::DataCentre => candidate.data_centre == data_centre,
+        };
+        for candidate in self.candidates.iter_mut().filter(near) {
+            candidate.beside += 1;
+        }
+    }
+}
--- a/crates/guavacart_scheduler/src/batch/job.rs
+++ b/crates/guavacart_scheduler/src/batch/job.rs
@@ -34,6 +34,16 @@
     Background,
 }
 
+/// What a job's tasks are spread over, as evenly as free workers allow.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Spread {
+    /// Racks.
+    Rack,
+    /// Data centres.
+    DataCentre,
+}
+
 /// A job as submitted.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobSpec {
@@ -53,6 +63,9 @@
     pub priority: Priority,
     /// Time from admission by which it should be done.
     pub deadline: Option<Span>,
+    /// Over what its tasks are spread.
+    #[serde(default)]
+    pub spread: Option<Spread>,
     /// Passed to the worker as it is.
     pub payload: SmolStr,
 }
--- a/crates/guavacart_scheduler/src/batch/placement.rs
+++ b/crates/guavacart_scheduler/src/batch/placement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use guavacart_types::{Rack, Resources, Span, TaskId, Timestamp, WorkerId};
+use guavacart_types::{DataCentre, Rack, Resources, Span, TaskId, Timestamp, WorkerId};
 
 /// What placement knows of one worker.
 #[derive(Clone, Debug)]
@@ -11,6 +11,10 @@
     pub worker: WorkerId,
     /// Its rack.
     pub rack: Rack,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Tasks of the job in the same rack or data centre, if the job is to be spread.
+    pub beside: u32,
     /// What it holds.
     pub capacity: Resources,
     /// What is committed on it.
@@ -62,8 +66,8 @@
     own || beside.fits_in(&candidate.capacity) || want.ends_at <= candidate.reserved_at
 }
 
-/// Order among workers that hold the task: measured cost, accelerators spared, load.
-fn score(candidate: &Candidate, want: &Want<'_>) -> (bool, u64, u32, u64) {
+/// Order among workers that hold the task: spread, measured cost, accelerators spared, load.
+fn score(candidate: &Candidate, want: &Want<'_>) -> (bool, u32, u64, u32, u64) {
     let other = want.reserved != Some(&candidate.worker);
     let spared = match want.resources.accelerators.0 {
         0 => candidate.capacity.accelerators.0,
@@ -72,6 +76,7 @@
     let taken = candidate.used.plus(&want.resources);
     (
         other,
+        candidate.beside,
         candidate.cost,
         spared,
         load_ppm(&taken, &candidate.capacity),
--- a/crates/guavacart_scheduler/tests/batch/cases.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -7,12 +7,12 @@
     batch::{
         BatchEffect, BatchEvent, CellNote, RecordRead,
         call::{JobReply, RejectReason},
-        job::{JobSpec, Priority},
+        job::{JobSpec, Priority, Spread},
         journal::{Appended, Change, Record},
     },
     membership::Member,
 };
-use guavacart_types::{CellId, JobId};
+use guavacart_types::{CellId, JobId, Span};
 use rstest::rstest;
 
 fn ids(jobs: &[JobSpec]) -> Vec<JobId> {
@@ -356,3 +356,51 @@
     let commands = |e: &BatchEffect| matches!(e, BatchEffect::Sync { .. });
     assert!(!effects.iter().any(commands), "{effects:?}");
 }
+
+#[test]
+fn a_spread_job_takes_both_racks_evenly() {
+    let mut world = World::new(Setup {
+        workers: 3,
+        ..Setup::default()
+    });
+    let spec = JobSpec {
+        spread: Some(Spread::Rack),
+        ..job("spread", 8, 1, 30_000)
+    };
+    world.submit(&spec);
+    let end = world.now + 10_000;
+    assert!(world.run_while(end, |world| world.runs(&spec.id) < 8));
+    let starts = &world.starts;
+    assert_eq!((starts[0] + starts[2], starts[1]), (4, 4));
+}
+
+#[test]
+fn among_equals_the_earlier_deadline_goes_first() {
+    let mut world = World::new(Setup::default());
+    let filler = job("filler", 4, 8, 4_000);
+    world.submit(&filler);
+    let end = world.now + 20_000;
+    assert!(world.run_while(end, |world| world.runs(&filler.id) < 4));
+    let due = |id: &str, deadline| JobSpec {
+        deadline,
+        ..job(id, 4, 8, 3_000)
+    };
+    let jobs = [
+        due("none", None),
+        due("late", Some(Span::secs(60))),
+        due("early", Some(Span::secs(20))),
+    ];
+    submit_all(&mut world, &jobs);
+    world.finish(&ids(&jobs), 120_000);
+    let changes = world.records(0).into_iter().flat_map(|r| &r.changes);
+    let placed = changes.filter_map(|change| match change {
+        Change::Placed { task, .. } => Some(task.job.as_str()),
+        _ => None,
+    });
+    let mut order: Vec<&str> = placed.filter(|job| *job != "filler").collect();
+    // The first job to be blocked keeps the worker that was reserved for it.
+    let kept = order.iter().position(|job| *job == "none").unwrap();
+    order.remove(kept);
+    let expected = [&["early"; 4][..], &["late"; 4], &["none"; 3]].concat();
+    assert_eq!(order, expected);
+}
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -19,7 +19,7 @@
 };
 use guavacart_types::{
     Accelerators, Attempt, ByteSize, CallId, CellId, Epoch, Incarnation, InstanceId, JobId,
-    Processors, Resources, Revision, Span, TaskId, Timestamp, WorkerId, mix,
+    Processors, Rack, Resources, Revision, Span, TaskId, Timestamp, WorkerId, mix,
 };
 
 /// Something that goes wrong.
@@ -110,6 +110,7 @@
         run_time: Span::millis(run_ms),
         priority: Priority::Normal,
         deadline: None,
+        spread: None,
         payload: "".into(),
     }
 }
@@ -307,7 +308,8 @@
         } else {
             first
         };
-        let racks = |cell: usize| vec![format!("r{cell}").parse().unwrap()];
+        let cells = self.setup.cells;
+        let racks = |cell: usize| vec![rack(cell, cells), rack(cell + cells, cells)];
         let cells = (0..named).map(|c| {
             let joined_later = c >= first;
             let racks = racks(c);
@@ -359,7 +361,7 @@
         });
         let workers = workers.map(|w| Role::Worker {
             id: worker_id(w),
-            rack: format!("r{}", w % cells).parse().unwrap(),
+            rack: rack(w, cells),
             capacity: self.capacity(w),
         });
         entries.chain(workers).map(listed).collect()
@@ -1120,6 +1122,12 @@
     })
 }
 
+/// The rack of a worker; each cell has two.
+fn rack(worker: usize, cells: usize) -> Rack {
+    let second = worker / cells % 2;
+    format!("r{}-{second}", worker % cells).parse().unwrap()
+}
+
 fn cell_id(index: usize) -> CellId {
     format!("c{index}").parse().unwrap()
 }
--- a/crates/guavacart_wire/src/journal/job.rs
+++ b/crates/guavacart_wire/src/journal/job.rs
@@ -1,7 +1,7 @@
 //! Jobs and tasks as they stand in the store and travel between entry instances.
 
 use guavacart_scheduler::batch::job::{
-    AttemptEnd, Home, Job, JobSpec, ParkReason, Priority, StopReason, Task, TaskState,
+    AttemptEnd, Home, Job, JobSpec, ParkReason, Priority, Spread, StopReason, Task, TaskState,
 };
 use guavacart_types::{
     Attempt, BatchClass, CellId, Epoch, JobId, Resources, Span, TeamName, WorkerId,
@@ -17,6 +17,13 @@
     Background,
 }
 
+/// [`Spread`] in a record.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+enum SpreadWire {
+    Rack,
+    DataCentre,
+}
+
 /// [`JobSpec`] in a record.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct JobSpecWire {
@@ -28,6 +35,7 @@
     run_time_ms: u64,
     priority: PriorityWire,
     deadline_ms: Option<u64>,
+    spread: Option<SpreadWire>,
     payload: SmolStr,
 }
 
@@ -113,6 +121,7 @@
     };
 }
 
+same_variants!(Spread, SpreadWire: Rack, DataCentre);
 same_variants!(Priority, PriorityWire: Urgent, Normal, Background);
 same_variants!(
     StopReason, StopReasonWire: Cancelled, Displaced, Interference, WorkerLeaving
@@ -129,6 +138,7 @@
             run_time_ms: spec.run_time.0,
             priority: spec.priority.into(),
             deadline_ms: spec.deadline.map(|deadline| deadline.0),
+            spread: spec.spread.map(SpreadWire::from),
             payload: spec.payload,
         }
     }
@@ -145,6 +155,7 @@
             run_time: Span(wire.run_time_ms),
             priority: wire.priority.into(),
             deadline: wire.deadline_ms.map(Span),
+            spread: wire.spread.map(Spread::from),
             payload: wire.payload,
         }
     }
--- a/crates/guavacart_wire/tests/journal.rs
+++ b/crates/guavacart_wire/tests/journal.rs
@@ -9,7 +9,7 @@
         PeerBatch,
         call::{JobCall, JobReply, NotAccepted},
         handoff::{Back, HandOff, Offer, Room, ShareOrder, ShareReport, Ticket},
-        job::{AttemptEnd, Home, Job, JobSpec, Priority, StopReason, Task, TaskState},
+        job::{AttemptEnd, Home, Job, JobSpec, Priority, Spread, StopReason, Task, TaskState},
         journal::{Change, JournalError, Received, Record, Share, Snapshot},
     },
     membership::Member,
@@ -32,6 +32,7 @@
         run_time: Span::millis(700),
         priority: Priority::Urgent,
         deadline: Some(Span::secs(9)),
+        spread: Some(Spread::DataCentre),
         payload: "{}".into(),
     }
 }
