Place by seen memory, and stop tasks that outgrow their declaration

Cause: reports of what tasks take were ignored; a team that declares a third of its memory overfilled every worker.

Change: the owner keeps, by team and class, how far memory goes beyond what is declared (raised at once, lowered by an eighth as tasks finish). Placement, reservations and displacement reckon with that size, at most the largest worker's memory; quotas and records keep the declared one. Where the tasks on a worker take more memory than it has, those that outgrew their declaration are stopped from a checkpoint, the furthest beyond first; a task alone on its worker goes on. They are not throttled: that frees no memory.

Tests: tasks that take three times their declaration pass a worker's memory once, never again from 4 s later on, and all finish. Sizes are relearned by a new owner.

--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -5,6 +5,7 @@
 mod moves;
 mod schedule;
 mod shares;
+mod sizes;
 mod spread;
 mod standing;
 mod sync;
@@ -141,6 +142,8 @@
     waiting: BTreeMap<JobId, Decision>,
     /// Run times seen over run times declared.
     run_times: super::estimate::RunTimes,
+    /// Memory seen over memory declared.
+    sizes: super::estimate::Sizes,
     snapshot: Option<Snapshot>,
     writing_snapshot: bool,
     revision: Revision,
@@ -180,6 +183,7 @@
             decisions: BTreeMap::new(),
             waiting: BTreeMap::new(),
             run_times: super::estimate::RunTimes::default(),
+            sizes: super::estimate::Sizes::default(),
             snapshot: None,
             writing_snapshot: false,
             revision: Revision::default(),
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use guavacart_config::Placement;
-use guavacart_types::{BatchClass, Resources, Span, TaskId, Timestamp, WorkerId};
+use guavacart_types::{BatchClass, ByteSize, Resources, Span, TaskId, Timestamp, WorkerId};
 
 use super::{Cell, Reservation};
 use crate::{
@@ -40,6 +40,8 @@
 /// What one pass works on.
 pub(super) struct Pass {
     pub(super) candidates: Vec<Candidate>,
+    /// Memory of the largest worker.
+    largest: ByteSize,
     occupants: BTreeMap<WorkerId, Vec<Occupant>>,
     unplaced: Vec<Unplaced>,
     /// The class whose price is on the candidates.
@@ -83,6 +85,7 @@
 
     fn begin_pass(&mut self, cx: &Cx<'_>) -> Pass {
         self.forget_reservations();
+        let largest = self.largest_memory(cx);
         let mut candidates = Vec::new();
         for (worker, listed) in self.listed(cx) {
             let owned_since = self.owned_since;
@@ -100,7 +103,10 @@
                 data_centre: listed.data_centre.clone(),
                 beside: 0,
                 capacity: listed.capacity,
-                used: self.ledger.used(worker),
+                used: self
+                    .ledger
+                    .used(worker)
+                    .plus(&self.beyond_committed(worker, largest)),
                 openings,
                 cost: 0,
                 reserved: Resources::default(),
@@ -109,6 +115,7 @@
         }
         let mut pass = Pass {
             candidates,
+            largest,
             occupants: self.occupants(cx),
             unplaced: Vec::new(),
             priced: None,
@@ -137,7 +144,8 @@
                 continue;
             };
             pass.reserved_normal |= job.spec.priority != Priority::Urgent;
-            pass.keep(&reservation.worker, &job.spec.resources, reservation.at);
+            let size = self.expected_size(&job.spec, pass.largest);
+            pass.keep(&reservation.worker, &size, reservation.at);
         }
     }
 
@@ -153,6 +161,7 @@
 
     fn occupant(&self, cx: &Cx<'_>, id: &AttemptId, tracked: &Tracked) -> Option<Occupant> {
         let job = self.ledger.jobs.get(&id.task.job)?;
+        let largest = self.largest_memory(cx);
         let began = tracked.seen_at.unwrap_or(tracked.placed_at);
         let rule = cx.configuration.batch_classes.get(&job.spec.class);
         let stopping = tracked.stop.is_some();
@@ -162,7 +171,7 @@
         };
         Some(Occupant {
             task: id.task.clone(),
-            resources: job.spec.resources,
+            resources: self.running_size(id, tracked, largest)?,
             ends_at,
             ran: cx.now.since(began),
             checkpoints: rule.is_some_and(|rule| rule.checkpoints),
@@ -179,7 +188,8 @@
         let Some(job) = self.ledger.jobs.get(&waiting.job) else {
             return;
         };
-        let spec = job.spec.clone();
+        let mut spec = job.spec.clone();
+        spec.resources = self.expected_size(&spec, pass.largest);
         self.price_candidates(cx, pass, &spec);
         self.count_beside(pass, &spec);
         for index in indices {
@@ -212,7 +222,9 @@
 
     fn try_task(&mut self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec, id: &TaskId) -> Tried {
         if let Some(slice) = self.team_slice(cx, &spec.team) {
-            let wanted = self.ledger.team_used(&spec.team).plus(&spec.resources);
+            let declared = self.ledger.jobs.get(&id.job).map(|job| job.spec.resources);
+            let declared = declared.unwrap_or(spec.resources);
+            let wanted = self.ledger.team_used(&spec.team).plus(&declared);
             if !wanted.fits_in(&slice) {
                 let team = spec.team.clone();
                 return Tried::Blocked(Decision::WaitsForQuota { team, slice });
--- a/crates/guavacart_scheduler/src/batch/cell/sync.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/sync.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use guavacart_types::{Epoch, Timestamp, WorkerId};
+use guavacart_types::{ByteSize, Epoch, Timestamp, WorkerId};
 
 use super::{Cell, Io};
 use crate::{
@@ -163,6 +163,7 @@
                 link.answered(cx.now);
                 self.learn_usage(cx, &worker, &usage);
                 self.reported(cx, &worker, attempts);
+                self.learn_sizes(cx, &worker, &usage);
             }
             WorkerAnswer::NotSent => {}
             WorkerAnswer::Deposed(epoch) => return Some(epoch),
@@ -278,6 +279,7 @@
 
     fn learn(&mut self, now: Timestamp, worker: &WorkerId, id: &AttemptId, end: &AttemptEnd) {
         let tracked = self.links.get(worker).and_then(|l| l.tracked.get(id));
+        let peak = tracked.map_or(ByteSize::default(), |t| t.peak);
         let began = tracked.and_then(|t| t.seen_at.or(Some(t.placed_at)));
         let (Some(began), Some(job)) = (began, self.ledger.jobs.get(&id.task.job)) else {
             return;
@@ -287,6 +289,7 @@
         if *end == AttemptEnd::Finished && !resumed {
             let ran = now.since(began);
             self.run_times.finished(&job.spec, ran);
+            self.sizes.finished(&job.spec, peak);
         }
     }
 
--- a/crates/guavacart_scheduler/src/batch/decision.rs
+++ b/crates/guavacart_scheduler/src/batch/decision.rs
@@ -95,6 +95,7 @@
         StopReason::Displaced => "urgent work needs its place",
         StopReason::Interference => "it slows a service there",
         StopReason::WorkerLeaving => "the worker leaves",
+        StopReason::Outgrown => "it takes more memory than declared and the worker has too little",
     }
 }
 
--- a/crates/guavacart_scheduler/src/batch/job.rs
+++ b/crates/guavacart_scheduler/src/batch/job.rs
@@ -82,6 +82,8 @@
     Interference,
     /// Its worker leaves.
     WorkerLeaving,
+    /// It takes more memory than it declared, and its worker has too little.
+    Outgrown,
 }
 
 /// How an attempt ended.
--- a/crates/guavacart_scheduler/src/batch/link.rs
+++ b/crates/guavacart_scheduler/src/batch/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_types::{Attempt, Span, TaskId, Timestamp};
+use guavacart_types::{Attempt, ByteSize, Span, TaskId, Timestamp};
 
 use super::worker::AttemptId;
 use crate::membership::DRIFT_MARGIN;
@@ -41,6 +41,8 @@
     pub(super) seen_at: Option<Timestamp>,
     pub(super) placed_at: Timestamp,
     pub(super) progress_ppm: u32,
+    /// The most memory that it was seen to take.
+    pub(super) peak: ByteSize,
     pub(super) throttle: Option<u32>,
     pub(super) throttle_sent: Option<u32>,
 }
@@ -53,6 +55,7 @@
             seen_at: None,
             placed_at,
             progress_ppm: 0,
+            peak: ByteSize::default(),
             throttle: None,
             throttle_sent: None,
         }
--- a/crates/guavacart_scheduler/tests/batch/cases.rs
+++ b/crates/guavacart_scheduler/tests/batch/cases.rs
@@ -404,3 +404,21 @@
     let expected = [&["early"; 4][..], &["late"; 4], &["none"; 3]].concat();
     assert_eq!(order, expected);
 }
+
+#[test]
+fn tasks_that_outgrow_their_declaration_are_stopped_and_placed_by_what_they_take() {
+    let mut world = World::new(Setup {
+        memory_percent: 300,
+        ..Setup::default()
+    });
+    let spec = job("j", 60, 1, 4_000);
+    world.submit(&spec);
+    let end = world.now + 20_000;
+    assert!(world.run_while(end, |world| world.memory_suffices()));
+    let settled = world.now + 4_000;
+    world.run_while(settled, |_| true);
+    let end = world.now + 60_000;
+    let passed = world.run_while(end, |world| world.memory_suffices());
+    assert!(!passed, "too much memory is taken at {}", world.now);
+    assert_eq!(finished(&mut world, &spec.id), 60);
+}
--- a/crates/guavacart_scheduler/tests/batch/model.rs
+++ b/crates/guavacart_scheduler/tests/batch/model.rs
@@ -11,7 +11,10 @@
         call::JobReply,
         job::{JobSpec, Priority},
         journal::{Appended, Change, Record, Snapshot, SnapshotWritten, Stored},
-        worker::{AttemptId, AttemptState, WorkerAnswer, WorkerCommand, WorkerReport, WorkerSync},
+        worker::{
+            AttemptId, AttemptState, UsageReport, WorkerAnswer, WorkerCommand, WorkerReport,
+            WorkerSync,
+        },
     },
     config::{ConfigEffect, ConfigEvent},
     directory::{ListedInstance, Role},
@@ -71,6 +74,8 @@
     pub(crate) joining: usize,
     /// The quota of the second configuration.
     pub(crate) later_quota: Option<Resources>,
+    /// Memory that tasks take, in percent of what they declare.
+    pub(crate) memory_percent: u64,
 }
 
 impl Default for Setup {
@@ -88,6 +93,7 @@
             small: BTreeSet::new(),
             joining: 0,
             later_quota: None,
+            memory_percent: 100,
         }
     }
 }
@@ -186,6 +192,21 @@
     ends_at: u64,
 }
 
+impl Attempted {
+    fn runs(&self, now: u64) -> bool {
+        let until = self.ends_at.min(self.lease_until);
+        matches!(self.state, AttemptState::Running { .. }) && now < until
+    }
+
+    fn taken(&self, percent: u64) -> Resources {
+        let memory = ByteSize(self.resources.memory.0 * percent / 100);
+        Resources {
+            memory,
+            ..self.resources
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Worker {
     epoch: Epoch,
@@ -969,9 +990,16 @@
         }
         let attempts = worker.attempts.iter();
         let attempts = attempts.map(|(id, a)| (id.clone(), a.state.clone()));
+        let percent = self.setup.memory_percent;
+        let running = worker.attempts.iter().filter(|(_, a)| a.runs(now));
+        let taken = running.map(|(id, a)| (id.clone(), a.taken(percent)));
         let report = WorkerAnswer::Report {
             attempts: attempts.collect(),
-            usage: Vec::new(),
+            usage: vec![UsageReport {
+                age: Span::ZERO,
+                tasks: taken.collect(),
+                services: Vec::new(),
+            }],
         };
         if lost { WorkerAnswer::Unknown } else { report }
     }
@@ -1016,6 +1044,17 @@
         stored.map_or(Vec::new(), |s| s.records.values().collect())
     }
 
+    /// True if the tasks on each worker take no more memory than it has.
+    pub(crate) fn memory_suffices(&self) -> bool {
+        let percent = self.setup.memory_percent;
+        let within = |(index, worker): (usize, &Worker)| {
+            let running = worker.attempts.values().filter(|a| a.runs(self.now));
+            let taken: u64 = running.map(|a| a.taken(percent).memory.0).sum();
+            taken <= self.capacity(index).memory.0
+        };
+        self.workers.iter().enumerate().all(within)
+    }
+
     /// Attempts that run now.
     pub(crate) fn running(&self) -> usize {
         let attempts = self.workers.iter().flat_map(|w| w.attempts.values());
--- a/crates/guavacart_wire/src/journal/job.rs
+++ b/crates/guavacart_wire/src/journal/job.rs
@@ -46,6 +46,7 @@
     Displaced,
     Interference,
     WorkerLeaving,
+    Outgrown,
 }
 
 /// [`AttemptEnd`] in a record.
@@ -124,7 +125,7 @@
 same_variants!(Spread, SpreadWire: Rack, DataCentre);
 same_variants!(Priority, PriorityWire: Urgent, Normal, Background);
 same_variants!(
-    StopReason, StopReasonWire: Cancelled, Displaced, Interference, WorkerLeaving
+    StopReason, StopReasonWire: Cancelled, Displaced, Interference, WorkerLeaving, Outgrown
 );
 
 impl From<JobSpec> for JobSpecWire {
