--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -5,6 +5,8 @@
 mod moves;
 mod schedule;
 mod shares;
+mod sizes;
+mod spread;
 mod standing;
 mod sync;
 
@@ -140,6 +142,8 @@
     waiting: BTreeMap<JobId, Decision>,
     /// Run times seen over run times declared.
     run_times: super::estimate::RunTimes,
+    /// Memory seen over memory declared.
+    sizes: super::estimate::Sizes,
     snapshot: Option<Snapshot>,
     writing_snapshot: bool,
     revision: Revision,
@@ -154,6 +158,8 @@
     next_sharing: Timestamp,
     moves: moves::Moves,
     shares: shares::Shares,
+    /// When jobs with a deadline that wait should be done.
+    due: BTreeMap<JobId, Timestamp>,
 }
 
 impl Cell {
@@ -177,6 +183,7 @@
             decisions: BTreeMap::new(),
             waiting: BTreeMap::new(),
             run_times: super::estimate::RunTimes::default(),
+            sizes: super::estimate::Sizes::default(),
             snapshot: None,
             writing_snapshot: false,
             revision: Revision::default(),
@@ -189,6 +196,7 @@
             next_sharing: cx.now,
             moves: moves::Moves::default(),
             shares: shares::Shares::default(),
+            due: BTreeMap::new(),
         }
     }
 
