Learn slopes jointly and add the colocation scenarios

Speeds lost with an unanswered call were never told again, a taken-over task's speed was unknown, and new tasks ran at full speed until the next review.

--- a/crates/guavacart_lab/src/checks.rs
+++ b/crates/guavacart_lab/src/checks.rs
@@ -55,6 +55,20 @@
         *self == Self::default()
     }
 
+    /// Adds what was counted in another run.
+    pub fn add(&mut self, other: &Self) {
+        self.double_run += other.double_run;
+        self.over_capacity += other.over_capacity;
+        self.slots_exceeded += other.slots_exceeded;
+        self.false_not_run += other.false_not_run;
+        self.duplicate_non_idempotent += other.duplicate_non_idempotent;
+        self.partial_or_foreign_answer += other.partial_or_foreign_answer;
+        self.late_new_work += other.late_new_work;
+        self.cut_off_by_shutdown += other.cut_off_by_shutdown;
+        self.config_reverted += other.config_reverted;
+        self.task_lost += other.task_lost;
+    }
+
     /// Adds what endpoints counted.
     pub fn add_endpoints(&mut self, counts: &EndpointCounts) {
         self.slots_exceeded += counts.slots_exceeded + counts.connections_exceeded;
--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -1,6 +1,7 @@
 //! The table of scenarios.
 
 mod bad_network;
+mod colocate;
 mod demo;
 
 use std::{future::Future, path::PathBuf, pin::Pin, time::Duration};
@@ -63,7 +64,12 @@
 }
 
 /// All scenarios.
-pub const SCENARIOS: &[Scenario] = &[demo::SCENARIO, bad_network::SCENARIO];
+pub const SCENARIOS: &[Scenario] = &[
+    demo::SCENARIO,
+    bad_network::SCENARIO,
+    colocate::COLOCATE_PAMOJA,
+    colocate::COLOCATE_CYMRU,
+];
 
 /// The scenario of this name.
 pub fn find(name: &str) -> Option<&'static Scenario> {
--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -145,6 +145,8 @@
     /// Thousandths of each worker that each class presses on, as last told.
     pressures: BTreeMap<(WorkerId, BatchClass), u32>,
     next_sharing: Timestamp,
+    /// When the controller was last told what runs.
+    shared_at: Timestamp,
 }
 
 impl Cell {
@@ -178,6 +180,7 @@
             colocation: Colocation::default(),
             pressures: BTreeMap::new(),
             next_sharing: cx.now,
+            shared_at: cx.now,
         }
     }
 
@@ -227,8 +230,9 @@
         }
         self.lapse_leases(cx);
         if !cx.stopping {
-            self.share_workers(cx, io);
             self.schedule(cx);
+            // After the places are given, so that a task may start at the speed that suits.
+            self.share_workers(cx, io);
         }
         self.append(cx, io);
         self.sync_workers(cx, io);
--- a/crates/guavacart_scheduler/src/batch/cell/colocate.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/colocate.rs
@@ -10,18 +10,16 @@
     batch::{
         BatchEffect,
         decision::Decision,
-        job::StopReason,
-        link::Tracked,
+        job::{JobSpec, StopReason},
+        link::{FULL_SPEED, Tracked},
         worker::{AttemptId, UsageReport},
     },
-    interference::{self, Action, Pressure, RunningTask, ServiceSample, ServiceSignal},
+    interference::{self, Action, Pressure, Pressures, RunningTask, ServiceSample, ServiceSignal},
     membership::ServiceLoad,
 };
 
 /// Time between two looks at how services and batch work get on.
 const REVIEW_INTERVAL: Span = Span::millis(200);
-/// Speed of a task that is not throttled, in percent.
-const FULL_SPEED: u32 = 100;
 
 impl Cell {
     /// Tells the controller what runs and how services do, and carries out what it decides.
@@ -30,6 +28,7 @@
             return;
         }
         self.next_sharing = cx.now + REVIEW_INTERVAL;
+        self.shared_at = cx.now;
         self.colocation.listed(cx.directory);
         for (service, signal) in service_signals(cx) {
             self.colocation.observe_service(cx.now, &service, signal);
@@ -57,10 +56,30 @@
         }
     }
 
-    /// What the class costs on each worker beyond what it takes.
+    /// What the class costs on each worker beyond what it takes, beside all that is placed there.
     pub(super) fn price(&self, cx: &Cx<'_>, worker: &WorkerId, class: &BatchClass) -> u64 {
+        let placed = self.not_yet_told(cx, worker);
         self.colocation
-            .price(cx.now, cx.configuration, worker, class)
+            .price(cx.now, cx.configuration, worker, class, &placed)
+    }
+
+    /// Pressure of tasks that were placed on a worker since the controller was last told.
+    fn not_yet_told(&self, cx: &Cx<'_>, worker: &WorkerId) -> Pressures {
+        let mut pressures = Pressures::new();
+        let link = self.links.get(worker);
+        for (id, tracked) in link.into_iter().flat_map(|link| &link.tracked) {
+            let job = self.ledger.jobs.get(&id.task.job);
+            let (Some(job), None) = (job, tracked.stop) else {
+                continue;
+            };
+            if tracked.placed_at < self.shared_at {
+                continue;
+            }
+            let pressure = pressure(cx, worker, &job.spec);
+            let sum: &mut Pressure = pressures.entry(job.spec.class.clone()).or_default();
+            sum.0 = sum.0.saturating_add(pressure.0);
+        }
+        pressures
     }
 
     fn running_tasks(&self, cx: &Cx<'_>) -> Vec<RunningTask> {
@@ -77,21 +96,19 @@
         id: &AttemptId,
         tracked: &Tracked,
     ) -> Option<RunningTask> {
-        let seen_at = tracked.seen_at?;
+        let began = tracked.seen_at.unwrap_or(tracked.placed_at);
         let job = self.ledger.jobs.get(&id.task.job)?;
-        let capacity = cx.directory.workers.get(worker)?.capacity.processors.0;
-        let share = job.spec.resources.processors.0 * 1_000 / capacity.max(1);
         let rule = cx.configuration.batch_classes.get(&job.spec.class);
         let at_stake = match rule.is_some_and(|rule| rule.checkpoints) {
             true => Span::ZERO,
-            false => cx.now.since(seen_at),
+            false => cx.now.since(began),
         };
         tracked.stop.is_none().then(|| RunningTask {
             task: id.task.clone(),
             attempt: id.attempt,
             worker: worker.clone(),
             class: job.spec.class.clone(),
-            pressure: Pressure(u32::try_from(share).unwrap_or(u32::MAX)),
+            pressure: pressure(cx, worker, &job.spec),
             percent: tracked.throttle.unwrap_or(FULL_SPEED),
             progress_ppm: tracked.progress_ppm,
             at_stake,
@@ -145,6 +162,14 @@
     }
 }
 
+/// Processors that a task keeps busy at full speed, in thousandths of the worker.
+fn pressure(cx: &Cx<'_>, worker: &WorkerId, spec: &JobSpec) -> Pressure {
+    let listed = cx.directory.workers.get(worker);
+    let capacity = listed.map_or(0, |listed| listed.capacity.processors.0);
+    let share = spec.resources.processors.0 * 1_000 / capacity.max(1);
+    Pressure(u32::try_from(share).unwrap_or(u32::MAX))
+}
+
 /// What the owners of each service's endpoints see, this instance's part included.
 fn service_signals(cx: &Cx<'_>) -> BTreeMap<ServiceName, ServiceSignal> {
     let mut signals: BTreeMap<ServiceName, ServiceSignal> = BTreeMap::new();
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -281,6 +281,9 @@
         if let Some(link) = self.links.get_mut(&worker) {
             link.tracked.insert(attempt, tracked);
         }
+        self.next_sharing = cx.now;
+        // The next task of the job would else go to the same worker, whose price did not change.
+        pass.candidates[chosen].cost = self.price(cx, &worker, &spec.class);
         let candidates = pass.candidates.len();
         let decision = Decision::Placed { worker, candidates };
         self.decisions.insert(id.clone(), decision);
--- a/crates/guavacart_scheduler/src/batch/cell/sync.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/sync.rs
@@ -74,8 +74,10 @@
             if call.commands.len() >= MAX_COMMANDS {
                 break;
             }
+            let told = call.commands.len();
             self.tell(&mut call, link, id, tracked);
-            if tracked.throttle != tracked.throttle_sent {
+            let last = call.commands.get(told..).and_then(<[_]>::last);
+            if matches!(last, Some(WorkerCommand::Throttle { .. })) {
                 throttled.push(id.clone());
             }
         }
@@ -105,9 +107,14 @@
                 id: id.clone(),
                 checkpoint: reason != Some(StopReason::Cancelled),
             });
-        } else if !seen && link.may_grant() {
+            return;
+        }
+        if !seen && link.may_grant() {
             call.commands.extend(self.start(id));
-        } else if let Some(percent) = tracked.throttle
+        } else if !seen {
+            return;
+        }
+        if let Some(percent) = tracked.throttle
             && tracked.throttle != tracked.throttle_sent
         {
             let id = id.clone();
@@ -164,9 +171,12 @@
                 self.learn_usage(cx, &worker, &usage);
                 self.reported(cx, &worker, attempts);
             }
-            WorkerAnswer::NotSent => {}
+            WorkerAnswer::NotSent => link.forget_speeds(),
             WorkerAnswer::Deposed(epoch) => return Some(epoch),
-            WorkerAnswer::Unknown => link.unanswered(call),
+            WorkerAnswer::Unknown => {
+                link.unanswered(call);
+                link.forget_speeds();
+            }
         }
         self.act(cx, io);
         None
--- a/crates/guavacart_scheduler/src/batch/link.rs
+++ b/crates/guavacart_scheduler/src/batch/link.rs
@@ -30,6 +30,9 @@
 /// Run time of an attempt that proves its worker.
 const PROOF_SPAN: Span = Span::secs(2);
 
+/// Speed of a task that is not throttled, in percent.
+pub(super) const FULL_SPEED: u32 = 100;
+
 /// One attempt that holds resources on the worker.
 #[derive(Clone, Debug)]
 pub(super) struct Tracked {
@@ -202,6 +205,13 @@
         UNPROVEN_TASKS.saturating_sub(held)
     }
 
+    /// Has all speeds told again, since the call that told them may not have arrived.
+    pub(super) fn forget_speeds(&mut self) {
+        for tracked in self.tracked.values_mut() {
+            tracked.throttle_sent = None;
+        }
+    }
+
     /// Tracks what the journal says is placed there.
     pub(super) fn adopt(&mut self, task: &TaskId, attempt: Attempt, stopping: bool, at: Timestamp) {
         let id = AttemptId {
@@ -210,6 +220,8 @@
         };
         let mut tracked = Tracked::new(0, at);
         tracked.stop = stopping.then_some(0);
+        // The owner before may have throttled it, which the journal does not say.
+        tracked.throttle = Some(FULL_SPEED);
         self.tracked.insert(id, tracked);
     }
 }
--- a/crates/guavacart_scheduler/src/interference.rs
+++ b/crates/guavacart_scheduler/src/interference.rs
@@ -5,6 +5,7 @@
 mod decision;
 mod demand;
 mod estimator;
+mod filter;
 mod history;
 mod price;
 mod signal;
@@ -21,7 +22,7 @@
 pub use self::{
     decision::{Action, Decision, RunningTask, Why},
     estimator::Estimate,
-    history::Pressure,
+    history::{Pressure, Pressures},
 };
 use crate::directory::Directory;
 
@@ -91,11 +92,17 @@
         described_at: Timestamp,
         samples: &[ServiceSample],
     ) {
-        let Some(pressures) = self.history.at(worker, described_at) else {
-            return;
-        };
+        let during = self.history.during(worker, described_at);
         for sample in samples {
-            let excess = self.estimator.learn(now, described_at, sample, &pressures);
+            // A percentile close to the greatest shows the worst moment of the time measured.
+            let worst = during.iter().max_by(|a, b| {
+                let added = |p| self.estimator.added(now, &sample.service, p);
+                added(a).total_cmp(&added(b))
+            });
+            let Some(pressures) = worst else {
+                continue;
+            };
+            let excess = self.estimator.learn(described_at, sample, pressures);
             self.controller
                 .reported(now, worker, &sample.service, excess);
         }
@@ -119,16 +126,18 @@
 
     /// The cost of a task of `class` on `worker`; 0 is free, greater is worse.
     ///
-    /// Thousandths of added service latency per whole worker of pressure, scaled by demand.
+    /// Thousandths of added service latency per whole worker of pressure, scaled by demand and by
+    /// what the worker bears already, `placed` included: tasks that are to start but do not run yet.
     pub fn price(
         &self,
         now: Timestamp,
         configuration: &Configuration,
         worker: &WorkerId,
         class: &BatchClass,
+        placed: &Pressures,
     ) -> u64 {
         match configuration.sharing.policy {
-            SharingPolicy::Learned => self.learned_price(now, configuration, worker, class),
+            SharingPolicy::Learned => self.learned_price(now, configuration, worker, class, placed),
             SharingPolicy::None | SharingPolicy::Static | SharingPolicy::Reactive => 0,
         }
     }
@@ -157,16 +166,18 @@
         configuration: &Configuration,
         worker: &WorkerId,
         class: &BatchClass,
+        placed: &Pressures,
     ) -> u64 {
         let Some(services) = self.services.get(worker) else {
             return 0;
         };
         let price = |service: &ServiceName| {
             let estimate = self.estimator.estimate(now, service, class);
+            let added = |p: &Pressures| self.estimator.added(now, service, p);
             let current = self.history.current(worker);
             let burden = price::Burden {
                 busy: self.demand.quantile(service, demand::HEADROOM_QUANTILE),
-                added: current.map_or(0.0, |p| self.estimator.added(now, service, p)),
+                added: current.map_or(0.0, added) + added(placed),
                 tried_elsewhere: self.is_tried_elsewhere(worker, service, class),
             };
             price::price(&estimate, &burden, &configuration.sharing.weights)
--- a/crates/guavacart_scheduler/src/interference/controller.rs
+++ b/crates/guavacart_scheduler/src/interference/controller.rs
@@ -20,7 +20,7 @@
 /// Rest of a worker after an eviction, longer than reports are late.
 const EVICTION_REST: Span = Span::secs(8);
 /// How long a changed speed stands before it may be raised.
-const HOLD_SPAN: Span = Span::secs(5);
+const HOLD_SPAN: Span = Span::secs(8);
 /// Time until a decision that has shown no effect is made again.
 const RESEND_SPAN: Span = Span::secs(2);
 /// Progress from which a task counts as close to done, in parts per million.
--- a/crates/guavacart_scheduler/src/interference/controller/learned.rs
+++ b/crates/guavacart_scheduler/src/interference/controller/learned.rs
@@ -13,7 +13,10 @@
 /// Latency that batch work may add to a calm service, as a share, at equal weights.
 const CALM_ALLOWANCE: f64 = 0.18;
 /// Share of the allowance under which speed is given back.
-const LIFT_SHARE: f64 = 0.85;
+const LIFT_SHARE: f64 = 0.8;
+/// Latency that a throttle must gain at least for a whole worker of pressure, as a share; less is
+/// not worth the work that it costs.
+const LEAST_GAIN: f64 = 0.2;
 /// Share of the allowance that is kept back when all slots are expected to be needed.
 const HEADROOM_SHARE: f64 = 0.25;
 /// How long throttling may fall short before a task is evicted, at equal weights, in milliseconds.
@@ -89,7 +92,8 @@
             }
             let now = added_by(grounds, strain.service, strain.crowded, task, task.percent);
             let then = added_by(grounds, strain.service, strain.crowded, task, percent);
-            if now <= then {
+            let slowed = task.pressure.share() * f64::from(task.percent - percent) / 100.0;
+            if now - then < LEAST_GAIN * slowed {
                 continue;
             }
             left -= now - then;
@@ -230,7 +234,7 @@
     let batch = f64::from(weights.throughput + weights.evictions).max(0.1);
     let tail = f64::from(weights.tail + weights.crest).max(0.1);
     let calm = CALM_ALLOWANCE * (2.0 * batch / (batch + tail)).clamp(0.5, 1.5);
-    let crest = f64::from(weights.crest) * 2.0;
+    let crest = f64::from(weights.crest) * 1.5;
     if crowded {
         return calm * batch / (batch + crest);
     }
--- /dev/null
+++ b/crates/guavacart_scheduler/src/interference/filter.rs
@@ -0,0 +1,203 @@
+//! The filter of one service: its undisturbed latency and the slopes of all classes, jointly.
+
+use guavacart_types::{BatchClass, Span, Timestamp};
+
+use super::estimator::Estimate;
+
+/// Added latency, as a share, that a whole worker of an unknown class is expected to cause.
+const PRIOR_SLOPE: f64 = 0.3;
+/// Variance of an unknown pair's slope.
+const PRIOR_VARIANCE: f64 = 1.0;
+/// Span in which an estimate that is not renewed goes two thirds of the way back to the prior.
+const MEMORY_SPAN: Span = Span::secs(300);
+/// Variance of the logarithm of one report's latency over [`FULL_SAMPLES`] requests, at first and
+/// at most.
+const MOST_NOISE: f64 = 0.01;
+/// The least of it: latencies are told in whole milliseconds.
+const LEAST_NOISE: f64 = 0.0004;
+/// Share of a report's squared rest in the noise that is learned.
+const NOISE_GAIN: f64 = 0.02;
+/// Requests that make a report's percentile firm.
+const FULL_SAMPLES: f64 = 100.0;
+/// Standard deviations beyond which a report contradicts the estimates.
+const SURPRISE: f64 = 3.0;
+/// Share of the contradiction's square that is added to the variances.
+const SURPRISE_GAIN: f64 = 0.3;
+/// Variance that the logarithm of the undisturbed latency gains in a second, as demand changes.
+const BASELINE_DRIFT: f64 = 0.0025;
+/// Variance of the same before the first report.
+const BASELINE_VARIANCE: f64 = 4.0;
+/// Least factor on the latency; a class is not believed to speed a service up beyond that.
+const LEAST_FACTOR: f64 = 0.5;
+
+/// What is known of one service. Place 0 is the logarithm of its undisturbed latency; place `i + 1`
+/// is the slope of class `i`.
+#[derive(Debug)]
+pub(super) struct Filter {
+    classes: Vec<BatchClass>,
+    means: Vec<f64>,
+    covariances: Vec<Vec<f64>>,
+    noise: f64,
+    at: Timestamp,
+    is_new: bool,
+}
+
+impl Filter {
+    /// What is expected of a pair that was never seen.
+    pub(super) const PRIOR: Estimate = Estimate {
+        slope: PRIOR_SLOPE,
+        deviation: PRIOR_VARIANCE,
+    };
+
+    pub(super) fn new(at: Timestamp) -> Self {
+        Self {
+            classes: Vec::new(),
+            means: vec![0.0],
+            covariances: vec![vec![BASELINE_VARIANCE]],
+            noise: MOST_NOISE,
+            at,
+            is_new: true,
+        }
+    }
+
+    /// The estimate of a class by now, decayed towards the prior.
+    pub(super) fn estimate(&self, now: Timestamp, class: &BatchClass) -> Estimate {
+        let Some(place) = self.place(class) else {
+            return Self::PRIOR;
+        };
+        let kept = kept(now.since(self.at));
+        let variance = decayed(self.covariances[place][place], PRIOR_VARIANCE, kept);
+        Estimate {
+            slope: decayed(self.means[place], PRIOR_SLOPE, kept),
+            deviation: variance.max(0.0).sqrt(),
+        }
+    }
+
+    /// Learns the logarithm of a latency under `shares`; the excess over the undisturbed latency.
+    pub(super) fn learn(
+        &mut self,
+        at: Timestamp,
+        seen: f64,
+        samples: u32,
+        shares: &[(&BatchClass, f64)],
+    ) -> f64 {
+        self.advance(at);
+        let shares: Vec<(usize, f64)> = shares
+            .iter()
+            .map(|(class, share)| (self.place_or_add(class), *share))
+            .collect();
+        let factor = self.factor(&shares);
+        if self.is_new {
+            self.means[0] = seen - factor.ln();
+            self.is_new = false;
+        }
+        let error = seen - self.means[0] - factor.ln();
+        let firmness = (FULL_SAMPLES / f64::from(samples.max(1))).max(1.0);
+        let noise = self.noise * firmness;
+        let gradient = self.gradient(&shares, factor);
+        let spread = dot(&gradient, &self.times(&gradient)) + noise;
+        if error.abs() > SURPRISE * spread.sqrt() {
+            self.doubt(&shares, error);
+        }
+        self.correct(&gradient, error, noise);
+        let rest = seen - self.means[0] - self.factor(&shares).ln();
+        let rest = (rest * rest / firmness).clamp(LEAST_NOISE, MOST_NOISE);
+        self.noise += NOISE_GAIN * (rest - self.noise);
+        (seen - self.means[0]).exp() - 1.0
+    }
+
+    fn place(&self, class: &BatchClass) -> Option<usize> {
+        let i = self.classes.iter().position(|known| known == class)?;
+        Some(i + 1)
+    }
+
+    fn place_or_add(&mut self, class: &BatchClass) -> usize {
+        if let Some(place) = self.place(class) {
+            return place;
+        }
+        self.classes.push(class.clone());
+        self.means.push(PRIOR_SLOPE);
+        for row in &mut self.covariances {
+            row.push(0.0);
+        }
+        let mut row = vec![0.0; self.means.len()];
+        row[self.classes.len()] = PRIOR_VARIANCE;
+        self.covariances.push(row);
+        self.classes.len()
+    }
+
+    /// Lets slopes go back to the prior and the undisturbed latency drift.
+    fn advance(&mut self, at: Timestamp) {
+        let age = at.since(self.at);
+        self.at = self.at.max(at);
+        let kept = kept(age);
+        let places = self.means.len();
+        for i in 1..places {
+            self.means[i] = decayed(self.means[i], PRIOR_SLOPE, kept);
+            for j in 1..places {
+                let prior = if i == j { PRIOR_VARIANCE } else { 0.0 };
+                self.covariances[i][j] = decayed(self.covariances[i][j], prior, kept);
+            }
+            self.covariances[0][i] *= kept.sqrt();
+            self.covariances[i][0] *= kept.sqrt();
+        }
+        self.covariances[0][0] += BASELINE_DRIFT * age.0 as f64 / Span::secs(1).0 as f64;
+    }
+
+    /// The latency under these shares over the undisturbed one.
+    fn factor(&self, shares: &[(usize, f64)]) -> f64 {
+        let added = shares
+            .iter()
+            .map(|(place, share)| self.means[*place] * share);
+        (1.0 + added.sum::<f64>()).max(LEAST_FACTOR)
+    }
+
+    fn gradient(&self, shares: &[(usize, f64)], factor: f64) -> Vec<f64> {
+        let mut gradient = vec![0.0; self.means.len()];
+        gradient[0] = 1.0;
+        for (place, share) in shares {
+            gradient[*place] = share / factor;
+        }
+        gradient
+    }
+
+    fn times(&self, vector: &[f64]) -> Vec<f64> {
+        let rows = self.covariances.iter();
+        rows.map(|row| dot(row, vector)).collect()
+    }
+
+    /// Makes all that a contradicting report depends on uncertain again.
+    fn doubt(&mut self, shares: &[(usize, f64)], error: f64) {
+        let added = SURPRISE_GAIN * error * error;
+        let all = error * error;
+        self.covariances[0][0] = (self.covariances[0][0] + all).min(BASELINE_VARIANCE);
+        for (place, _) in shares {
+            let own = self.covariances[*place][*place];
+            self.covariances[*place][*place] = (own + added).min(PRIOR_VARIANCE.max(own));
+        }
+    }
+
+    fn correct(&mut self, gradient: &[f64], error: f64, noise: f64) {
+        let reach = self.times(gradient);
+        let spread = dot(gradient, &reach) + noise;
+        let places = self.means.len();
+        for i in 0..places {
+            self.means[i] += reach[i] * error / spread;
+            for j in 0..places {
+                self.covariances[i][j] -= reach[i] * reach[j] / spread;
+            }
+        }
+    }
+}
+
+fn kept(age: Span) -> f64 {
+    (-(age.0 as f64) / MEMORY_SPAN.0 as f64).exp()
+}
+
+fn decayed(value: f64, prior: f64, kept: f64) -> f64 {
+    prior + (value - prior) * kept
+}
+
+fn dot(a: &[f64], b: &[f64]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| a * b).sum()
+}
--- a/crates/guavacart_scheduler/src/interference/history.rs
+++ b/crates/guavacart_scheduler/src/interference/history.rs
@@ -11,6 +11,10 @@
 
 /// How far back a report may lie.
 const HISTORY_SPAN: Span = Span::secs(30);
+/// Time that one report is measured over, up to the time that it describes.
+const REPORT_SPAN: Span = Span::secs(1);
+/// Least time for which a pressure must have stood to show in a report.
+const LEAST_SPAN: Span = Span::millis(50);
 /// Most changes kept for one worker.
 const HISTORY_ENTRIES: usize = 256;
 
@@ -39,7 +43,7 @@
 }
 
 /// The pressure of each class on one worker.
-pub(super) type Pressures = BTreeMap<BatchClass, Pressure>;
+pub type Pressures = BTreeMap<BatchClass, Pressure>;
 
 /// What ran on each worker and when.
 #[derive(Debug, Default)]
@@ -69,17 +73,26 @@
         forget(now, entries);
     }
 
-    /// What pressed on `worker` at `at`; none if that is too long ago to be known.
-    pub(super) fn at(&self, worker: &WorkerId, at: Timestamp) -> Option<Pressures> {
-        let Some(entries) = self.workers.get(worker) else {
-            return Some(Pressures::default());
-        };
-        let entry = entries.iter().rev().find(|(since, _)| *since <= at);
-        match entry {
-            Some((_, pressures)) => Some(pressures.clone()),
-            None if entries.len() < HISTORY_ENTRIES => Some(Pressures::default()),
-            None => None,
+    /// All that pressed on `worker` within the second up to `at`, for long enough to be measured;
+    /// empty if that is too long ago to be known.
+    pub(super) fn during(&self, worker: &WorkerId, at: Timestamp) -> Vec<Pressures> {
+        let none = VecDeque::new();
+        let entries = self.workers.get(worker).unwrap_or(&none);
+        let from = at - REPORT_SPAN;
+        let oldest = entries.front().is_some_and(|(since, _)| *since > from);
+        if oldest && entries.len() >= HISTORY_ENTRIES {
+            return Vec::new();
         }
+        let idle = oldest || entries.is_empty();
+        let mut seen: Vec<Pressures> = idle.then(Pressures::default).into_iter().collect();
+        for (i, (since, pressures)) in entries.iter().enumerate() {
+            let until = entries.get(i + 1).map_or(at, |(next, _)| (*next).min(at));
+            let lasted = until.since((*since).max(from));
+            if *since <= at && lasted >= LEAST_SPAN || (*since <= at && until == at) {
+                seen.push(pressures.clone());
+            }
+        }
+        seen
     }
 
     /// What presses on `worker` now.
--- a/crates/guavacart_scheduler/tests/interference/fake.rs
+++ b/crates/guavacart_scheduler/tests/interference/fake.rs
@@ -6,7 +6,8 @@
 use guavacart_scheduler::{
     directory::{Directory, ListedInstance, Role},
     interference::{
-        Action, Colocation, Decision, Pressure, RunningTask, ServiceSample, ServiceSignal,
+        Action, Colocation, Decision, Pressure, Pressures, RunningTask, ServiceSample,
+        ServiceSignal,
     },
 };
 use guavacart_types::{
@@ -171,8 +172,13 @@
                 |w: &usize| self.tasks.iter().filter(|t| t.worker == worker(*w)).count() < PLACES;
             let open = (0..WORKERS).map(|w| (w + first) % WORKERS).filter(free);
             let price = |w: &usize| {
-                self.colocation
-                    .price(self.now, &self.configuration, &worker(*w), &kind)
+                self.colocation.price(
+                    self.now,
+                    &self.configuration,
+                    &worker(*w),
+                    &kind,
+                    &Pressures::new(),
+                )
             };
             let place = open.min_by_key(price).expect("as the fake made it");
             self.started += 1;
--- a/crates/guavacart_scheduler/tests/interference/main.rs
+++ b/crates/guavacart_scheduler/tests/interference/main.rs
@@ -5,7 +5,8 @@
 use fake::{CHANGED, Fake, TABLE, class, configuration, service, slopes, true_order, worker};
 use guavacart_config::SharingPolicy;
 use guavacart_scheduler::interference::{
-    Action, Colocation, Decision, Pressure, RunningTask, ServiceSample, ServiceSignal, Why,
+    Action, Colocation, Decision, Pressure, Pressures, RunningTask, ServiceSample, ServiceSignal,
+    Why,
 };
 use guavacart_types::{Attempt, Span, Timestamp};
 
@@ -254,7 +255,15 @@
     colocation.listed(&fake::directory());
     let configuration = configuration(SharingPolicy::Learned);
     let now = Timestamp(1_000);
-    let price = |c: &Colocation, w: usize| c.price(now, &configuration, &worker(w), &class(0));
+    let price = |c: &Colocation, w: usize| {
+        c.price(
+            now,
+            &configuration,
+            &worker(w),
+            &class(0),
+            &Pressures::new(),
+        )
+    };
     let before = price(&colocation, 0);
     colocation.ran(now, &worker(2), &class(0), Pressure(200));
     let after = price(&colocation, 0);
