--- a/crates/guavacart_scheduler/src/batch/cell.rs
+++ b/crates/guavacart_scheduler/src/batch/cell.rs
@@ -160,6 +160,8 @@
     shares: shares::Shares,
     /// When jobs with a deadline that wait should be done.
     due: BTreeMap<JobId, Timestamp>,
+    /// When the controller was last told what runs.
+    shared_at: Timestamp,
 }
 
 impl Cell {
@@ -197,6 +199,7 @@
             moves: moves::Moves::default(),
             shares: shares::Shares::default(),
             due: BTreeMap::new(),
+            shared_at: cx.now,
         }
     }
 
@@ -247,8 +250,9 @@
         }
         self.lapse_leases(cx);
         if !cx.stopping {
-            self.share_workers(cx, io);
             self.schedule(cx);
+            // After the places are given, so that a task may start at the speed that suits.
+            self.share_workers(cx, io);
         }
         self.move_tasks(cx, io);
         self.append(cx, io);
