--- a/crates/guavacart_scheduler/src/batch/link.rs
+++ b/crates/guavacart_scheduler/src/batch/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_types::{Attempt, Span, TaskId, Timestamp};
+use guavacart_types::{Attempt, ByteSize, Span, TaskId, Timestamp};
 
 use super::worker::AttemptId;
 use crate::membership::DRIFT_MARGIN;
@@ -30,6 +30,9 @@
 /// Run time of an attempt that proves its worker.
 const PROOF_SPAN: Span = Span::secs(2);
 
+/// Speed of a task that is not throttled, in percent.
+pub(super) const FULL_SPEED: u32 = 100;
+
 /// One attempt that holds resources on the worker.
 #[derive(Clone, Debug)]
 pub(super) struct Tracked {
@@ -41,6 +44,8 @@
     pub(super) seen_at: Option<Timestamp>,
     pub(super) placed_at: Timestamp,
     pub(super) progress_ppm: u32,
+    /// The most memory that it was seen to take.
+    pub(super) peak: ByteSize,
     pub(super) throttle: Option<u32>,
     pub(super) throttle_sent: Option<u32>,
 }
@@ -53,6 +58,7 @@
             seen_at: None,
             placed_at,
             progress_ppm: 0,
+            peak: ByteSize::default(),
             throttle: None,
             throttle_sent: None,
         }
@@ -213,6 +219,13 @@
         UNPROVEN_TASKS.saturating_sub(held)
     }
 
+    /// Has all speeds told again, since the call that told them may not have arrived.
+    pub(super) fn forget_speeds(&mut self) {
+        for tracked in self.tracked.values_mut() {
+            tracked.throttle_sent = None;
+        }
+    }
+
     /// Tracks what the journal says is placed there.
     pub(super) fn adopt(&mut self, task: &TaskId, attempt: Attempt, stopping: bool, at: Timestamp) {
         let id = AttemptId {
@@ -221,6 +234,8 @@
         };
         let mut tracked = Tracked::new(0, at);
         tracked.stop = stopping.then_some(0);
+        // The owner before may have throttled it, which the journal does not say.
+        tracked.throttle = Some(FULL_SPEED);
         self.tracked.insert(id, tracked);
     }
 }
