--- a/crates/guavacart_lab/src/scenario.rs
+++ b/crates/guavacart_lab/src/scenario.rs
@@ -6,6 +6,7 @@
 mod batch_steady;
 mod black_hole;
 mod cancel_wave;
+mod colocate;
 mod config_race;
 mod crest;
 mod demo;
@@ -113,6 +114,8 @@
     black_hole::SCENARIO,
     misdeclared::SCENARIO,
     racing_owners::SCENARIO,
+    colocate::COLOCATE_PAMOJA,
+    colocate::COLOCATE_CYMRU,
 ];
 
 /// The scenario of this name.
--- a/crates/guavacart_scheduler/src/batch/cell/schedule.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/schedule.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use guavacart_config::Placement;
-use guavacart_types::{BatchClass, Resources, Span, TaskId, Timestamp, WorkerId};
+use guavacart_types::{BatchClass, ByteSize, Resources, Span, TaskId, Timestamp, WorkerId};
 
 use super::{Cell, Reservation};
 use crate::{
@@ -38,8 +38,10 @@
 }
 
 /// What one pass works on.
-struct Pass {
-    candidates: Vec<Candidate>,
+pub(super) struct Pass {
+    pub(super) candidates: Vec<Candidate>,
+    /// Memory of the largest worker.
+    largest: ByteSize,
     occupants: BTreeMap<WorkerId, Vec<Occupant>>,
     unplaced: Vec<Unplaced>,
     /// The class whose price is on the candidates.
@@ -71,7 +73,7 @@
         }
         self.drain_leaving(cx);
         let mut pass = self.begin_pass(cx);
-        let keys: Vec<QueueKey> = self.ledger.queue.keys().copied().collect();
+        let keys = self.ordered_queue(cx);
         for key in keys.into_iter().take(MAX_JOBS_PER_PASS) {
             if pass.places >= MAX_PLACES_PER_PASS {
                 self.dirty = true;
@@ -83,6 +85,7 @@
 
     fn begin_pass(&mut self, cx: &Cx<'_>) -> Pass {
         self.forget_reservations();
+        let largest = self.largest_memory(cx);
         let mut candidates = Vec::new();
         for (worker, listed) in self.listed(cx) {
             let owned_since = self.owned_since;
@@ -97,8 +100,13 @@
             candidates.push(Candidate {
                 worker: worker.clone(),
                 rack: listed.rack.clone(),
+                data_centre: listed.data_centre.clone(),
+                beside: 0,
                 capacity: listed.capacity,
-                used: self.ledger.used(worker),
+                used: self
+                    .ledger
+                    .used(worker)
+                    .plus(&self.beyond_committed(worker, largest)),
                 openings,
                 cost: 0,
                 reserved: Resources::default(),
@@ -107,6 +115,7 @@
         }
         let mut pass = Pass {
             candidates,
+            largest,
             occupants: self.occupants(cx),
             unplaced: Vec::new(),
             priced: None,
@@ -135,7 +144,8 @@
                 continue;
             };
             pass.reserved_normal |= job.spec.priority != Priority::Urgent;
-            pass.keep(&reservation.worker, &job.spec.resources, reservation.at);
+            let size = self.expected_size(&job.spec, pass.largest);
+            pass.keep(&reservation.worker, &size, reservation.at);
         }
     }
 
@@ -151,6 +161,7 @@
 
     fn occupant(&self, cx: &Cx<'_>, id: &AttemptId, tracked: &Tracked) -> Option<Occupant> {
         let job = self.ledger.jobs.get(&id.task.job)?;
+        let largest = self.largest_memory(cx);
         let began = tracked.seen_at.unwrap_or(tracked.placed_at);
         let rule = cx.configuration.batch_classes.get(&job.spec.class);
         let stopping = tracked.stop.is_some();
@@ -160,7 +171,7 @@
         };
         Some(Occupant {
             task: id.task.clone(),
-            resources: job.spec.resources,
+            resources: self.running_size(id, tracked, largest)?,
             ends_at,
             ran: cx.now.since(began),
             checkpoints: rule.is_some_and(|rule| rule.checkpoints),
@@ -177,8 +188,10 @@
         let Some(job) = self.ledger.jobs.get(&waiting.job) else {
             return;
         };
-        let spec = job.spec.clone();
+        let mut spec = job.spec.clone();
+        spec.resources = self.expected_size(&spec, pass.largest);
         self.price_candidates(cx, pass, &spec);
+        self.count_beside(pass, &spec);
         for index in indices {
             if pass.places >= MAX_PLACES_PER_PASS {
                 return;
@@ -209,7 +222,9 @@
 
     fn try_task(&mut self, cx: &Cx<'_>, pass: &mut Pass, spec: &JobSpec, id: &TaskId) -> Tried {
         if let Some(slice) = self.team_slice(cx, &spec.team) {
-            let wanted = self.ledger.team_used(&spec.team).plus(&spec.resources);
+            let declared = self.ledger.jobs.get(&id.job).map(|job| job.spec.resources);
+            let declared = declared.unwrap_or(spec.resources);
+            let wanted = self.ledger.team_used(&spec.team).plus(&declared);
             if !wanted.fits_in(&slice) {
                 let team = spec.team.clone();
                 return Tried::Blocked(Decision::WaitsForQuota { team, slice });
@@ -272,6 +287,7 @@
         }
         candidate.used = candidate.used.plus(&spec.resources);
         candidate.openings = candidate.openings.saturating_sub(1);
+        pass.add_beside(spec.spread, chosen);
         pass.places += 1;
         if let Some(reservation) = self.reservations.remove(id) {
             pass.release(&reservation.worker, &spec.resources);
@@ -285,6 +301,9 @@
         if let Some(link) = self.links.get_mut(&worker) {
             link.tracked.insert(attempt, tracked);
         }
+        self.next_sharing = cx.now;
+        // The next task of the job would else go to the same worker, whose price did not change.
+        pass.candidates[chosen].cost = self.price(cx, &worker, &spec.class);
         let candidates = pass.candidates.len();
         let decision = Decision::Placed { worker, candidates };
         self.decisions.insert(id.clone(), decision);
--- a/crates/guavacart_scheduler/src/batch/cell/sync.rs
+++ b/crates/guavacart_scheduler/src/batch/cell/sync.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use guavacart_types::{Epoch, Timestamp, WorkerId};
+use guavacart_types::{ByteSize, Epoch, Timestamp, WorkerId};
 
 use super::{Cell, Io};
 use crate::{
@@ -74,8 +74,10 @@
             if call.commands.len() >= MAX_COMMANDS {
                 break;
             }
+            let told = call.commands.len();
             self.tell(&mut call, link, id, tracked);
-            if tracked.throttle != tracked.throttle_sent {
+            let last = call.commands.get(told..).and_then(<[_]>::last);
+            if matches!(last, Some(WorkerCommand::Throttle { .. })) {
                 throttled.push(id.clone());
             }
         }
@@ -105,9 +107,14 @@
                 id: id.clone(),
                 checkpoint: reason != Some(StopReason::Cancelled),
             });
-        } else if !seen && link.may_grant() {
+            return;
+        }
+        if !seen && link.may_grant() {
             call.commands.extend(self.start(id));
-        } else if let Some(percent) = tracked.throttle
+        } else if !seen {
+            return;
+        }
+        if let Some(percent) = tracked.throttle
             && tracked.throttle != tracked.throttle_sent
         {
             let id = id.clone();
@@ -163,10 +170,14 @@
                 link.answered(cx.now);
                 self.learn_usage(cx, &worker, &usage);
                 self.reported(cx, &worker, attempts);
+                self.learn_sizes(cx, &worker, &usage);
             }
-            WorkerAnswer::NotSent => {}
+            WorkerAnswer::NotSent => link.forget_speeds(),
             WorkerAnswer::Deposed(epoch) => return Some(epoch),
-            WorkerAnswer::Unknown => link.unanswered(call),
+            WorkerAnswer::Unknown => {
+                link.unanswered(call);
+                link.forget_speeds();
+            }
         }
         self.act(cx, io);
         None
@@ -278,6 +289,7 @@
 
     fn learn(&mut self, now: Timestamp, worker: &WorkerId, id: &AttemptId, end: &AttemptEnd) {
         let tracked = self.links.get(worker).and_then(|l| l.tracked.get(id));
+        let peak = tracked.map_or(ByteSize::default(), |t| t.peak);
         let began = tracked.and_then(|t| t.seen_at.or(Some(t.placed_at)));
         let (Some(began), Some(job)) = (began, self.ledger.jobs.get(&id.task.job)) else {
             return;
@@ -287,6 +299,7 @@
         if *end == AttemptEnd::Finished && !resumed {
             let ran = now.since(began);
             self.run_times.finished(&job.spec, ran);
+            self.sizes.finished(&job.spec, peak);
         }
     }
 
