--- a/crates/guavacart_entry/src/batch/cell_store.rs
+++ b/crates/guavacart_entry/src/batch/cell_store.rs
@@ -242,19 +242,32 @@
     through: u64,
     in_time: impl Fn() -> bool,
 ) {
-    let prefix = record_prefix(cell);
-    let old_parts = format_smolstr!("{prefix}part-{after:012}-");
-    for prefix in [prefix, old_parts] {
-        let Ok(entries) = store.range(&prefix, &prefix, RANGE_LIMIT) else {
-            return;
-        };
-        for entry in entries {
-            let part = entry.key.contains("/part-");
-            let old = record_number(&entry.key).map_or(part, |number| number <= through);
-            if old && entry.key.starts_with(prefix.as_str()) && in_time() {
-                // A record that stays is deleted after a later snapshot.
-                let _ = store.delete(&entry.key, entry.versioned.revision);
-            }
+    let records = record_prefix(cell);
+    let is_old = |key: &str| record_number(key).is_some_and(|number| number <= through);
+    delete_where(store, &records, is_old, &in_time);
+    if after < through {
+        let old_parts = format_smolstr!("{records}part-{after:012}-");
+        delete_where(store, &old_parts, |_| true, &in_time);
+    }
+}
+
+/// Deletes the first keys that begin with `prefix` and that `is_old` chooses.
+fn delete_where<S: Store>(
+    store: &S,
+    prefix: &str,
+    is_old: impl Fn(&str) -> bool,
+    in_time: impl Fn() -> bool,
+) {
+    let Ok(entries) = store.range(prefix, prefix, RANGE_LIMIT) else {
+        return;
+    };
+    for entry in entries {
+        if entry.key.starts_with(prefix) && is_old(&entry.key) && in_time() {
+            // A key that stays is deleted after a later snapshot.
+            let _ = store.delete(&entry.key, entry.versioned.revision);
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
