Refuse a patch that takes a rack from its cell

Cause: a rack moved to another cell while its workers held tasks would let both cells commit the same worker. Change: such a patch is rejected with the key and the remedy; two cases. Two older cases now keep the racks they do not mean to drop, and their expected messages stay as they were.

--- a/crates/guavacart_config/src/patch.rs
+++ b/crates/guavacart_config/src/patch.rs
@@ -1,6 +1,8 @@
 //! Patches: a JSON merge patch (RFC 7396) against a numbered configuration.
 
-use guavacart_types::{ConfigNumber, PatchId, weight};
+use std::collections::BTreeSet;
+
+use guavacart_types::{ConfigNumber, PatchId, Rack, weight};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
@@ -129,6 +131,7 @@
         let fault = Fault::CellRemoved;
         problems.push(Problem { key, fault });
     }
+    problems.extend(racks_that_left(current, next));
     let first = current.cells.is_empty();
     for (id, cell) in &mut next.cells {
         let before = current.cells.get(id);
@@ -147,6 +150,23 @@
     }
 }
 
+/// Racks that are no longer in their cell: another one could then commit what this one has.
+fn racks_that_left(current: &Configuration, next: &Configuration) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for (id, before) in &current.cells {
+        let Some(after) = next.cells.get(id) else {
+            continue;
+        };
+        let kept: BTreeSet<&Rack> = after.racks.iter().collect();
+        if before.racks.iter().any(|rack| !kept.contains(rack)) {
+            let key = format_smolstr!("cells.{id}.racks");
+            let fault = Fault::RackRemoved;
+            problems.push(Problem { key, fault });
+        }
+    }
+    problems
+}
+
 fn invalid(mut problems: Vec<Problem>) -> PatchError {
     problems.truncate(MAX_PROBLEMS);
     PatchError::Invalid { problems }
--- a/crates/guavacart_config/src/validate.rs
+++ b/crates/guavacart_config/src/validate.rs
@@ -90,6 +90,9 @@
     /// A cell that was there is not any more.
     #[error("a cell cannot be removed: it may hold jobs, and it is the home of their ids")]
     CellRemoved,
+    /// A rack left its cell.
+    #[error("a rack cannot leave its cell: its workers may hold tasks that the cell has committed")]
+    RackRemoved,
     /// The key may not be patched.
     #[error("is set by the system")]
     ReadOnly,
@@ -123,6 +126,9 @@
             Self::CellRemoved => {
                 "keep it, with racks that have no workers if it is to run nothing".to_owned()
             }
+            Self::RackRemoved => {
+                "keep the rack, and let the platform announce that its workers leave".to_owned()
+            }
             Self::ReadOnly => "remove it from the patch and name the base instead".to_owned(),
             Self::Unreadable { .. } => "see the configuration's keys in docs/API.md".to_owned(),
             Self::TooManyBytes { .. } => {
--- a/crates/guavacart_config/tests/patches.rs
+++ b/crates/guavacart_config/tests/patches.rs
@@ -84,15 +84,19 @@
     no_weight: {"teams": {"a": {"weight": 0}}};
     percent_out_of_bounds: {"batch_classes": {"deck": {"throttled_percent": 101}}};
     rack_in_two_cells: {"cells": {"c2": {"racks": ["r2"]}, "c3": {"racks": []}}};
-    rack_twice_in_one_cell: {"cells": {"c1": {"racks": ["r1", "r1"]}}};
+    rack_twice_in_one_cell: {"cells": {"c1": {"racks": ["r1", "r2", "r1"]}}};
     cell_removed: {"cells": {"c1": null, "c2": {"racks": ["r3"]}}};
+    rack_taken_from_its_cell: {"cells": {"c1": {"racks": []}}};
+    rack_moved_to_another_cell: {"cells": {"c1": {"racks": []}, "c2": {"racks": ["r1"]}}};
     home_set_by_hand: {"cells": {"c1": {"joined_later": true}}};
     all_weights_zero: {"sharing": {"weights": {"tail": 0, "crest": 0, "throughput": 0, "evictions": 0}}};
 }
 
 #[test]
 fn a_configuration_too_large_for_the_store_is_rejected() {
-    let racks: Vec<String> = (0..80_000).map(|n| format!("rack-{n}")).collect();
+    let before = ["r1", "r2"].map(str::to_owned);
+    let more = (0..80_000).map(|n| format!("rack-{n}"));
+    let racks: Vec<String> = before.into_iter().chain(more).collect();
     let change = json!({"cells": {"c1": {"racks": racks}}});
     assert!(told(change).contains("remove services, teams, classes or cells"));
 }
