Start callers in one place, and take a read of the instance list in one

Cause: three scenarios held the same loop over callers, and the reducer split its state alike for a whole and an unchanged list. Change: Cluster::spawn_callers, with the same seeds, and Shared::listed.

--- a/crates/guavacart_lab/src/cluster.rs
+++ b/crates/guavacart_lab/src/cluster.rs
@@ -18,13 +18,13 @@
 use smol_str::{SmolStr, format_smolstr};
 use tempfile::TempDir;
 use thiserror::Error;
-use tokio::time::Instant;
+use tokio::{task::JoinSet, time::Instant};
 
 pub use self::spec::{ClusterSpec, READER, Size, SizeError, WRITER, team_token};
 use crate::{
     balancer::Balancer,
     batch_ledger::BatchLedger,
-    caller::{Entrances, Record},
+    caller::{self, CallerSpec, Entrances, Record},
     checks::{StopWindow, Violations},
     clock::now_us,
     endpoint::{Endpoint, LEAVING_GRACE},
@@ -393,6 +393,22 @@
         Entrances::open(vec![self.balancer.address()])
     }
 
+    /// Starts callers at the balancer, each with a seed of its own; ends with the last of them.
+    pub fn spawn_callers(
+        &self,
+        specs: Vec<CallerSpec>,
+        length: Duration,
+        seed: u64,
+    ) -> JoinSet<()> {
+        let mut callers = JoinSet::new();
+        for (i, spec) in specs.into_iter().enumerate() {
+            let seed = guavacart_types::mix(seed, i as u64);
+            let record = self.record.clone();
+            callers.spawn(caller::run(spec, self.entrances(), length, seed, record));
+        }
+        callers
+    }
+
     /// Graceful stops that did not end with exit code 0 in time.
     pub fn unclean_stops(&self) -> u64 {
         *lock(&self.unclean_stops)
--- a/crates/guavacart_lab/src/scenario/bad_network.rs
+++ b/crates/guavacart_lab/src/scenario/bad_network.rs
@@ -2,11 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::task::JoinSet;
-
 use super::{Scenario, ScenarioCx, ScenarioError, ScenarioRun, demo::caller_specs};
 use crate::{
-    caller,
     cluster::{Cluster, ClusterSpec},
     fault::Faults,
     progress::Progress,
@@ -43,18 +40,8 @@
         network.set_faults(harm).await;
     }
     let progress = cx.progress.then(|| Progress::spawn(Arc::clone(&cluster)));
-    let mut callers = JoinSet::new();
-    for (i, spec) in caller_specs(&cluster.spec).into_iter().enumerate() {
-        let seed = guavacart_types::mix(cx.seed, i as u64);
-        let record = cluster.record.clone();
-        callers.spawn(caller::run(
-            spec,
-            cluster.entrances(),
-            cx.length,
-            seed,
-            record,
-        ));
-    }
+    let specs = caller_specs(&cluster.spec);
+    let mut callers = cluster.spawn_callers(specs, cx.length, cx.seed);
     while let Some(ended) = callers.join_next().await {
         ended?;
     }
--- a/crates/guavacart_lab/src/scenario/demo.rs
+++ b/crates/guavacart_lab/src/scenario/demo.rs
@@ -5,11 +5,11 @@
 use guavacart_types::{ByteSize, Class, Processors, Resources};
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
-use tokio::{task::JoinSet, time::sleep};
+use tokio::time::sleep;
 
 use super::{Scenario, ScenarioCx, ScenarioError, ScenarioRun};
 use crate::{
-    caller::{self, CallerSpec, Form, Schedule},
+    caller::{CallerSpec, Form, Schedule},
     cluster::{Cluster, ClusterSpec, team_token},
     jobs::JobSpec,
     progress::Progress,
@@ -52,18 +52,8 @@
     };
     let cluster = Arc::new(Cluster::open(spec).await?);
     let progress = cx.progress.then(|| Progress::spawn(Arc::clone(&cluster)));
-    let mut callers = JoinSet::new();
-    for (i, spec) in caller_specs(&cluster.spec).into_iter().enumerate() {
-        let seed = guavacart_types::mix(cx.seed, i as u64);
-        let record = cluster.record.clone();
-        callers.spawn(caller::run(
-            spec,
-            cluster.entrances(),
-            cx.length,
-            seed,
-            record,
-        ));
-    }
+    let specs = caller_specs(&cluster.spec);
+    let mut callers = cluster.spawn_callers(specs, cx.length, cx.seed);
     let submitter = tokio::spawn(submit(Arc::clone(&cluster), cx.seed));
     disturb(&cluster, cx.length).await?;
     while let Some(ended) = callers.join_next().await {
--- a/crates/guavacart_lab/src/scenario/load.rs
+++ b/crates/guavacart_lab/src/scenario/load.rs
@@ -5,11 +5,11 @@
 use guavacart_types::Class;
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
-use tokio::{task::JoinSet, time::sleep};
+use tokio::time::sleep;
 
 use super::{ScenarioCx, ScenarioError};
 use crate::{
-    caller::{self, Attempt, CallerSpec, Ending, Form, Latencies, Schedule, latencies},
+    caller::{Attempt, CallerSpec, Ending, Form, Latencies, Schedule, latencies},
     clock::now_us,
     cluster::{Cluster, ClusterSpec, team_token},
     endpoint::SLOTS,
@@ -114,13 +114,7 @@
         callers: Vec<CallerSpec>,
         length: Duration,
     ) -> Result<(), ScenarioError> {
-        let mut running = JoinSet::new();
-        for (i, spec) in callers.into_iter().enumerate() {
-            let seed = guavacart_types::mix(self.cx.seed, i as u64);
-            let record = self.cluster.record.clone();
-            let entrances = self.cluster.entrances();
-            running.spawn(caller::run(spec, entrances, length, seed, record));
-        }
+        let mut running = self.cluster.spawn_callers(callers, length, self.cx.seed);
         while let Some(ended) = running.join_next().await {
             ended?;
         }
--- a/crates/guavacart_scheduler/src/state.rs
+++ b/crates/guavacart_scheduler/src/state.rs
@@ -54,6 +54,10 @@
         }
     }
 
+    fn listed(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        self.membership.listed(now, &self.directory, effects);
+    }
+
     fn apply_membership(
         &mut self,
         now: Timestamp,
@@ -126,22 +130,12 @@
         match event {
             Event::Tick => self.tick(now, effects),
             Event::Listed(instances) => {
-                let Shared {
-                    membership,
-                    directory,
-                    ..
-                } = &mut self.shared;
-                directory.replace(now, instances);
-                membership.listed(now, directory, effects);
+                self.shared.directory.replace(now, instances);
+                self.shared.listed(now, effects);
             }
             Event::ListUnchanged => {
-                let Shared {
-                    membership,
-                    directory,
-                    ..
-                } = &mut self.shared;
-                directory.read_at = Some(now);
-                membership.listed(now, directory, effects);
+                self.shared.directory.read_at = Some(now);
+                self.shared.listed(now, effects);
             }
             Event::StopRequested => {
                 self.shared.stopping_since.get_or_insert(now);
