--- a/crates/guavacart/src/cli.rs
+++ b/crates/guavacart/src/cli.rs
@@ -10,11 +10,12 @@
     command::Command,
     config,
     exit::{EXIT_STATUSES, Failure},
-    jobs, patch, serve, status,
+    jobs, node, patch, serve, status,
 };
 
 const COMMANDS: &[&Command] = &[
     &serve::COMMAND,
+    &node::COMMAND,
     &check::COMMAND,
     &patch::COMMAND,
     &config::SHOW,
--- a/crates/guavacart/src/main.rs
+++ b/crates/guavacart/src/main.rs
@@ -8,6 +8,8 @@
 mod config;
 mod exit;
 mod jobs;
+mod log_writer;
+mod node;
 mod patch;
 mod serve;
 mod settings_file;
--- /dev/null
+++ b/crates/guavacart/src/node.rs
@@ -0,0 +1,66 @@
+//! `guavacart node`: runs a node of the users' platform.
+
+use std::{env, fs};
+
+use getopts::{Matches, Options};
+use guavacart_adapter::{Settings, UsersPlatform};
+use smol_str::format_smolstr;
+use tracing_subscriber::EnvFilter;
+
+use crate::{command::Command, exit::Failure, log_writer};
+
+pub(crate) const COMMAND: Command = Command {
+    name: "node",
+    arguments: "[--settings FILE]",
+    summary: "Run a node of the users' platform until SIGTERM, which stops it gracefully",
+    options,
+    takes_version: false,
+    run,
+};
+
+/// Environment variable with the path of the settings file.
+const SETTINGS_VARIABLE: &str = "GUAVACART_CONFIG";
+/// Least severe level that is logged when RUST_LOG names none.
+const DEFAULT_LEVEL: &str = "info";
+
+fn options(options: &mut Options) {
+    options.optopt(
+        "s",
+        "settings",
+        "the platform's settings file, in TOML (or GUAVACART_CONFIG)",
+        "FILE",
+    );
+}
+
+fn run(matches: &Matches) -> Result<(), Failure> {
+    let settings = read(matches)?;
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| DEFAULT_LEVEL.into());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_env_filter(filter)
+        .with_writer(log_writer::spawn())
+        .init();
+    let platform = UsersPlatform::new(&settings);
+    guavacart_node::run(platform, settings.node).map_err(|err| {
+        tracing::error!(event = "cannot_run", cause = %err);
+        Failure::Logged
+    })
+}
+
+fn read(matches: &Matches) -> Result<Settings, Failure> {
+    let path = matches
+        .opt_str("settings")
+        .or_else(|| env::var(SETTINGS_VARIABLE).ok());
+    let Some(path) = path else {
+        let text = format_smolstr!("give --settings FILE or set {SETTINGS_VARIABLE}");
+        return Err(Failure::Usage(text));
+    };
+    let text = fs::read_to_string(&path).map_err(|err| {
+        Failure::Rejected(format_smolstr!(
+            "{path}: {err}; give a file that can be read"
+        ))
+    })?;
+    Settings::read(&text).map_err(|err| Failure::Rejected(format_smolstr!("{path}: {err}")))
+}
--- /dev/null
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -0,0 +1,330 @@
+//! Executors and what runs on them.
+
+use std::collections::BTreeMap;
+
+use guavacart_types::{Incarnation, Resources, Span, Timestamp};
+use smol_str::SmolStr;
+
+use super::{State, Timer};
+use crate::{Decision, Effect, ExecutorId, Loss, Registration, RunNumber, Target, TaskKey};
+
+/// Part of an executor's lease that an order asks for; the rest bears a slow answer.
+const LEASE_PERCENT: u64 = 75;
+/// Slowest rate of an executor's clock, in percent of true time, with a margin of 1.
+const SLOWEST_CLOCK_PERCENT: u64 = 97;
+/// Failed runs in a row, of different tasks, after which an executor rests.
+const STRIKES_TO_REST: u32 = 2;
+/// First rest; doubled with each further strike.
+const FIRST_REST: Span = Span::millis(1_500);
+/// Longest rest.
+const LONGEST_REST: Span = Span::secs(12);
+
+/// One run, or one that may yet begin.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) run: RunNumber,
+    /// What it holds of the executor.
+    pub(super) size: Resources,
+    /// Processors that it would use if they were free; nothing is committed for a filler.
+    pub(super) wish: u64,
+    pub(super) is_filler: bool,
+    pub(super) tail_target: Option<Span>,
+    pub(super) phase: Phase,
+    /// Deadline that its start carried, on the executor's clock.
+    pub(super) deadline_ms: u64,
+    pub(super) since: Timestamp,
+    pub(super) stop: Option<Stopping>,
+    /// 100 if it is fully at work.
+    pub(super) percent: u8,
+    /// Share that it was last told to work at.
+    pub(super) pace: u8,
+    /// Its newest tail, in milliseconds, if it serves.
+    pub(super) tail_ms: Option<u64>,
+    /// Looks in a row at which it used no processor.
+    pub(super) idle_looks: u32,
+    pub(super) checkpoint: Option<SmolStr>,
+}
+
+/// What is known of a run's start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    /// The order is on its way.
+    Sent,
+    /// The order was not answered.
+    Doubtful,
+    /// The executor has confirmed it, at that time.
+    Running(Timestamp),
+}
+
+/// A stop that was ordered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stopping {
+    pub(super) sent: Timestamp,
+    pub(super) answered: Option<Timestamp>,
+}
+
+/// One executor, through all its incarnations.
+#[derive(Debug)]
+pub(super) struct Executor {
+    pub(super) id: ExecutorId,
+    pub(super) registration: Option<Registration>,
+    pub(super) target: Target,
+    pub(super) capacity: Resources,
+    pub(super) incarnation: Option<Incarnation>,
+    /// Its clock, and when the answer that told it came.
+    pub(super) clock: Option<(u64, Timestamp)>,
+    /// This incarnation has seen this owner's epoch.
+    pub(super) is_fenced: bool,
+    /// Latest deadline that it may have been given, on its clock.
+    pub(super) lease_end_ms: u64,
+    /// Ends taken in.
+    pub(super) seen: u64,
+    /// Ends that stand in the store.
+    pub(super) durable: u64,
+    /// Ends acknowledged in an answered hold.
+    pub(super) acknowledged: u64,
+    /// A hold that waits for ends is on its way.
+    pub(super) is_waiting: bool,
+    /// A hold that does not wait is on its way.
+    pub(super) is_looking: bool,
+    /// Another look is wanted once that one is back.
+    pub(super) looks_again: bool,
+    /// Holds without an answer in a row.
+    pub(super) misses: u32,
+    pub(super) heard: Timestamp,
+    pub(super) runs: BTreeMap<TaskKey, Run>,
+    pub(super) used: Resources,
+    /// Processors that its fillers wish for.
+    pub(super) filler_wish: u64,
+    pub(super) serving: usize,
+    pub(super) strikes: u32,
+    pub(super) rests_until: Timestamp,
+    /// Its machine is about to go down for its upkeep.
+    pub(super) is_closing: bool,
+    /// Its machine's pace is eased or tightened next at that time.
+    pub(super) paced_at: Timestamp,
+}
+
+impl Executor {
+    fn new(id: &ExecutorId, registration: &Registration, now: Timestamp) -> Self {
+        let target = Target {
+            id: id.clone(),
+            address: registration.address,
+        };
+        Self {
+            id: id.clone(),
+            target,
+            capacity: registration.capacity,
+            registration: None,
+            incarnation: None,
+            clock: None,
+            is_fenced: false,
+            lease_end_ms: 0,
+            seen: 0,
+            durable: 0,
+            acknowledged: 0,
+            is_waiting: false,
+            is_looking: false,
+            looks_again: false,
+            misses: 0,
+            heard: now,
+            runs: BTreeMap::new(),
+            used: Resources::default(),
+            filler_wish: 0,
+            serving: 0,
+            strikes: 0,
+            rests_until: Timestamp(0),
+            is_closing: false,
+            paced_at: now,
+        }
+    }
+
+    /// What is not committed.
+    pub(super) fn free(&self) -> Resources {
+        self.capacity.minus(&self.used).unwrap_or_default()
+    }
+
+    /// Processors that neither commitments nor fillers claim; negative where fillers share.
+    pub(super) fn leftover(&self) -> i64 {
+        let free = i64::try_from(self.free().processors.0).unwrap_or(i64::MAX);
+        free - i64::try_from(self.filler_wish).unwrap_or(i64::MAX)
+    }
+
+    /// Its clock at `now`, by its last answer.
+    pub(super) fn clock_at(&self, now: Timestamp) -> Option<u64> {
+        let (reading, heard) = self.clock?;
+        Some(reading + now.since(heard).0)
+    }
+
+    /// When its lease has certainly run out.
+    pub(super) fn lapses_at(&self) -> Option<Timestamp> {
+        let (reading, heard) = self.clock?;
+        let left = self.lease_end_ms.saturating_sub(reading);
+        Some(heard + Span(left * 100 / SLOWEST_CLOCK_PERCENT + 1))
+    }
+
+    pub(super) fn add(&mut self, task: TaskKey, run: Run) {
+        self.used = self.used.plus(&run.size);
+        if run.is_filler {
+            self.filler_wish += run.wish;
+        }
+        self.serving += usize::from(run.tail_target.is_some());
+        self.runs.insert(task, run);
+    }
+
+    pub(super) fn remove(&mut self, task: TaskKey) -> Option<Run> {
+        let run = self.runs.remove(&task)?;
+        self.used = self.used.minus(&run.size).unwrap_or_default();
+        if run.is_filler {
+            self.filler_wish -= run.wish;
+        }
+        self.serving -= usize::from(run.tail_target.is_some());
+        Some(run)
+    }
+
+    /// Runs of one step.
+    pub(super) fn runs_of(&self, step: crate::StepKey) -> usize {
+        self.runs.range(step.task(0)..=step.task(u16::MAX)).count()
+    }
+}
+
+impl State {
+    /// The deadline for an order to that executor; its lease is taken to last until then.
+    pub(super) fn extend_lease(&mut self, x: usize) -> Option<u64> {
+        let lease = Span(self.bounds.max_lease.0 * LEASE_PERCENT / 100);
+        let executor = &mut self.fleet[x];
+        let deadline = executor.clock_at(self.now)? + lease.0;
+        executor.lease_end_ms = executor.lease_end_ms.max(deadline);
+        Some(deadline)
+    }
+
+    pub(super) fn registered(&mut self, id: &ExecutorId, registration: Option<Registration>) {
+        let known = self.by_id.get(id).copied();
+        let (x, registration) = match (known, registration) {
+            (None, None) => return,
+            (Some(x), None) => {
+                self.fleet[x].registration = None;
+                return;
+            }
+            (Some(x), Some(registration)) => (x, registration),
+            (None, Some(registration)) => {
+                let x = self.fleet.len();
+                self.fleet.push(Executor::new(id, &registration, self.now));
+                self.by_id.insert(id.clone(), x);
+                self.replace_others_at(x, &registration);
+                (x, registration)
+            }
+        };
+        let executor = &mut self.fleet[x];
+        executor.target.address = registration.address;
+        executor.capacity = registration.capacity;
+        let is_reborn = match (registration.incarnation, executor.incarnation) {
+            (Some(told), Some(known)) => told > known,
+            _ => false,
+        };
+        let drains = registration.is_draining;
+        executor.registration = Some(registration);
+        if is_reborn {
+            executor.is_fenced = false;
+            executor.misses = 0;
+        }
+        if drains {
+            self.leave(x);
+        }
+        self.must_place = true;
+        self.hold_if_wanted(x);
+    }
+
+    /// An executor with another id at the address of `x` is gone, with everything on it.
+    fn replace_others_at(&mut self, x: usize, registration: &Registration) {
+        let same = |other: &usize| {
+            *other != x && self.fleet[*other].target.address == registration.address
+        };
+        let gone: Vec<usize> = (0..self.fleet.len()).filter(same).collect();
+        for other in gone {
+            self.fleet[other].registration = None;
+            self.lose_all(other, Loss::Reborn);
+            self.resolve(other);
+        }
+    }
+
+    /// Moves lasting tasks off an executor that drains; the others end or go with it.
+    fn leave(&mut self, x: usize) {
+        let lasting: Vec<TaskKey> = self.fleet[x]
+            .runs
+            .keys()
+            .filter(|task| self.is_lasting(**task))
+            .copied()
+            .collect();
+        for task in lasting {
+            self.stop_run(x, task, "the executor drains");
+        }
+    }
+
+    pub(super) fn is_usable(&self, x: usize) -> bool {
+        let executor = &self.fleet[x];
+        let Some(registration) = &executor.registration else {
+            return false;
+        };
+        executor.is_fenced
+            && !registration.is_draining
+            && !executor.is_closing
+            && executor.misses == 0
+            && executor.rests_until <= self.now
+            && executor.clock.is_some()
+    }
+
+    /// Nothing of an earlier owner is unknown on that executor any more.
+    pub(super) fn resolve(&mut self, x: usize) {
+        if self.unresolved.remove(&x) && self.unresolved.is_empty() {
+            self.must_place = true;
+        }
+    }
+
+    /// Takes all its runs as over.
+    pub(super) fn lose_all(&mut self, x: usize, why: Loss) {
+        let tasks: Vec<TaskKey> = self.fleet[x].runs.keys().copied().collect();
+        for task in tasks {
+            self.lose(x, task, why);
+        }
+    }
+
+    /// Takes one run as over without a listed end.
+    pub(super) fn lose(&mut self, x: usize, task: TaskKey, why: Loss) {
+        let Some(run) = self.fleet[x].remove(task) else {
+            return;
+        };
+        let executor = self.fleet[x].id.clone();
+        self.effects.push(Effect::Log(Decision::Lost {
+            task,
+            run: run.run,
+            executor,
+            why,
+        }));
+        self.wait_again(task, run.run, run.checkpoint);
+        self.must_place = true;
+    }
+
+    /// Counts a failed run against an executor.
+    pub(super) fn strike(&mut self, x: usize, why: &'static str) {
+        let executor = &mut self.fleet[x];
+        executor.strikes += 1;
+        if executor.strikes < STRIKES_TO_REST {
+            return;
+        }
+        let doublings = (executor.strikes - STRIKES_TO_REST).min(4);
+        let rest = Span(FIRST_REST.0 << doublings).min(LONGEST_REST);
+        executor.rests_until = self.now + rest;
+        let decision = Decision::Trusted {
+            executor: executor.id.clone(),
+            is_trusted: false,
+            why,
+        };
+        self.effects.push(Effect::Log(decision));
+        self.set_timer(rest, Timer::Place);
+    }
+
+    pub(super) fn clear_strikes(&mut self, x: usize) {
+        self.fleet[x].strikes = 0;
+    }
+}
--- /dev/null
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -0,0 +1,332 @@
+//! Holds: leases, ends and lists of what runs.
+
+use guavacart_types::{Span, Timestamp};
+
+use super::{
+    IDLE_LOOK, State, Timer,
+    fleet::{Phase, Run},
+};
+use crate::{
+    Decision, Effect, ExecutorId, HoldOrder, HoldReport, Loss, OrderFailure, Refusal, RunListed,
+    TaskKey,
+};
+
+/// Longest wait of a hold for an end; also how often leases are extended.
+const HOLD_WAIT: Span = Span::millis(1_000);
+/// The same where a serving task's tail is watched; tails are told each half second.
+const WATCHING_WAIT: Span = Span::millis(500);
+/// First pause after a hold without an answer; doubled with each further one.
+const FIRST_PAUSE: Span = Span::millis(100);
+/// Longest such pause.
+const LONGEST_PAUSE: Span = Span::millis(800);
+/// Added to the longest lease for what an earlier owner may have ordered.
+const EARLIER_OWNER_MARGIN: Span = Span::millis(400);
+
+impl State {
+    /// Sends the next hold if there is something to hold, to learn or to acknowledge.
+    pub(super) fn hold_if_wanted(&mut self, x: usize) {
+        let executor = &self.fleet[x];
+        if executor.is_waiting || executor.is_looking {
+            return;
+        }
+        let may_run = !executor.runs.is_empty() || self.unresolved.contains(&x);
+        if executor.registration.is_none() && !may_run {
+            return;
+        }
+        let is_idle = executor.is_fenced
+            && executor.runs.is_empty()
+            && executor.acknowledged >= executor.durable;
+        if is_idle && self.now.since(executor.heard) < IDLE_LOOK {
+            self.timers
+                .insert((executor.heard + IDLE_LOOK, Timer::Hold(x)));
+            return;
+        }
+        let must_wait = executor.is_fenced && !executor.runs.is_empty();
+        self.hold(x, must_wait);
+    }
+
+    /// Asks for the lists at once, beside a hold that waits.
+    pub(super) fn look(&mut self, x: usize) {
+        if self.fleet[x].is_looking {
+            self.fleet[x].looks_again = true;
+        } else {
+            self.hold(x, false);
+        }
+    }
+
+    fn hold(&mut self, x: usize, must_wait: bool) {
+        let deadline_ms = self.extend_lease(x);
+        let watches = self.fleet[x].serving > 0 && self.fleet[x].filler_wish > 0;
+        let executor = &mut self.fleet[x];
+        let wait = match (must_wait, watches) {
+            (false, _) => Span::ZERO,
+            (true, true) => WATCHING_WAIT,
+            (true, false) => HOLD_WAIT,
+        };
+        if must_wait {
+            executor.is_waiting = true;
+        } else {
+            executor.is_looking = true;
+        }
+        let order = HoldOrder {
+            epoch: self.epoch,
+            deadline_ms,
+            acknowledged: executor.durable,
+            wait,
+        };
+        self.effects
+            .push(Effect::Hold(executor.target.clone(), order));
+        self.watch_lapse(x);
+    }
+
+    /// Sets the timer for when the executor's lease has certainly run out.
+    pub(super) fn watch_lapse(&mut self, x: usize) {
+        let at = if self.fleet[x].clock.is_none() && self.unresolved.contains(&x) {
+            Some(self.earlier_leases_end())
+        } else {
+            self.fleet[x].lapses_at()
+        };
+        if let Some(at) = at {
+            self.timers.retain(|(_, timer)| *timer != Timer::Lapse(x));
+            self.timers
+                .insert((at.max(self.now + Span(1)), Timer::Lapse(x)));
+        }
+    }
+
+    /// When every lease that an earlier owner extended has certainly run out.
+    fn earlier_leases_end(&self) -> Timestamp {
+        self.began + self.bounds.max_lease + EARLIER_OWNER_MARGIN
+    }
+
+    pub(super) fn check_lapse(&mut self, x: usize) {
+        let executor = &self.fleet[x];
+        let is_over = if executor.clock.is_none() {
+            self.now >= self.earlier_leases_end()
+        } else {
+            executor.lapses_at().is_some_and(|at| self.now >= at)
+        };
+        if !is_over {
+            self.watch_lapse(x);
+            return;
+        }
+        self.lose_all(x, Loss::Lapsed);
+        self.resolve(x);
+    }
+
+    pub(super) fn held(
+        &mut self,
+        id: &ExecutorId,
+        sent: Timestamp,
+        report: Result<HoldReport, OrderFailure>,
+        is_waiting: bool,
+    ) {
+        let Some(&x) = self.by_id.get(id) else {
+            return;
+        };
+        let mut looks_again = false;
+        if is_waiting {
+            self.fleet[x].is_waiting = false;
+        } else {
+            self.fleet[x].is_looking = false;
+            looks_again = std::mem::take(&mut self.fleet[x].looks_again);
+        }
+        match report {
+            Ok(report) => self.take_report(x, sent, report),
+            Err(failure) => self.hold_failed(x, failure),
+        }
+        if looks_again && self.fleet[x].misses == 0 {
+            self.look(x);
+        } else if self.fleet[x].misses == 0 {
+            self.hold_if_wanted(x);
+        }
+    }
+
+    fn hold_failed(&mut self, x: usize, failure: OrderFailure) {
+        if failure == OrderFailure::Refused(Refusal::Fenced) {
+            self.effects.push(Effect::StepDown);
+            return;
+        }
+        let executor = &mut self.fleet[x];
+        executor.misses += 1;
+        let doublings = executor.misses.min(5) - 1;
+        let pause = Span(FIRST_PAUSE.0 << doublings).min(LONGEST_PAUSE);
+        let is_first = executor.misses == 1;
+        let executor = executor.id.clone();
+        if is_first {
+            self.effects.push(Effect::Log(Decision::OrderFailed {
+                executor,
+                task: None,
+                failure,
+            }));
+        }
+        self.set_timer(pause, Timer::Hold(x));
+    }
+
+    fn take_report(&mut self, x: usize, sent: Timestamp, report: HoldReport) {
+        let known = self.fleet[x].incarnation;
+        if known.is_some_and(|known| report.incarnation < known) {
+            return;
+        }
+        self.take_incarnation(x, &report);
+        let executor = &mut self.fleet[x];
+        if executor
+            .clock
+            .is_none_or(|(reading, _)| reading <= report.clock_ms)
+        {
+            executor.clock = Some((report.clock_ms, self.now));
+        }
+        executor.heard = self.now;
+        if std::mem::take(&mut executor.misses) > 0 || !executor.is_fenced {
+            executor.is_fenced = true;
+            self.must_place = true;
+        }
+        for end in &report.ended {
+            if end.number > self.fleet[x].seen {
+                self.fleet[x].seen = end.number;
+                self.saving.has_ends = true;
+                self.settle(x, end);
+            }
+        }
+        for listed in &report.running {
+            self.take_listed(x, sent, listed);
+        }
+        if !report.is_partial {
+            self.find_unlisted(x, sent, &report);
+            self.resolve(x);
+        }
+        let acknowledged = self.fleet[x].durable;
+        self.fleet[x].acknowledged = self.fleet[x].acknowledged.max(acknowledged);
+        self.set_paces(x);
+        self.watch_lapse(x);
+    }
+
+    fn take_incarnation(&mut self, x: usize, report: &HoldReport) {
+        let executor = &mut self.fleet[x];
+        if executor.incarnation == Some(report.incarnation) {
+            return;
+        }
+        let is_first = executor.incarnation.is_none();
+        executor.incarnation = Some(report.incarnation);
+        if is_first {
+            return;
+        }
+        executor.clock = None;
+        executor.lease_end_ms = 0;
+        executor.seen = 0;
+        executor.durable = 0;
+        executor.acknowledged = 0;
+        executor.strikes = 0;
+        executor.is_fenced = false;
+        // A start that was never answered may still reach the new incarnation.
+        let (lost, doubtful): (Vec<TaskKey>, Vec<TaskKey>) = executor
+            .runs
+            .keys()
+            .copied()
+            .partition(|task| matches!(executor.runs[task].phase, Phase::Running(_)));
+        for task in lost {
+            self.lose(x, task, Loss::Reborn);
+        }
+        for task in doubtful {
+            self.stop_run(x, task, "the executor was born again");
+        }
+    }
+
+    fn take_listed(&mut self, x: usize, sent: Timestamp, listed: &RunListed) {
+        let now = self.now;
+        let Some(run) = self.fleet[x].runs.get_mut(&listed.task) else {
+            self.take_unknown(x, sent, listed);
+            return;
+        };
+        if run.run != listed.run {
+            return;
+        }
+        run.phase = Phase::Running(match run.phase {
+            Phase::Running(since) => since,
+            Phase::Sent | Phase::Doubtful => now,
+        });
+        run.percent = listed.percent;
+        if !listed.checkpoint.is_empty() {
+            run.checkpoint = Some(listed.checkpoint.clone());
+        }
+        self.take_usage(x, listed);
+    }
+
+    /// A run that this owner did not start, or that began after it was given up.
+    fn take_unknown(&mut self, x: usize, sent: Timestamp, listed: &RunListed) {
+        let task = self.task(listed.task);
+        if task.is_some_and(|task| listed.run <= task.closed_run) {
+            return;
+        }
+        let is_free = task.is_some_and(|task| !task.is_done && task.placed.is_none());
+        let is_open = self
+            .jobs
+            .get(&listed.task.step.job)
+            .is_some_and(|entry| !entry.is_over());
+        let run = self.run_of(listed, sent);
+        self.fleet[x].add(listed.task, run);
+        if !(is_free && is_open) {
+            self.stop_run(x, listed.task, "the run is not wanted");
+            return;
+        }
+        let executor = self.fleet[x].id.clone();
+        self.effects.push(Effect::Log(Decision::Adopted {
+            task: listed.task,
+            run: listed.run,
+            executor,
+        }));
+        self.occupy(x, listed.task, listed.run);
+    }
+
+    fn run_of(&self, listed: &RunListed, sent: Timestamp) -> Run {
+        let spec = self.spec(listed.task);
+        Run {
+            run: listed.run,
+            size: spec.map(crate::Step::committed).unwrap_or_default(),
+            wish: spec.map_or(0, |step| step.size.processors.0),
+            is_filler: spec.is_some_and(|step| step.is_filler),
+            tail_target: spec.and_then(|step| step.tail_target),
+            phase: Phase::Running(sent),
+            deadline_ms: 0,
+            since: sent,
+            stop: None,
+            percent: listed.percent,
+            pace: 100,
+            tail_ms: None,
+            idle_looks: 0,
+            checkpoint: (!listed.checkpoint.is_empty()).then(|| listed.checkpoint.clone()),
+        }
+    }
+
+    /// Runs that a complete list does not show any more.
+    fn find_unlisted(&mut self, x: usize, sent: Timestamp, report: &HoldReport) {
+        let is_listed = |task: &TaskKey, run: &Run| {
+            let same = |row: &RunListed| row.task == *task && row.run == run.run;
+            report.running.iter().any(same)
+        };
+        let mut lost = Vec::new();
+        let mut to_stop = Vec::new();
+        for (task, run) in &self.fleet[x].runs {
+            if is_listed(task, run) {
+                continue;
+            }
+            let is_stopped = run.stop.and_then(|stop| stop.answered);
+            match run.phase {
+                Phase::Running(confirmed) if confirmed < sent => lost.push((*task, Loss::Unlisted)),
+                _ if is_stopped.is_some_and(|answered| answered < sent) => {
+                    lost.push((*task, Loss::StoppedBefore));
+                }
+                Phase::Doubtful if run.deadline_ms != 0 && report.clock_ms > run.deadline_ms => {
+                    lost.push((*task, Loss::NotStarted));
+                }
+                Phase::Doubtful if run.stop.is_none() => to_stop.push(*task),
+                Phase::Running(_) | Phase::Doubtful | Phase::Sent => {}
+            }
+        }
+        for (task, why) in lost {
+            self.lose(x, task, why);
+        }
+        for task in to_stop {
+            self.stop_run(x, task, "its start was not answered and it is not listed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -0,0 +1,472 @@
+//! Jobs, their steps and tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use guavacart_types::{Span, Timestamp};
+use smol_str::SmolStr;
+
+use super::{RETENTION_CHECK, State, Timer};
+use crate::{
+    Decision, Effect, ExecutorId, HowEnded, Job, JobKey, JobOutcome, Progress, QueueRules,
+    RunEnded, RunNumber, Step, StepKey, TaskKey, Ticket,
+};
+
+/// Room for the runs of one owner's epoch in a task's run numbers.
+const RUNS_PER_EPOCH: u64 = 10_000;
+/// Rest of a lasting task that failed, before it starts again.
+const LASTING_RESTART: Span = Span::millis(200);
+
+/// One job.
+#[derive(Debug)]
+pub(super) struct JobEntry {
+    pub(super) job: Job,
+    pub(super) progress: Progress,
+    /// It stood in the store before this owner began.
+    pub(super) is_earlier: bool,
+    /// Its end that stands in the store.
+    pub(super) shown: Option<JobOutcome>,
+    pub(super) steps: BTreeMap<(u32, u16), StepState>,
+    /// Occurrences that have not begun.
+    pub(super) to_come: u32,
+}
+
+/// One step of one occurrence.
+#[derive(Debug)]
+pub(super) struct StepState {
+    pub(super) tasks: Vec<Task>,
+    pub(super) waiting: BTreeSet<u16>,
+    pub(super) done: usize,
+    /// All steps before it are done.
+    pub(super) is_ready: bool,
+    pub(super) ready_since: Timestamp,
+    /// Permissions by executor, and when they end.
+    pub(super) tickets: BTreeMap<ExecutorId, (Ticket, Timestamp)>,
+    /// Executors that the advice service was asked about.
+    pub(super) asked: BTreeSet<ExecutorId>,
+    pub(super) is_asking: bool,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    pub(super) is_done: bool,
+    pub(super) placed: Option<(usize, RunNumber)>,
+    /// Greatest run that was started or seen.
+    pub(super) last_run: RunNumber,
+    /// Greatest run that is over.
+    pub(super) closed_run: RunNumber,
+    pub(super) checkpoint: Option<SmolStr>,
+    /// Executor on which it failed last.
+    pub(super) avoid: Option<usize>,
+    pub(super) not_before: Timestamp,
+}
+
+impl JobEntry {
+    pub(super) fn is_over(&self) -> bool {
+        self.progress.outcome.is_some()
+    }
+
+    pub(super) fn step(&self, key: StepKey) -> &Step {
+        &self.job.steps[usize::from(key.step)]
+    }
+
+    pub(super) fn state(&self, key: StepKey) -> Option<&StepState> {
+        self.steps.get(&(key.occurrence, key.step))
+    }
+
+    pub(super) fn state_mut(&mut self, key: StepKey) -> Option<&mut StepState> {
+        self.steps.get_mut(&(key.occurrence, key.step))
+    }
+
+    fn is_completed(&self) -> bool {
+        self.to_come == 0
+            && self
+                .steps
+                .values()
+                .all(|step| step.done == step.tasks.len())
+    }
+}
+
+impl State {
+    /// The rules of a job's queue as they are now, or as they were when the queue was removed.
+    pub(super) fn rules<'a>(&'a self, entry: &'a JobEntry) -> &'a QueueRules {
+        let now = self.configuration.rules(&entry.job.queue);
+        now.unwrap_or(&entry.job.rules)
+    }
+
+    pub(super) fn task(&self, key: TaskKey) -> Option<&Task> {
+        let state = self.jobs.get(&key.step.job)?.state(key.step)?;
+        state.tasks.get(usize::from(key.index))
+    }
+
+    pub(super) fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        let state = self.jobs.get_mut(&key.step.job)?.state_mut(key.step)?;
+        state.tasks.get_mut(usize::from(key.index))
+    }
+
+    /// The step that a task belongs to, if its job is known.
+    pub(super) fn spec(&self, key: TaskKey) -> Option<&Step> {
+        let entry = self.jobs.get(&key.step.job)?;
+        let step = entry.job.steps.get(usize::from(key.step.step))?;
+        (key.index < step.count).then_some(step)
+    }
+
+    pub(super) fn is_lasting(&self, key: TaskKey) -> bool {
+        self.spec(key).is_some_and(|step| step.is_lasting)
+    }
+
+    /// The number for the next run of a task: greater than any of an earlier owner.
+    pub(super) fn next_run(&self, last: RunNumber) -> RunNumber {
+        let first = (self.epoch.0.saturating_sub(1)) * RUNS_PER_EPOCH + 1;
+        RunNumber(first.max(last.0 + 1))
+    }
+
+    pub(super) fn load(&mut self, key: JobKey, job: Job, progress: Progress, is_earlier: bool) {
+        if self.jobs.contains_key(&key) {
+            return;
+        }
+        let entry = JobEntry {
+            to_come: job.occurrences(),
+            is_earlier,
+            shown: progress.outcome,
+            steps: BTreeMap::new(),
+            job,
+            progress,
+        };
+        self.jobs.insert(key, entry);
+        if self.cancelled.contains(&key) {
+            self.cancel(key);
+        }
+        for occurrence in 0..self.jobs[&key].job.occurrences() {
+            self.begin_when_due(key, occurrence);
+        }
+        self.end_if_completed(key);
+    }
+
+    fn begin_when_due(&mut self, key: JobKey, occurrence: u32) {
+        if self.jobs[&key].is_over() {
+            return;
+        }
+        let due = self.jobs[&key].job.due_unix_ms(occurrence);
+        let wait = due.map_or(0, |due| due.saturating_sub(self.unix_ms));
+        if wait == 0 {
+            self.begin_occurrence(key, occurrence);
+        } else {
+            self.set_timer(Span(wait), Timer::Due(key, occurrence));
+        }
+    }
+
+    pub(super) fn begin_occurrence(&mut self, key: JobKey, occurrence: u32) {
+        let Some(entry) = self.jobs.get(&key) else {
+            return;
+        };
+        let is_begun = entry.steps.contains_key(&(occurrence, 0));
+        if entry.is_over() || is_begun {
+            return;
+        }
+        // The time of day may have been set back since the timer was set.
+        if entry
+            .job
+            .due_unix_ms(occurrence)
+            .is_some_and(|due| due > self.unix_ms)
+        {
+            self.begin_when_due(key, occurrence);
+            return;
+        }
+        let now = self.now;
+        let Some(entry) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        entry.to_come -= 1;
+        for step in 0..entry.job.steps.len() {
+            let step = u16::try_from(step).unwrap_or(u16::MAX);
+            let state = restored(entry, occurrence, step, now);
+            entry.steps.insert((occurrence, step), state);
+        }
+        self.find_ready(key, occurrence);
+        self.must_place = true;
+    }
+
+    /// Marks the steps of an occurrence whose earlier steps are all done.
+    fn find_ready(&mut self, key: JobKey, occurrence: u32) {
+        let now = self.now;
+        let Some(entry) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let is_done = |entry: &JobEntry, step: u16| {
+            let state = entry.steps.get(&(occurrence, step));
+            state.is_some_and(|state| state.done == state.tasks.len())
+        };
+        for step in 0..entry.job.steps.len() {
+            let after = &entry.job.steps[step].after;
+            let is_ready = after.iter().all(|before| is_done(entry, *before));
+            let step = u16::try_from(step).unwrap_or(u16::MAX);
+            let Some(state) = entry.steps.get_mut(&(occurrence, step)) else {
+                continue;
+            };
+            if !is_ready || state.is_ready {
+                continue;
+            }
+            state.is_ready = true;
+            state.ready_since = now;
+            if !state.waiting.is_empty() {
+                self.ready.insert(StepKey {
+                    job: key,
+                    occurrence,
+                    step,
+                });
+            }
+        }
+    }
+
+    pub(super) fn cancel(&mut self, key: JobKey) {
+        self.cancelled.insert(key);
+        let is_open = self.jobs.get(&key).is_some_and(|entry| !entry.is_over());
+        if is_open {
+            self.end_job(key, JobOutcome::Cancelled);
+        }
+    }
+
+    fn end_job(&mut self, key: JobKey, outcome: JobOutcome) {
+        let Some(entry) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        entry.progress.outcome = Some(outcome);
+        entry.progress.ended_unix_ms = self.unix_ms;
+        for state in entry.steps.values_mut() {
+            state.waiting.clear();
+        }
+        self.ready.retain(|step| step.job != key);
+        self.effects
+            .push(Effect::Log(Decision::JobEnded { job: key, outcome }));
+        self.stop_job(key);
+        self.must_save(key, true);
+    }
+
+    fn end_if_completed(&mut self, key: JobKey) {
+        let entry = &self.jobs[&key];
+        if !entry.is_over() && entry.is_completed() {
+            self.end_job(key, JobOutcome::Completed);
+        }
+    }
+
+    /// Takes in the listed end of a run; `x` is where it ran.
+    pub(super) fn settle(&mut self, x: usize, end: &RunEnded) {
+        self.effects.push(Effect::Log(Decision::Ended {
+            task: end.task,
+            run: end.run,
+            executor: self.fleet[x].id.clone(),
+            how: end.how,
+        }));
+        let is_same = |run: &super::fleet::Run| run.run <= end.run;
+        if self.fleet[x].runs.get(&end.task).is_some_and(is_same) {
+            self.fleet[x].remove(end.task);
+        }
+        self.must_place = true;
+        if self.spec(end.task).is_none() {
+            return;
+        }
+        match end.how {
+            HowEnded::Done if !self.is_lasting(end.task) => {
+                self.clear_strikes(x);
+                self.task_done(end.task, end.run);
+            }
+            HowEnded::Done | HowEnded::Failed => self.task_failed(x, end),
+            HowEnded::Stopped | HowEnded::Lapsed | HowEnded::Broken | HowEnded::Alone => {
+                let checkpoint = (!end.checkpoint.is_empty()).then(|| end.checkpoint.clone());
+                self.wait_again(end.task, end.run, checkpoint);
+            }
+        }
+    }
+
+    fn task_done(&mut self, key: TaskKey, run: RunNumber) {
+        let is_gang = self.spec(key).is_some_and(|step| step.is_gang);
+        self.close_run(key, run);
+        let members: Vec<TaskKey> = if is_gang {
+            let count = self.spec(key).map_or(0, |step| step.count);
+            (0..count).map(|index| key.step.task(index)).collect()
+        } else {
+            vec![key]
+        };
+        for member in members {
+            self.mark_done(member);
+        }
+        let step = key.step;
+        self.must_save(step.job, false);
+        let is_step_done = self.jobs[&step.job]
+            .state(step)
+            .is_some_and(|state| state.done == state.tasks.len());
+        if is_step_done && !self.jobs[&step.job].is_over() {
+            self.find_ready(step.job, step.occurrence);
+            self.end_if_completed(step.job);
+        }
+    }
+
+    fn mark_done(&mut self, key: TaskKey) {
+        let Some(entry) = self.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        let at = (key.step.occurrence, key.step.step);
+        let Some(state) = entry.steps.get_mut(&at) else {
+            return;
+        };
+        let task = &mut state.tasks[usize::from(key.index)];
+        if std::mem::replace(&mut task.is_done, true) {
+            return;
+        }
+        let placed = task.placed.take();
+        state.done += 1;
+        state.waiting.remove(&key.index);
+        if state.waiting.is_empty() {
+            self.ready.remove(&key.step);
+        }
+        let record = entry.progress.steps.entry(at).or_default();
+        record.done.insert(key.index);
+        record.saved.remove(&key.index);
+        if let Some((x, _)) = placed {
+            self.stop_run(x, key, "the task is done elsewhere");
+        }
+    }
+
+    fn task_failed(&mut self, x: usize, end: &RunEnded) {
+        let key = end.task;
+        let rules = self.rules(&self.jobs[&key.step.job]);
+        let most = usize::try_from(rules.max_attempts.max(1)).unwrap_or(usize::MAX);
+        let is_lasting = self.is_lasting(key);
+        let checkpoint = (!end.checkpoint.is_empty()).then(|| end.checkpoint.clone());
+        if let Some(task) = self.task_mut(key) {
+            task.avoid = Some(x);
+        }
+        self.wait_again(key, end.run, checkpoint);
+        if is_lasting {
+            self.strike(x, "a lasting task ended there");
+            self.delay(key, LASTING_RESTART);
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        let at = (key.step.occurrence, key.step.step);
+        let record = entry.progress.steps.entry(at).or_default();
+        let runs = record.failed.entry(key.index).or_default();
+        runs.insert(end.run);
+        let failures = runs.len();
+        // A task that fails everywhere says nothing about the executor.
+        if failures == 1 {
+            self.strike(x, "runs failed there");
+        }
+        self.must_save(key.step.job, false);
+        if failures >= most && !self.jobs[&key.step.job].is_over() {
+            self.end_job(key.step.job, JobOutcome::Failed);
+        }
+    }
+
+    fn delay(&mut self, key: TaskKey, rest: Span) {
+        let not_before = self.now + rest;
+        if let Some(task) = self.task_mut(key) {
+            task.not_before = not_before;
+        }
+        self.set_timer(rest, Timer::Place);
+    }
+
+    /// Records that no run of the task up to `run` can begin any more.
+    fn close_run(&mut self, key: TaskKey, run: RunNumber) {
+        if let Some(task) = self.task_mut(key) {
+            task.closed_run = task.closed_run.max(run);
+            task.last_run = task.last_run.max(run);
+            if task.placed.is_some_and(|(_, placed)| placed <= run) {
+                task.placed = None;
+            }
+        }
+    }
+
+    /// Queues a task again whose run is over and not done.
+    pub(super) fn wait_again(&mut self, key: TaskKey, run: RunNumber, saved: Option<SmolStr>) {
+        self.close_run(key, run);
+        let Some(entry) = self.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        let is_over = entry.is_over();
+        let at = (key.step.occurrence, key.step.step);
+        let is_gang = entry
+            .job
+            .steps
+            .get(usize::from(key.step.step))
+            .is_some_and(|s| s.is_gang);
+        let Some(state) = entry.steps.get_mut(&at) else {
+            return;
+        };
+        let Some(task) = state.tasks.get_mut(usize::from(key.index)) else {
+            return;
+        };
+        if task.is_done || task.placed.is_some() {
+            return;
+        }
+        let is_new = saved.is_some() && saved != task.checkpoint;
+        if let Some(saved) = saved {
+            task.checkpoint = Some(saved.clone());
+            if is_gang {
+                state
+                    .tasks
+                    .iter_mut()
+                    .for_each(|task| task.checkpoint = Some(saved.clone()));
+            }
+            let record = entry.progress.steps.entry(at).or_default();
+            record.saved.insert(key.index, saved);
+        }
+        if !is_over {
+            state.waiting.insert(key.index);
+            if state.is_ready {
+                self.ready.insert(key.step);
+            }
+        }
+        if is_new {
+            self.must_save(key.step.job, false);
+        }
+    }
+
+    pub(super) fn forget_old_jobs(&mut self) {
+        self.set_timer(RETENTION_CHECK, Timer::Retention);
+        let keep = self.bounds.retention.0 + RETENTION_CHECK.0;
+        let is_old = |entry: &JobEntry| {
+            entry.shown.is_some() && entry.progress.ended_unix_ms + keep < self.unix_ms
+        };
+        let old: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| is_old(entry))
+            .map(|(key, _)| *key)
+            .collect();
+        if old.is_empty() {
+            return;
+        }
+        for key in &old {
+            self.jobs.remove(key);
+            self.cancelled.remove(key);
+        }
+        self.effects.push(Effect::Forget(old));
+    }
+}
+
+/// A step as its durable record tells it.
+fn restored(entry: &JobEntry, occurrence: u32, step: u16, now: Timestamp) -> StepState {
+    let count = entry.job.steps[usize::from(step)].count;
+    let record = entry.progress.steps.get(&(occurrence, step));
+    let is_done = |index: u16| record.is_some_and(|record| record.done.contains(&index));
+    let task = |index: u16| Task {
+        is_done: is_done(index),
+        checkpoint: record.and_then(|record| record.saved.get(&index).cloned()),
+        ..Task::default()
+    };
+    let tasks: Vec<Task> = (0..count).map(task).collect();
+    StepState {
+        done: tasks.iter().filter(|task| task.is_done).count(),
+        waiting: (0..count).filter(|index| !is_done(*index)).collect(),
+        tasks,
+        is_ready: false,
+        ready_since: now,
+        tickets: BTreeMap::new(),
+        asked: BTreeSet::new(),
+        is_asking: false,
+    }
+}
--- /dev/null
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -0,0 +1,259 @@
+//! Chooses the tasks that start and the executors that run them.
+
+use std::collections::BTreeMap;
+
+use guavacart_types::{Resources, Span};
+use smol_str::SmolStr;
+
+use super::{State, Timer};
+use crate::{Decision, Effect, RunNumber, Step, StepKey, Ticket};
+
+/// Factor on a step's estimate for which it waits for the rack of its data.
+const RACK_PATIENCE: u64 = 2;
+/// Processors that a filler takes a serving neighbour to cost it, in thousandths of a core.
+const SERVING_PENALTY: i64 = 16_000;
+
+/// Where a step comes in the order of starts; the least goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    priority: u32,
+    /// Latest start that is in time, in Unix milliseconds.
+    latest_start: u64,
+    step: StepKey,
+}
+
+/// Room that this pass has given away on an executor, for gangs that are tried out.
+type Taken = BTreeMap<usize, (Resources, usize)>;
+
+impl State {
+    /// Starts what fits, in order of rank.
+    pub(super) fn place(&mut self) {
+        if self.ready.is_empty() {
+            return;
+        }
+        let mut ranks: Vec<Rank> = self
+            .ready
+            .iter()
+            .filter_map(|key| self.rank(*key))
+            .collect();
+        ranks.sort_unstable();
+        for rank in ranks {
+            self.place_step(rank.step);
+        }
+    }
+
+    fn rank(&self, key: StepKey) -> Option<Rank> {
+        let entry = self.jobs.get(&key.job)?;
+        if entry.is_earlier && !self.unresolved.is_empty() {
+            return None;
+        }
+        let rules = self.rules(entry);
+        let chain = entry.job.longest_chain().0;
+        let due = entry.job.due_unix_ms(key.occurrence);
+        let from = due.unwrap_or(entry.job.accepted_unix_ms);
+        let stretched = (chain as f32 * (rules.stretch - 1.0).max(0.0)) as u64;
+        Some(Rank {
+            priority: rules.priority,
+            latest_start: from + rules.target.0 + stretched,
+            step: key,
+        })
+    }
+
+    fn place_step(&mut self, key: StepKey) {
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let step = entry.step(key).clone();
+        let has_advice = self.rules(entry).advice.is_some();
+        if has_advice {
+            self.ask_advice(key);
+        }
+        if step.is_gang {
+            self.place_gang(key, &step);
+            return;
+        }
+        let Some(state) = self.jobs.get(&key.job).and_then(|entry| entry.state(key)) else {
+            return;
+        };
+        let waiting: Vec<u16> = state.waiting.iter().copied().collect();
+        let rack = self.wanted_rack(key, &step, waiting.len());
+        for index in waiting {
+            let task =
+                &self.jobs[&key.job].steps[&(key.occurrence, key.step)].tasks[usize::from(index)];
+            if task.not_before > self.now {
+                continue;
+            }
+            let (avoid, last_run) = (task.avoid, task.last_run);
+            let Some(x) = self.choose(key, &step, rack.as_ref(), avoid, &Taken::new()) else {
+                break;
+            };
+            let run = self.next_run(last_run);
+            let ticket = self.ticket(x, key);
+            self.start(x, key.task(index), run, ticket);
+        }
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(&mut self, key: StepKey, step: &Step) {
+        let state = &self.jobs[&key.job].steps[&(key.occurrence, key.step)];
+        if state.waiting.len() != state.tasks.len() {
+            return;
+        }
+        let last_run = state.tasks.iter().map(|task| task.last_run).max();
+        let run = self.next_run(last_run.unwrap_or(RunNumber(0)));
+        let rack = self.wanted_rack(key, step, usize::from(step.count));
+        let mut taken = Taken::new();
+        let mut chosen = Vec::with_capacity(usize::from(step.count));
+        for index in 0..step.count {
+            let Some(x) = self.choose(key, step, rack.as_ref(), None, &taken) else {
+                return;
+            };
+            let entry = taken.entry(x).or_default();
+            entry.0 = entry.0.plus(&step.committed());
+            entry.1 += 1;
+            chosen.push((index, x));
+        }
+        for (index, x) in chosen {
+            let ticket = self.ticket(x, key);
+            self.start(x, key.task(index), run, ticket);
+        }
+    }
+
+    /// The rack that a step has to wait for, while waiting is worth it.
+    fn wanted_rack(&mut self, key: StepKey, step: &Step, tasks: usize) -> Option<SmolStr> {
+        let state = self.jobs.get(&key.job)?.state(key)?;
+        let patience = Span(step.estimate.0 * RACK_PATIENCE);
+        let waited = self.now.since(state.ready_since);
+        if waited >= patience {
+            return None;
+        }
+        let rack = match &step.data_rack {
+            Some(rack) => Some(rack.clone()),
+            None if step.prefers_one_rack => self.roomiest_rack(key, step, tasks),
+            None => None,
+        };
+        if rack.is_some() {
+            self.set_timer(patience.saturating_sub(waited), Timer::Place);
+        }
+        rack
+    }
+
+    /// The rack that already runs tasks of the step, else the one with room for most of them.
+    fn roomiest_rack(&self, key: StepKey, step: &Step, tasks: usize) -> Option<SmolStr> {
+        let mut racks: BTreeMap<&SmolStr, (usize, usize)> = BTreeMap::new();
+        let size = step.committed();
+        for (x, executor) in self.fleet.iter().enumerate() {
+            let rack = executor.registration.as_ref().and_then(|r| r.rack());
+            let Some(rack) = rack.filter(|_| self.is_usable(x)) else {
+                continue;
+            };
+            let entry = racks.entry(rack).or_default();
+            entry.0 += executor.runs_of(key);
+            let mut free = executor.free();
+            while let Some(rest) = free.minus(&size) {
+                entry.1 += 1;
+                free = rest;
+                if entry.1 >= tasks {
+                    break;
+                }
+            }
+        }
+        let best = racks.into_iter().max_by_key(|(_, room)| *room)?;
+        Some(best.0.clone())
+    }
+
+    /// The best executor for one task of the step, if any has room.
+    fn choose(
+        &self,
+        key: StepKey,
+        step: &Step,
+        rack: Option<&SmolStr>,
+        avoid: Option<usize>,
+        taken: &Taken,
+    ) -> Option<usize> {
+        let fits = |x: &usize| self.fits(*x, key, step, rack, taken);
+        let candidates = (0..self.fleet.len()).filter(fits);
+        candidates.max_by_key(|x| (Some(*x) != avoid, self.merit(*x, step)))
+    }
+
+    fn fits(
+        &self,
+        x: usize,
+        key: StepKey,
+        step: &Step,
+        rack: Option<&SmolStr>,
+        taken: &Taken,
+    ) -> bool {
+        let executor = &self.fleet[x];
+        let Some(registration) = &executor.registration else {
+            return false;
+        };
+        if !self.is_usable(x) {
+            return false;
+        }
+        let entry = &self.jobs[&key.job];
+        let rules = self.rules(entry);
+        if registration.pool != rules.pool || !self.configuration.has_pool_on(&rules.pool) {
+            return false;
+        }
+        let has = |label: &SmolStr| registration.labels.contains(label);
+        if step
+            .required_label
+            .as_ref()
+            .is_some_and(|label| !has(label))
+        {
+            return false;
+        }
+        if rack.is_some_and(|rack| !has(rack)) {
+            return false;
+        }
+        let (taken_size, taken_tasks) = taken.get(&x).copied().unwrap_or_default();
+        let needed = taken_size.plus(&step.committed());
+        if !needed.fits_in(&executor.free()) {
+            return false;
+        }
+        let running = executor.runs_of(key) + taken_tasks;
+        if step
+            .max_per_executor
+            .is_some_and(|most| running >= usize::from(most))
+        {
+            return false;
+        }
+        rules.advice.is_none() || self.ticket(x, key).is_some()
+    }
+
+    /// Fillers go where most is left over; the others where least would stay free, beside few fillers.
+    fn merit(&self, x: usize, step: &Step) -> (i64, i64) {
+        let executor = &self.fleet[x];
+        let serving = i64::try_from(executor.serving).unwrap_or(i64::MAX);
+        if step.is_filler {
+            let after = executor.leftover() - i64::try_from(step.size.processors.0).unwrap_or(0);
+            return (after - serving * SERVING_PENALTY, 0);
+        }
+        let free = i64::try_from(executor.free().processors.0).unwrap_or(i64::MAX);
+        let disturbance = i64::try_from(executor.filler_wish).unwrap_or(i64::MAX);
+        (-disturbance, -free)
+    }
+
+    /// The advice service's permission for a step on an executor, if it is still valid.
+    pub(super) fn ticket(&self, x: usize, key: StepKey) -> Option<Ticket> {
+        let state = self.jobs.get(&key.job)?.state(key)?;
+        let (ticket, ends) = state.tickets.get(&self.fleet[x].id)?;
+        (*ends > self.now).then(|| ticket.clone())
+    }
+
+    /// Stops tasks that use no processor although they should, and rests their executor.
+    pub(super) fn give_up_idle(&mut self, x: usize, task: crate::TaskKey) {
+        let executor = self.fleet[x].id.clone();
+        self.effects.push(Effect::Log(Decision::Trusted {
+            executor,
+            is_trusted: false,
+            why: "a task stands still there",
+        }));
+        self.strike(x, "a task stands still there");
+        if let Some(task) = self.task_mut(task) {
+            task.avoid = Some(x);
+        }
+        self.stop_run(x, task, "it stands still");
+    }
+}
--- /dev/null
+++ b/crates/guavacart_node/src/lib.rs
@@ -0,0 +1,25 @@
+//! The runtime of a node without a disk.
+//!
+//! Every node is alike: it accepts jobs by writing them to the platform's store, and whichever holds
+//! the owner's lease runs the reducer of `guavacart_jobs` and orders executors.
+
+mod clock;
+mod election;
+mod front;
+mod links;
+mod log;
+mod metrics;
+mod node;
+mod owner;
+mod ports;
+mod records;
+mod shared;
+mod submit;
+mod watching;
+
+pub use metrics::Counters;
+pub use node::{NodeError, run};
+pub use ports::{
+    BodyError, Content, Item, JobBody, Key, LeaseId, NodeSettings, Platform, Put, Space,
+    StoreError, Value, Write,
+};
--- /dev/null
+++ b/crates/guavacart_node/src/log.rs
@@ -0,0 +1,63 @@
+//! Log lines of the reducer's decisions.
+
+use guavacart_jobs::Decision;
+use guavacart_types::Epoch;
+use tracing::{info, warn};
+
+/// Logs one decision.
+pub(crate) fn decision(epoch: Epoch, decision: &Decision) {
+    let epoch = epoch.0;
+    match decision {
+        Decision::Placed {
+            task,
+            run,
+            executor,
+            free,
+            age,
+        } => info!(
+            event = "placed", %task, run = run.0, %executor, epoch,
+            free_processors = free.processors.0, free_mib = free.memory.0 >> 20, age_ms = age.0,
+        ),
+        Decision::Ended {
+            task,
+            run,
+            executor,
+            how,
+        } => info!(event = "ended", %task, run = run.0, %executor, epoch, ?how),
+        Decision::Lost {
+            task,
+            run,
+            executor,
+            why,
+        } => warn!(event = "lost", %task, run = run.0, %executor, epoch, ?why),
+        Decision::Adopted {
+            task,
+            run,
+            executor,
+        } => info!(event = "adopted", %task, run = run.0, %executor, epoch),
+        Decision::Stopping {
+            task,
+            run,
+            executor,
+            why,
+        } => info!(event = "stopping", %task, run = run.0, %executor, epoch, why),
+        Decision::OrderFailed {
+            executor,
+            task: Some(task),
+            failure,
+        } => warn!(event = "order_failed", %executor, %task, epoch, ?failure),
+        Decision::OrderFailed {
+            executor,
+            task: None,
+            failure,
+        } => warn!(event = "hold_failed", %executor, epoch, ?failure),
+        Decision::Trusted {
+            executor,
+            is_trusted,
+            why,
+        } => info!(event = "trusted", %executor, epoch, is_trusted, why),
+        Decision::JobEnded { job, outcome } => info!(event = "job_ended", %job, epoch, ?outcome),
+        Decision::Advice { step, good } => info!(event = "advice", %step, epoch, good),
+        Decision::Upkeep { machine, wave } => info!(event = "upkeep", %machine, %wave, epoch),
+    }
+}
--- /dev/null
+++ b/crates/guavacart_node/src/shared.rs
@@ -0,0 +1,122 @@
+//! What the tasks of one node share; all run on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use guavacart_jobs::{Configuration, Wave};
+use guavacart_types::{Epoch, Span, Timestamp};
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+
+use crate::{NodeSettings, StoreError, clock, metrics::Counters, owner::Owner, ports::Platform};
+
+/// Time between two trials of a store that does not serve.
+const STORE_TRIAL: Span = Span::millis(200);
+
+/// Who is believed to own.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Leader {
+    pub(crate) epoch: Epoch,
+    pub(crate) name: SmolStr,
+    pub(crate) links: SocketAddr,
+}
+
+/// Shared by the tasks of one node.
+pub(crate) struct Shared<P> {
+    pub(crate) platform: P,
+    pub(crate) settings: NodeSettings,
+    pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    pub(crate) waves: RefCell<Vec<Wave>>,
+    /// Signalled when a configuration or a wave was read.
+    pub(crate) configured: Notify,
+    pub(crate) leader: RefCell<Option<Leader>>,
+    pub(crate) owner: RefCell<Option<Rc<Owner<P>>>>,
+    pub(crate) health: StoreHealth,
+    pub(crate) counters: Counters,
+    pub(crate) is_stopping: Cell<bool>,
+    /// Signalled when the node begins to stop.
+    pub(crate) stopping: Notify,
+    /// Open connections are to be closed.
+    pub(crate) is_closing: Cell<bool>,
+    /// Signalled when open connections are to be closed.
+    pub(crate) closing: Notify,
+    /// Submitters' connections that are open.
+    pub(crate) connections: Cell<usize>,
+}
+
+impl<P: Platform> Shared<P> {
+    pub(crate) fn new(platform: P, settings: NodeSettings) -> Self {
+        Self {
+            platform,
+            settings,
+            configuration: RefCell::new(None),
+            waves: RefCell::new(Vec::new()),
+            configured: Notify::new(),
+            leader: RefCell::new(None),
+            owner: RefCell::new(None),
+            health: StoreHealth::default(),
+            counters: Counters::default(),
+            is_stopping: Cell::new(false),
+            stopping: Notify::new(),
+            is_closing: Cell::new(false),
+            closing: Notify::new(),
+            connections: Cell::new(0),
+        }
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    pub(crate) fn owner(&self) -> Option<Rc<Owner<P>>> {
+        self.owner.borrow().clone()
+    }
+}
+
+/// Whether the store serves this node, by the outcomes of its calls.
+#[derive(Debug, Default)]
+pub(crate) struct StoreHealth {
+    failing_since: Cell<Option<Timestamp>>,
+    next_trial: Cell<Timestamp>,
+}
+
+impl StoreHealth {
+    /// Takes in the outcome of a call.
+    pub(crate) fn note<T>(&self, result: &Result<T, StoreError>) {
+        let is_failing = matches!(
+            result,
+            Err(StoreError::Refused(_) | StoreError::NotSent | StoreError::NoAnswer)
+        );
+        let since = self.failing_since.get();
+        match (is_failing, since) {
+            (true, None) => {
+                let now = clock::now();
+                self.failing_since.set(Some(now));
+                self.next_trial.set(now + STORE_TRIAL);
+                tracing::warn!(event = "store_lost", "the store does not serve this node");
+            }
+            (false, Some(since)) => {
+                self.failing_since.set(None);
+                let lost_ms = clock::now().since(since).0;
+                tracing::info!(event = "store_regained", lost_ms, "the store serves again");
+            }
+            _ => {}
+        }
+    }
+
+    /// True if a write is worth trying now; while the store fails, one in each interval is.
+    pub(crate) fn may_try(&self) -> bool {
+        if self.failing_since.get().is_none() {
+            return true;
+        }
+        let now = clock::now();
+        if now < self.next_trial.get() {
+            return false;
+        }
+        self.next_trial.set(now + STORE_TRIAL);
+        true
+    }
+}
