--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -15,6 +15,8 @@
 const HOLD_WAIT: Span = Span::millis(1_000);
 /// The same where a serving task's tail is watched; tails are told each half second.
 const WATCHING_WAIT: Span = Span::millis(500);
+/// Pause between holds while ends wait to be saved; the save's end cuts it short.
+const UNSAVED_PAUSE: Span = Span::millis(120);
 /// First pause after a hold without an answer; doubled with each further one.
 const FIRST_PAUSE: Span = Span::millis(100);
 /// Longest such pause.
@@ -41,7 +43,14 @@
                 .insert((executor.heard + IDLE_LOOK, Timer::Hold(x)));
             return;
         }
-        let must_wait = executor.is_fenced && !executor.runs.is_empty();
+        // A hold does not wait while the executor lists ends that are not acknowledged.
+        let is_unsaved = executor.seen > executor.durable;
+        if is_unsaved && self.now.since(executor.heard) < UNSAVED_PAUSE {
+            self.timers
+                .insert((executor.heard + UNSAVED_PAUSE, Timer::Hold(x)));
+            return;
+        }
+        let must_wait = executor.is_fenced && !executor.runs.is_empty() && !is_unsaved;
         self.hold(x, must_wait);
     }
 
--- a/crates/guavacart_jobs/src/state/saving.rs
+++ b/crates/guavacart_jobs/src/state/saving.rs
@@ -8,7 +8,7 @@
 use crate::{Effect, JobKey, WaveNumber, WaveState};
 
 /// Longest time that ends gather before they are written; a job's end is written at once.
-const GATHER: Span = Span::millis(300);
+const GATHER: Span = Span::millis(50);
 
 /// What is to be written, and what is being written.
 #[derive(Debug, Default)]
--- a/crates/guavacart_node/src/election.rs
+++ b/crates/guavacart_node/src/election.rs
@@ -35,6 +35,13 @@
         if shared.is_stopping.get() {
             break;
         }
+        let (heard, unconfirmed) = links.heard();
+        tracing::info!(
+            event = "owner_silent",
+            silent_ms = clock::now().since(heard).0,
+            unconfirmed_ms = unconfirmed.0,
+            "asking the store who owns"
+        );
         let found = shared.platform.get(Key::Owner).await;
         shared.counters.store_reads.add(1);
         shared.health.note(&found);
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -16,14 +16,18 @@
 };
 
 use crate::{
-    Content, Item, Key, LeaseId, Platform, Space, StoreError, clock, log, records, shared::Shared,
-    watching,
+    Content, Item, Key, LeaseId, Platform, Space, StoreError, clock, log, records,
+    shared::Shared,
+    watching::{self, Pacing},
 };
 use saving::Saver;
 
 /// How often the inbox is read for what no node has told; links tell the rest at once.
 const INBOX_INTERVAL: Span = Span::millis(700);
 
+/// How often the executors' entries are read; each of them is written about once a second.
+const EXECUTORS_INTERVAL: Span = Span::millis(500);
+
 /// One term of owning.
 pub(crate) struct Owner<P> {
     shared: Rc<Shared<P>>,
@@ -188,41 +192,27 @@
                 known.extend(listed);
             }
         };
-        let shared = &self.shared;
+        let pacing = Pacing::Polled(EXECUTORS_INTERVAL);
+        let goes_on = || self.is_alive();
+        let from = Some(from);
+        watching::follow(&self.shared, Space::Executors, from, pacing, goes_on, take).await;
+    }
+
+    async fn follow_inbox(self: Rc<Self>, from: Revision) {
+        let take = |items: Vec<Item>, _| items.into_iter().for_each(|item| self.take_inbox(item));
+        let pacing = Pacing::Polled(INBOX_INTERVAL);
+        let goes_on = || self.is_alive();
         watching::follow(
-            shared,
-            Space::Executors,
+            &self.shared,
+            Space::Inbox,
             Some(from),
-            || self.is_alive(),
+            pacing,
+            goes_on,
             take,
         )
         .await;
     }
 
-    async fn follow_inbox(self: Rc<Self>, from: Revision) {
-        let mut after = Some(from);
-        while self.is_alive() {
-            time::sleep(INBOX_INTERVAL.into()).await;
-            let result = match after {
-                Some(after) => {
-                    let platform = &self.shared.platform;
-                    platform.watch(Space::Inbox, after, Span::ZERO).await
-                }
-                None => self.shared.platform.list(Space::Inbox).await,
-            };
-            self.shared.counters.store_reads.add(1);
-            self.shared.health.note(&result);
-            match result {
-                Ok((items, at)) => {
-                    after = Some(at);
-                    items.into_iter().for_each(|item| self.take_inbox(item));
-                }
-                Err(StoreError::HistoryGone) => after = None,
-                Err(err) => tracing::debug!(event = "inbox_failed", cause = %err),
-            }
-        }
-    }
-
     fn take_inbox(self: &Rc<Self>, item: Item) {
         match item.content {
             Content::Own(Key::Job(key), Some(bytes)) => match records::decode(&bytes) {
--- a/crates/guavacart_node/src/watching.rs
+++ b/crates/guavacart_node/src/watching.rs
@@ -16,6 +16,24 @@
 /// Greatest pause after a failed call; jittered so that nodes do not come back as one.
 const GREATEST_PAUSE: u64 = 240;
 
+/// How changes of a space are learned.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Pacing {
+    /// At once, by a call that waits for the next change.
+    Watched,
+    /// By one call in each interval, for spaces that change many times a second.
+    Polled(Span),
+}
+
+impl Pacing {
+    fn wait(self) -> Span {
+        match self {
+            Self::Watched => WATCH_WAIT,
+            Self::Polled(_) => Span::ZERO,
+        }
+    }
+}
+
 /// Waits a jittered moment after a failed call of the store.
 pub(crate) async fn pause() {
     let ms = rand::rng().random_range(LEAST_PAUSE..=GREATEST_PAUSE);
@@ -27,6 +45,7 @@
     shared: &Shared<P>,
     space: Space,
     from: Option<Revision>,
+    pacing: Pacing,
     mut goes_on: impl FnMut() -> bool,
     mut take: impl FnMut(Vec<Item>, bool),
 ) {
@@ -34,7 +53,7 @@
     while goes_on() {
         let result = match after {
             None => shared.platform.list(space).await,
-            Some(after) => shared.platform.watch(space, after, WATCH_WAIT).await,
+            Some(after) => shared.platform.watch(space, after, pacing.wait()).await,
         };
         shared.counters.store_reads.add(1);
         shared.health.note(&result);
@@ -45,6 +64,9 @@
                 if goes_on() && (is_whole || !items.is_empty()) {
                     take(items, is_whole);
                 }
+                if let Pacing::Polled(interval) = pacing {
+                    time::sleep(interval.into()).await;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 tracing::warn!(event = "history_gone", ?space, "listing the space again");
@@ -72,7 +94,15 @@
             }
         }
     };
-    follow(&shared, Space::Operator, None, || true, take).await;
+    follow(
+        &shared,
+        Space::Operator,
+        None,
+        Pacing::Watched,
+        || true,
+        take,
+    )
+    .await;
 }
 
 fn configured<P: Platform>(shared: &Shared<P>, configuration: Configuration) {
