Take an earlier owner's lease as running when an executor first answers

Cause: a new owner's record of the lease was 0, so each executor counted as lapsed with its first answer and what ran there started again elsewhere.

--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -184,6 +184,10 @@
         {
             executor.clock = Some((report.clock_ms, self.now));
         }
+        if executor.lease_end_ms == 0 {
+            // What an earlier owner may have granted is not known, only that it is no longer than this.
+            executor.lease_end_ms = report.clock_ms + self.bounds.max_lease.0;
+        }
         executor.heard = self.now;
         if std::mem::take(&mut executor.misses) > 0 || !executor.is_fenced {
             executor.is_fenced = true;
