Spread fillers by unused processors and strain instead of off serving tasks

Cause: fillers crowded on the executors without serving tasks (load 2 to 3) while the others were idle. Also: runs of jobs that are not known yet hold their executor until the job is read.

--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -14,6 +14,12 @@
 const SLOWEST_CLOCK_PERCENT: u64 = 97;
 /// Failed runs in a row, of different tasks, after which an executor rests.
 const STRIKES_TO_REST: u32 = 2;
+/// Part of committed processors that is in use on average, in percent; measured on serving tasks.
+const COMMITTED_USE_PERCENT: u64 = 60;
+/// Tail of a serving task, in percent of its target, up to which its executor counts as calm.
+const CALM_TAIL_PERCENT: u64 = 60;
+/// Load in thousandths of an executor that one more percent of the worst tail counts as.
+const STRAIN_WEIGHT: u64 = 15;
 /// First rest; doubled with each further strike.
 const FIRST_REST: Span = Span::millis(1_500);
 /// Longest rest.
@@ -43,6 +49,8 @@
     /// Looks in a row at which it used no processor.
     pub(super) idle_looks: u32,
     pub(super) checkpoint: Option<SmolStr>,
+    /// Its job is not known yet, so that its size is not either.
+    pub(super) is_foreign: bool,
 }
 
 /// What is known of a run's start.
@@ -97,6 +105,8 @@
     /// Processors that its fillers wish for.
     pub(super) filler_wish: u64,
     pub(super) serving: usize,
+    /// Worst tail of its serving tasks lately, in percent of the target; falls slowly.
+    pub(super) worst_tail_percent: u64,
     pub(super) strikes: u32,
     pub(super) rests_until: Timestamp,
     /// Its machine is about to go down for its upkeep.
@@ -132,6 +142,7 @@
             used: Resources::default(),
             filler_wish: 0,
             serving: 0,
+            worst_tail_percent: 0,
             strikes: 0,
             rests_until: Timestamp(0),
             is_closing: false,
@@ -163,6 +174,15 @@
         Some(heard + Span(left * 100 / SLOWEST_CLOCK_PERCENT + 1))
     }
 
+    /// How well fillers that wish for `wish` would fare, in thousandths of the executor.
+    pub(super) fn filler_merit(&self, wish: u64) -> i64 {
+        let capacity = self.capacity.processors.0.max(1);
+        let in_use = self.used.processors.0 * COMMITTED_USE_PERCENT / 100;
+        let load = (in_use + wish) * 1_000 / capacity;
+        let strain = self.worst_tail_percent.saturating_sub(CALM_TAIL_PERCENT) * STRAIN_WEIGHT;
+        -i64::try_from(load + strain).unwrap_or(i64::MAX)
+    }
+
     pub(super) fn add(&mut self, task: TaskKey, run: Run) {
         self.used = self.used.plus(&run.size);
         if run.is_filler {
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -7,8 +7,8 @@
     fleet::{Phase, Run},
 };
 use crate::{
-    Decision, Effect, ExecutorId, HoldOrder, HoldReport, Loss, OrderFailure, Refusal, RunListed,
-    TaskKey,
+    Decision, Effect, ExecutorId, HoldOrder, HoldReport, JobKey, Loss, OrderFailure, Refusal,
+    RunListed, TaskKey,
 };
 
 /// Longest wait of a hold for an end; also how often leases are extended.
@@ -21,6 +21,8 @@
 const FIRST_PAUSE: Span = Span::millis(100);
 /// Longest such pause.
 const LONGEST_PAUSE: Span = Span::millis(800);
+/// Time in which a job becomes known whose runs are listed; the inbox is read within it.
+const FOREIGN_PATIENCE: Span = Span::millis(2_500);
 /// Added to the longest lease for what an earlier owner may have ordered.
 const EARLIER_OWNER_MARGIN: Span = Span::millis(400);
 
@@ -270,6 +272,26 @@
         if task.is_some_and(|task| listed.run <= task.closed_run) {
             return;
         }
+        if !self.jobs.contains_key(&listed.task.step.job) {
+            let run = self.run_of(listed, sent);
+            let free = self.fleet[x].free();
+            self.fleet[x].add(
+                listed.task,
+                Run {
+                    size: free,
+                    is_foreign: true,
+                    ..run
+                },
+            );
+            self.set_timer(FOREIGN_PATIENCE, Timer::Foreign(x));
+            return;
+        }
+        self.adopt_or_stop(x, sent, listed);
+    }
+
+    /// Takes over a run of a known job, or stops it if the task is elsewhere or over.
+    fn adopt_or_stop(&mut self, x: usize, sent: Timestamp, listed: &RunListed) {
+        let task = self.task(listed.task);
         let is_free = task.is_some_and(|task| !task.is_done && task.placed.is_none());
         let is_open = self
             .jobs
@@ -307,6 +329,33 @@
             tail_ms: None,
             idle_looks: 0,
             checkpoint: (!listed.checkpoint.is_empty()).then(|| listed.checkpoint.clone()),
+            is_foreign: false,
+        }
+    }
+
+    /// A job has become known of which runs may have been listed before.
+    pub(super) fn know_foreign(&mut self, job: JobKey) {
+        for x in 0..self.fleet.len() {
+            let foreign = self.fleet[x].runs.iter();
+            let foreign = foreign.filter(|(task, run)| task.step.job == job && run.is_foreign);
+            let rows: Vec<(Timestamp, RunListed)> = foreign
+                .map(|(task, run)| (run.since, relisted(*task, run)))
+                .collect();
+            for (since, row) in rows {
+                self.fleet[x].remove(row.task);
+                self.adopt_or_stop(x, since, &row);
+            }
+        }
+    }
+
+    /// Stops runs whose job has not become known for a while.
+    pub(super) fn stop_foreign(&mut self, x: usize) {
+        let now = self.now;
+        let is_old = |run: &Run| run.is_foreign && now.since(run.since) >= FOREIGN_PATIENCE;
+        let old = self.fleet[x].runs.iter().filter(|(_, run)| is_old(run));
+        let old: Vec<TaskKey> = old.map(|(task, _)| *task).collect();
+        for task in old {
+            self.stop_run(x, task, "its job is not known");
         }
     }
 
@@ -343,3 +392,14 @@
         }
     }
 }
+
+/// What the list said of a run that was kept until its job is known.
+fn relisted(task: TaskKey, run: &Run) -> RunListed {
+    RunListed {
+        task,
+        run: run.run,
+        checkpoint: run.checkpoint.clone().unwrap_or_default(),
+        percent: run.percent,
+        usage: None,
+    }
+}
--- a/crates/guavacart_jobs/src/state/ledger.rs
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -13,6 +13,8 @@
 
 /// Room for the runs of one owner's epoch in a task's run numbers.
 const RUNS_PER_EPOCH: u64 = 10_000;
+/// Time after a take-over in which other nodes may still tell jobs to the earlier owner.
+const EARLIER_OWNER_HEARS: Span = Span::millis(1_500);
 /// Rest of a lasting task that failed, before it starts again.
 const LASTING_RESTART: Span = Span::millis(200);
 
@@ -21,7 +23,7 @@
 pub(super) struct JobEntry {
     pub(super) job: Job,
     pub(super) progress: Progress,
-    /// It stood in the store before this owner began.
+    /// An earlier owner may have started its tasks.
     pub(super) is_earlier: bool,
     /// Its end that stands in the store.
     pub(super) shown: Option<JobOutcome>,
@@ -125,6 +127,8 @@
         if self.jobs.contains_key(&key) {
             return;
         }
+        // An earlier owner may have been told of it until it was fenced.
+        let is_earlier = is_earlier || self.now.since(self.began) < EARLIER_OWNER_HEARS;
         let entry = JobEntry {
             to_come: job.occurrences(),
             is_earlier,
@@ -140,6 +144,7 @@
         for occurrence in 0..self.jobs[&key].job.occurrences() {
             self.begin_when_due(key, occurrence);
         }
+        self.know_foreign(key);
         self.end_if_completed(key);
     }
 
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -48,6 +48,7 @@
             tail_ms: None,
             idle_looks: 0,
             checkpoint: None,
+            is_foreign: false,
         };
         let checkpoint = self.task(task).and_then(|task| task.checkpoint.clone());
         let payload = self.jobs[&task.step.job].job.payload.clone();
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -6,15 +6,17 @@
 use crate::{Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
 
 /// Part of a serving task's target, in percent, above which its fillers are slowed.
-const SLOW_DOWN_PERCENT: u64 = 85;
+const SLOW_DOWN_PERCENT: u64 = 90;
 /// The same below which they are sped up again.
-const SPEED_UP_PERCENT: u64 = 55;
+const SPEED_UP_PERCENT: u64 = 75;
+/// What is left of an executor's worst tail at the next look, in percent.
+const FADE_PERCENT: u64 = 90;
 /// Time between two changes of pace on an executor; tails are told each half second.
 const PACE_INTERVAL: Span = Span::millis(600);
 /// Least share above none that fillers work at, in percent.
 const LEAST_PACE: u8 = 10;
 /// Share that is added when fillers are sped up, in percent.
-const PACE_STEP: u8 = 20;
+const PACE_STEP: u8 = 30;
 /// Looks in a row without processor use after which a task counts as standing still.
 const IDLE_LOOKS: u32 = 3;
 /// Time from its start before a task's use is judged.
@@ -53,7 +55,14 @@
 
     /// Sets the fillers' pace on an executor by the worst tail of its serving tasks.
     pub(super) fn set_paces(&mut self, x: usize) {
-        let executor = &self.fleet[x];
+        let executor = &mut self.fleet[x];
+        let tails = executor.runs.values().filter_map(|run| {
+            let target = run.tail_target?;
+            Some((run.tail_ms? * 100) / target.0.max(1))
+        });
+        let worst = tails.max().unwrap_or(0);
+        let faded = executor.worst_tail_percent * FADE_PERCENT / 100;
+        executor.worst_tail_percent = worst.max(faded);
         let paced = executor
             .runs
             .values()
@@ -62,11 +71,6 @@
         if !(mixed || paced) || self.now < executor.paced_at {
             return;
         }
-        let tails = executor.runs.values().filter_map(|run| {
-            let target = run.tail_target?;
-            Some((run.tail_ms? * 100) / target.0.max(1))
-        });
-        let worst = tails.max().unwrap_or(0);
         let now_at = executor
             .runs
             .values()
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -10,8 +10,6 @@
 
 /// Factor on a step's estimate for which it waits for the rack of its data.
 const RACK_PATIENCE: u64 = 2;
-/// Processors that a filler takes a serving neighbour to cost it, in thousandths of a core.
-const SERVING_PENALTY: i64 = 16_000;
 
 /// Where a step comes in the order of starts; the least goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -222,13 +220,13 @@
         rules.advice.is_none() || self.ticket(x, key).is_some()
     }
 
-    /// Fillers go where most is left over; the others where least would stay free, beside few fillers.
+    /// Fillers go where they find most processors unused and tails far from their targets; the others
+    /// where least would stay free, beside few fillers.
     fn merit(&self, x: usize, step: &Step) -> (i64, i64) {
         let executor = &self.fleet[x];
-        let serving = i64::try_from(executor.serving).unwrap_or(i64::MAX);
         if step.is_filler {
-            let after = executor.leftover() - i64::try_from(step.size.processors.0).unwrap_or(0);
-            return (after - serving * SERVING_PENALTY, 0);
+            let wish = executor.filler_wish + step.size.processors.0;
+            return (executor.filler_merit(wish), 0);
         }
         let free = i64::try_from(executor.free().processors.0).unwrap_or(i64::MAX);
         let disturbance = i64::try_from(executor.filler_wish).unwrap_or(i64::MAX);
