--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -3,6 +3,7 @@
 mod advising;
 mod fleet;
 mod holding;
+mod interference;
 mod ledger;
 mod orders;
 mod pacing;
@@ -20,6 +21,7 @@
     Registration, StepKey, Wave,
 };
 use fleet::Executor;
+use interference::Interference;
 use ledger::JobEntry;
 use saving::Saving;
 use upkeep::Upkeep;
@@ -131,6 +133,7 @@
     timers: BTreeSet<(Timestamp, Timer)>,
     saving: Saving,
     upkeep: Upkeep,
+    interference: Interference,
     must_place: bool,
     effects: Vec<Effect>,
 }
@@ -154,6 +157,7 @@
             timers: BTreeSet::new(),
             saving: Saving::default(),
             upkeep: Upkeep::default(),
+            interference: Interference::default(),
             must_place: false,
             effects: Vec::new(),
         };
--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -5,7 +5,10 @@
 use guavacart_types::{Incarnation, Resources, Span, Timestamp};
 use smol_str::SmolStr;
 
-use super::{State, Timer};
+use super::{
+    State, Timer,
+    interference::{ImageId, Interference},
+};
 use crate::{Decision, Effect, ExecutorId, Loss, Registration, RunNumber, Target, TaskKey};
 
 /// Part of an executor's lease that an order asks for; the rest bears a slow answer.
@@ -16,10 +19,10 @@
 const STRIKES_TO_REST: u32 = 2;
 /// Part of committed processors that is in use on average, in percent; measured on serving tasks.
 const COMMITTED_USE_PERCENT: u64 = 60;
-/// Tail of a serving task, in percent of its target, up to which its executor counts as calm.
-const CALM_TAIL_PERCENT: u64 = 60;
-/// Load in thousandths of an executor that one more percent of the worst tail counts as.
-const STRAIN_WEIGHT: u64 = 15;
+/// Tail over its target that a serving task may be expected to have beside one more filler.
+const CALM_RATIO: f32 = 0.6;
+/// Load in thousandths of an executor that one more unit of the worst tail over its target counts as.
+const STRAIN_WEIGHT: f32 = 2_500.0;
 /// First rest; doubled with each further strike.
 const FIRST_REST: Span = Span::millis(1_500);
 /// Longest rest.
@@ -44,6 +47,9 @@
     pub(super) percent: u8,
     /// Share that it was last told to work at.
     pub(super) pace: u8,
+    pub(super) image: ImageId,
+    /// Since when its tail is over its target.
+    pub(super) over_since: Option<Timestamp>,
     /// Its newest tail, in milliseconds, if it serves.
     pub(super) tail_ms: Option<u64>,
     /// Looks in a row at which it used no processor.
@@ -105,8 +111,10 @@
     /// Processors that its fillers wish for.
     pub(super) filler_wish: u64,
     pub(super) serving: usize,
-    /// Worst tail of its serving tasks lately, in percent of the target; falls slowly.
-    pub(super) worst_tail_percent: u64,
+    /// Worst tail over its target of the serving tasks lately; falls slowly.
+    pub(super) recent_ratio: f32,
+    /// Images of the serving tasks, and how many run.
+    pub(super) serving_images: Vec<(ImageId, usize)>,
     pub(super) strikes: u32,
     pub(super) rests_until: Timestamp,
     /// Its machine is about to go down for its upkeep.
@@ -142,7 +150,8 @@
             used: Resources::default(),
             filler_wish: 0,
             serving: 0,
-            worst_tail_percent: 0,
+            recent_ratio: 0.0,
+            serving_images: Vec::new(),
             strikes: 0,
             rests_until: Timestamp(0),
             is_closing: false,
@@ -174,13 +183,14 @@
         Some(heard + Span(left * 100 / SLOWEST_CLOCK_PERCENT + 1))
     }
 
-    /// How well fillers that wish for `wish` would fare, in thousandths of the executor.
-    pub(super) fn filler_merit(&self, wish: u64) -> i64 {
+    /// How well one more filler would fare here, and those that serve beside it; more is better.
+    pub(super) fn filler_merit(&self, model: &Interference, filler: ImageId, wish: u64) -> i64 {
         let capacity = self.capacity.processors.0.max(1);
         let in_use = self.used.processors.0 * COMMITTED_USE_PERCENT / 100;
-        let load = (in_use + wish) * 1_000 / capacity;
-        let strain = self.worst_tail_percent.saturating_sub(CALM_TAIL_PERCENT) * STRAIN_WEIGHT;
-        -i64::try_from(load + strain).unwrap_or(i64::MAX)
+        let load = (in_use + self.filler_wish + wish) * 1_000 / capacity;
+        let ratio = self.expected_ratio(model, filler, self.share(wish, 100));
+        let strain = ((ratio - CALM_RATIO).max(0.0) * STRAIN_WEIGHT) as i64;
+        -i64::try_from(load).unwrap_or(i64::MAX) - strain
     }
 
     pub(super) fn add(&mut self, task: TaskKey, run: Run) {
@@ -188,7 +198,17 @@
         if run.is_filler {
             self.filler_wish += run.wish;
         }
-        self.serving += usize::from(run.tail_target.is_some());
+        if run.tail_target.is_some() {
+            self.serving += 1;
+            match self
+                .serving_images
+                .iter_mut()
+                .find(|(image, _)| *image == run.image)
+            {
+                Some((_, count)) => *count += 1,
+                None => self.serving_images.push((run.image, 1)),
+            }
+        }
         self.runs.insert(task, run);
     }
 
@@ -198,7 +218,14 @@
         if run.is_filler {
             self.filler_wish -= run.wish;
         }
-        self.serving -= usize::from(run.tail_target.is_some());
+        if run.tail_target.is_some() {
+            self.serving -= 1;
+            let image = run.image;
+            if let Some((_, count)) = self.serving_images.iter_mut().find(|(i, _)| *i == image) {
+                *count -= 1;
+            }
+            self.serving_images.retain(|(_, count)| *count > 0);
+        }
         Some(run)
     }
 
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -312,7 +312,9 @@
         self.occupy(x, listed.task, listed.run);
     }
 
-    fn run_of(&self, listed: &RunListed, sent: Timestamp) -> Run {
+    fn run_of(&mut self, listed: &RunListed, sent: Timestamp) -> Run {
+        let image = self.spec(listed.task).and_then(|step| step.image.clone());
+        let image = self.interference.image(image.as_ref());
         let spec = self.spec(listed.task);
         Run {
             run: listed.run,
@@ -326,6 +328,8 @@
             stop: None,
             percent: listed.percent,
             pace: 100,
+            image,
+            over_since: None,
             tail_ms: None,
             idle_looks: 0,
             checkpoint: (!listed.checkpoint.is_empty()).then(|| listed.checkpoint.clone()),
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -33,6 +33,7 @@
         let Some(step) = self.spec(task) else {
             return;
         };
+        let image = self.interference.known(step.image.as_ref());
         let order = Run {
             run,
             size: step.committed(),
@@ -45,6 +46,8 @@
             stop: None,
             percent: 0,
             pace: 100,
+            image,
+            over_since: None,
             tail_ms: None,
             idle_looks: 0,
             checkpoint: None,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -1,27 +1,89 @@
 //! Paces fillers so that serving tasks keep their tails, and finds tasks that stand still.
 
-use guavacart_types::Span;
+use guavacart_types::{Span, Timestamp};
 
-use super::{State, fleet::Phase};
+use super::{
+    State,
+    fleet::{Executor, Phase, Run},
+    interference::{ImageId, Interference, Shares},
+};
 use crate::{Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
 
-/// Part of a serving task's target, in percent, above which its fillers are slowed.
-const SLOW_DOWN_PERCENT: u64 = 90;
-/// The same below which they are sped up again.
-const SPEED_UP_PERCENT: u64 = 75;
-/// What is left of an executor's worst tail at the next look, in percent.
-const FADE_PERCENT: u64 = 90;
+/// Tail over its target above which fillers are slowed.
+const SLOW_DOWN_RATIO: f32 = 0.9;
+/// Tail over its target that fillers may be expected to cause when they are sped up or placed.
+const EXPECTED_RATIO: f32 = 0.75;
 /// Time between two changes of pace on an executor; tails are told each half second.
 const PACE_INTERVAL: Span = Span::millis(600);
 /// Least share above none that fillers work at, in percent.
 const LEAST_PACE: u8 = 10;
-/// Share that is added when fillers are sped up, in percent.
-const PACE_STEP: u8 = 30;
+/// Share at which fillers that stood still work again, in percent.
+const FIRST_PACE: u8 = 25;
+/// Added logarithm of a tail under which an image is not blamed for it.
+const LEAST_BLAME: f32 = 0.05;
+/// Part of the time that a tail may be over its target after which all fillers beside it stand still.
+const HARM_PART: u64 = 2;
+/// What is left of an executor's worst tail at the next look.
+const FADE: f32 = 0.9;
 /// Looks in a row without processor use after which a task counts as standing still.
 const IDLE_LOOKS: u32 = 3;
 /// Time from its start before a task's use is judged.
 const USE_SETTLES: Span = Span::millis(1_200);
 
+/// A serving task's image, its tail over its target, and since when it is over.
+type Tail = (ImageId, f32, Option<Timestamp>);
+
+impl Executor {
+    fn tails(&self) -> Vec<Tail> {
+        let tail = |run: &Run| {
+            let target = run.tail_target?.0.max(1);
+            let ratio = run.tail_ms? as f32 / target as f32;
+            (run.percent == 100).then_some((run.image, ratio, run.over_since))
+        };
+        self.runs.values().filter_map(tail).collect()
+    }
+
+    /// Part of this executor that a filler of that size takes at a pace.
+    pub(super) fn share(&self, wish: u64, pace: u8) -> f32 {
+        let capacity = self.capacity.processors.0.max(1) as f32;
+        wish as f32 / capacity * f32::from(pace) / 100.0
+    }
+
+    fn filler_shares(&self) -> Shares {
+        let mut shares = Shares::new();
+        for run in self.runs.values().filter(|run| run.is_filler) {
+            let share = self.share(run.wish, run.pace);
+            match shares.iter_mut().find(|(image, _)| *image == run.image) {
+                Some((_, sum)) => *sum += share,
+                None => shares.push((run.image, share)),
+            }
+        }
+        shares
+    }
+
+    /// The pace of the fillers of an image; the slowest counts.
+    fn pace_of(&self, image: ImageId) -> u8 {
+        let fillers = self
+            .runs
+            .values()
+            .filter(|run| run.is_filler && run.image == image);
+        fillers.map(|run| run.pace).min().unwrap_or(100)
+    }
+
+    /// Worst tail over its target that one more filler is expected to cause.
+    pub(super) fn expected_ratio(
+        &self,
+        model: &Interference,
+        filler: ImageId,
+        added_share: f32,
+    ) -> f32 {
+        let worst = self.serving_images.iter().map(|(serving, _)| {
+            self.recent_ratio * (model.slope(*serving, filler) * added_share).exp()
+        });
+        worst.fold(0.0, f32::max)
+    }
+}
+
 impl State {
     /// Takes in what a listed run uses.
     pub(super) fn take_usage(&mut self, x: usize, listed: &RunListed) {
@@ -32,8 +94,10 @@
         let Some(usage) = listed.usage else {
             return;
         };
-        if run.tail_target.is_some() {
+        if let Some(target) = run.tail_target {
             run.tail_ms = Some(usage);
+            let is_over = usage > target.0;
+            run.over_since = is_over.then(|| run.over_since.unwrap_or(now));
             return;
         }
         let is_settled = now.since(run.since) > USE_SETTLES;
@@ -43,63 +107,112 @@
             return;
         }
         run.idle_looks += 1;
-        let is_lasting = self.is_lasting(listed.task);
-        let Some(run) = self.fleet[x].runs.get_mut(&listed.task) else {
-            return;
-        };
-        if run.idle_looks >= IDLE_LOOKS && !is_lasting {
-            run.idle_looks = 0;
+        let is_still = run.idle_looks >= IDLE_LOOKS;
+        if is_still && !self.is_lasting(listed.task) {
             self.give_up_idle(x, listed.task);
         }
     }
 
-    /// Sets the fillers' pace on an executor by the worst tail of its serving tasks.
+    /// Learns from the tails on an executor, and sets its fillers' pace by them.
     pub(super) fn set_paces(&mut self, x: usize) {
+        let tails = self.fleet[x].tails();
+        let worst = tails.iter().map(|(_, ratio, _)| *ratio).fold(0.0, f32::max);
         let executor = &mut self.fleet[x];
-        let tails = executor.runs.values().filter_map(|run| {
-            let target = run.tail_target?;
-            Some((run.tail_ms? * 100) / target.0.max(1))
-        });
-        let worst = tails.max().unwrap_or(0);
-        let faded = executor.worst_tail_percent * FADE_PERCENT / 100;
-        executor.worst_tail_percent = worst.max(faded);
-        let paced = executor
-            .runs
-            .values()
-            .any(|run| run.is_filler && run.pace < 100);
-        let mixed = executor.serving > 0 && executor.filler_wish > 0;
-        if !(mixed || paced) || self.now < executor.paced_at {
+        executor.recent_ratio = worst.max(executor.recent_ratio * FADE);
+        if self.now < executor.paced_at {
             return;
         }
-        let now_at = executor
-            .runs
-            .values()
-            .filter(|run| run.is_filler)
-            .map(|run| run.pace)
-            .min()
-            .unwrap_or(100);
-        let wanted = match worst {
-            over if over > 100 => {
-                if now_at <= LEAST_PACE {
-                    0
-                } else {
-                    (now_at / 3).max(LEAST_PACE)
-                }
+        let shares = executor.filler_shares();
+        for (serving, ratio, _) in &tails {
+            self.interference.learn(*serving, *ratio, &shares);
+        }
+        if shares.is_empty() {
+            return;
+        }
+        let harm_near = Span(self.bounds.harm.0 / HARM_PART);
+        let is_near = |since: Option<Timestamp>| {
+            since.is_some_and(|since| self.now.since(since) >= harm_near)
+        };
+        if tails.iter().any(|(_, _, since)| is_near(*since)) {
+            self.pace_images(x, |_| Some(0));
+        } else if worst > SLOW_DOWN_RATIO {
+            self.slow_down(x, &tails, &shares, worst);
+        } else {
+            self.speed_up(x, &tails, &shares);
+        }
+    }
+
+    /// Slows the image that is to blame most for the worst tail, or all if none is.
+    fn slow_down(&mut self, x: usize, tails: &[Tail], shares: &Shares, worst: f32) {
+        let is_worst = |tail: &&Tail| tail.1 >= worst;
+        let Some((serving, _, _)) = tails.iter().find(is_worst) else {
+            return;
+        };
+        let blame = |(image, share): &(ImageId, f32)| {
+            (*image, self.interference.slope(*serving, *image) * share)
+        };
+        let blamed = shares.iter().map(blame).max_by(|a, b| a.1.total_cmp(&b.1));
+        let culprit = blamed.filter(|(_, blame)| *blame > LEAST_BLAME);
+        let divisor = if worst > 1.0 { 3 } else { 2 };
+        let executor = &self.fleet[x];
+        let slower = |image: ImageId| {
+            let pace = executor.pace_of(image);
+            if worst > 1.0 && pace <= LEAST_PACE {
+                0
+            } else {
+                (pace / divisor).max(LEAST_PACE).min(pace)
             }
-            near if near > SLOW_DOWN_PERCENT => (now_at / 2).max(LEAST_PACE),
-            far if far < SPEED_UP_PERCENT => now_at.saturating_add(PACE_STEP).min(100),
-            _ => now_at,
         };
-        self.pace_fillers(x, wanted);
+        let paces: Vec<(ImageId, u8)> = match culprit {
+            Some((image, _)) => vec![(image, slower(image))],
+            None => shares
+                .iter()
+                .map(|(image, _)| (*image, slower(*image)))
+                .collect(),
+        };
+        self.pace_images(x, |image| {
+            paces.iter().find(|(i, _)| *i == image).map(|(_, p)| *p)
+        });
     }
 
-    fn pace_fillers(&mut self, x: usize, percent: u8) {
+    /// Speeds up one slowed image if all tails are expected to stay well under their targets.
+    fn speed_up(&mut self, x: usize, tails: &[Tail], shares: &Shares) {
+        let executor = &self.fleet[x];
+        let slowed = shares
+            .iter()
+            .filter(|(image, _)| executor.pace_of(*image) < 100);
+        let mut choices = Vec::new();
+        for (image, share) in slowed {
+            let pace = executor.pace_of(*image);
+            let faster = pace.saturating_mul(2).clamp(FIRST_PACE, 100);
+            let wish: u64 = executor
+                .runs
+                .values()
+                .filter(|run| run.is_filler && run.image == *image)
+                .map(|run| run.wish)
+                .sum();
+            let added = (executor.share(wish, faster) - share).max(0.0);
+            let expected = tails.iter().map(|(serving, ratio, _)| {
+                ratio * (self.interference.slope(*serving, *image) * added).exp()
+            });
+            choices.push((*image, faster, expected.fold(0.0, f32::max)));
+        }
+        let best = choices.into_iter().min_by(|a, b| a.2.total_cmp(&b.2));
+        if let Some((image, faster, _)) = best.filter(|best| best.2 < EXPECTED_RATIO) {
+            self.pace_images(x, |other| (other == image).then_some(faster));
+        }
+    }
+
+    fn pace_images(&mut self, x: usize, wanted: impl Fn(ImageId) -> Option<u8>) {
         let now = self.now;
         let executor = &mut self.fleet[x];
         let mut has_changed = false;
         for (task, run) in &mut executor.runs {
             let is_running = matches!(run.phase, Phase::Running(_)) && run.stop.is_none();
-            if !run.is_filler || !is_running || run.pace == percent {
+            let Some(percent) = wanted(run.image).filter(|_| run.is_filler && is_running) else {
+                continue;
+            };
+            if run.pace == percent {
                 continue;
             }
             run.pace = percent;
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -5,7 +5,7 @@
 use guavacart_types::{Resources, Span};
 use smol_str::SmolStr;
 
-use super::{State, Timer};
+use super::{State, Timer, interference::ImageId};
 use crate::{Decision, Effect, RunNumber, Step, StepKey, Ticket};
 
 /// Factor on a step's estimate for which it waits for the rack of its data.
@@ -62,6 +62,7 @@
             return;
         };
         let step = entry.step(key).clone();
+        self.interference.image(step.image.as_ref());
         let has_advice = self.rules(entry).advice.is_some();
         if has_advice {
             self.ask_advice(key);
@@ -169,9 +170,10 @@
         avoid: Option<usize>,
         taken: &Taken,
     ) -> Option<usize> {
+        let image = self.interference.known(step.image.as_ref());
         let fits = |x: &usize| self.fits(*x, key, step, rack, taken);
         let candidates = (0..self.fleet.len()).filter(fits);
-        candidates.max_by_key(|x| (Some(*x) != avoid, self.merit(*x, step)))
+        candidates.max_by_key(|x| (Some(*x) != avoid, self.merit(*x, step, image)))
     }
 
     fn fits(
@@ -222,11 +224,11 @@
 
     /// Fillers go where they find most processors unused and tails far from their targets; the others
     /// where least would stay free, beside few fillers.
-    fn merit(&self, x: usize, step: &Step) -> (i64, i64) {
+    fn merit(&self, x: usize, step: &Step, image: ImageId) -> (i64, i64) {
         let executor = &self.fleet[x];
         if step.is_filler {
-            let wish = executor.filler_wish + step.size.processors.0;
-            return (executor.filler_merit(wish), 0);
+            let wish = step.size.processors.0;
+            return (executor.filler_merit(&self.interference, image, wish), 0);
         }
         let free = i64::try_from(executor.free().processors.0).unwrap_or(i64::MAX);
         let disturbance = i64::try_from(executor.filler_wish).unwrap_or(i64::MAX);
