--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -5,10 +5,7 @@
 use guavacart_types::{Incarnation, Resources, Span, Timestamp};
 use smol_str::SmolStr;
 
-use super::{
-    State, Timer,
-    interference::{ImageId, Interference},
-};
+use super::{State, Timer, interference::ImageId};
 use crate::{Decision, Effect, ExecutorId, Loss, Registration, RunNumber, Target, TaskKey};
 
 /// Part of an executor's lease that an order asks for; the rest bears a slow answer.
@@ -20,9 +17,11 @@
 /// Part of committed processors that is in use on average, in percent; measured on serving tasks.
 const COMMITTED_USE_PERCENT: u64 = 60;
 /// Tail over its target that a serving task may be expected to have beside one more filler.
-const CALM_RATIO: f32 = 0.6;
+const CALM_RATIO: f32 = 0.5;
 /// Load in thousandths of an executor that one more unit of the worst tail over its target counts as.
-const STRAIN_WEIGHT: f32 = 2_500.0;
+const STRAIN_WEIGHT: f32 = 4_000.0;
+/// Tail over its target that a serving task is taken to have before its executor has told one.
+const UNSEEN_RATIO: f32 = 0.4;
 /// First rest; doubled with each further strike.
 const FIRST_REST: Span = Span::millis(1_500);
 /// Longest rest.
@@ -59,6 +58,15 @@
     pub(super) is_foreign: bool,
 }
 
+/// An image of serving tasks on an executor.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServingImage {
+    pub(super) image: ImageId,
+    pub(super) count: usize,
+    /// Worst tail over its target lately without what fillers add; falls slowly.
+    pub(super) undisturbed: f32,
+}
+
 /// What is known of a run's start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
@@ -111,10 +119,8 @@
     /// Processors that its fillers wish for.
     pub(super) filler_wish: u64,
     pub(super) serving: usize,
-    /// Worst tail over its target of the serving tasks lately; falls slowly.
-    pub(super) recent_ratio: f32,
-    /// Images of the serving tasks, and how many run.
-    pub(super) serving_images: Vec<(ImageId, usize)>,
+    /// Images of the serving tasks.
+    pub(super) serving_images: Vec<ServingImage>,
     pub(super) strikes: u32,
     pub(super) rests_until: Timestamp,
     /// Its machine is about to go down for its upkeep.
@@ -150,7 +156,6 @@
             used: Resources::default(),
             filler_wish: 0,
             serving: 0,
-            recent_ratio: 0.0,
             serving_images: Vec::new(),
             strikes: 0,
             rests_until: Timestamp(0),
@@ -184,11 +189,10 @@
     }
 
     /// How well one more filler would fare here, and those that serve beside it; more is better.
-    pub(super) fn filler_merit(&self, model: &Interference, filler: ImageId, wish: u64) -> i64 {
+    pub(super) fn filler_merit(&self, ratio: f32, wish: u64) -> i64 {
         let capacity = self.capacity.processors.0.max(1);
         let in_use = self.used.processors.0 * COMMITTED_USE_PERCENT / 100;
         let load = (in_use + self.filler_wish + wish) * 1_000 / capacity;
-        let ratio = self.expected_ratio(model, filler, self.share(wish, 100));
         let strain = ((ratio - CALM_RATIO).max(0.0) * STRAIN_WEIGHT) as i64;
         -i64::try_from(load).unwrap_or(i64::MAX) - strain
     }
@@ -200,13 +204,14 @@
         }
         if run.tail_target.is_some() {
             self.serving += 1;
-            match self
-                .serving_images
-                .iter_mut()
-                .find(|(image, _)| *image == run.image)
-            {
-                Some((_, count)) => *count += 1,
-                None => self.serving_images.push((run.image, 1)),
+            let mut known = self.serving_images.iter_mut();
+            match known.find(|serving| serving.image == run.image) {
+                Some(serving) => serving.count += 1,
+                None => self.serving_images.push(ServingImage {
+                    image: run.image,
+                    count: 1,
+                    undisturbed: UNSEEN_RATIO,
+                }),
             }
         }
         self.runs.insert(task, run);
@@ -221,10 +226,10 @@
         if run.tail_target.is_some() {
             self.serving -= 1;
             let image = run.image;
-            if let Some((_, count)) = self.serving_images.iter_mut().find(|(i, _)| *i == image) {
-                *count -= 1;
+            if let Some(serving) = self.serving_images.iter_mut().find(|s| s.image == image) {
+                serving.count -= 1;
             }
-            self.serving_images.retain(|(_, count)| *count > 0);
+            self.serving_images.retain(|serving| serving.count > 0);
         }
         Some(run)
     }
--- a/crates/guavacart_jobs/src/state/interference.rs
+++ b/crates/guavacart_jobs/src/state/interference.rs
@@ -8,8 +8,10 @@
 
 use smol_str::SmolStr;
 
-/// Slope of a pair that has not been seen; a moderate pair of those measured.
-const UNSEEN_SLOPE: f32 = 1.0;
+/// Slope of a pair before any pair was seen; a moderate pair of those measured.
+const FIRST_SLOPE: f32 = 2.0;
+/// How many learned pairs the first slope counts as in the slope of an unseen pair.
+const FIRST_SLOPE_PAIRS: f32 = 4.0;
 /// Greatest slope that is believed.
 const GREATEST_SLOPE: f32 = 12.0;
 /// Logarithm of an undisturbed tail over its target before anything was seen.
@@ -37,6 +39,7 @@
 pub(super) struct Interference {
     images: HashMap<SmolStr, ImageId>,
     slopes: HashMap<(ImageId, ImageId), f32>,
+    slope_sum: f32,
     bases: HashMap<ImageId, f32>,
 }
 
@@ -57,7 +60,20 @@
     /// What one more unit of share adds to the logarithm of the tail.
     pub(super) fn slope(&self, serving: ImageId, filler: ImageId) -> f32 {
         let slope = self.slopes.get(&(serving, filler));
-        slope.copied().unwrap_or(UNSEEN_SLOPE)
+        slope.copied().unwrap_or_else(|| self.unseen_slope())
+    }
+
+    fn unseen_slope(&self) -> f32 {
+        let pairs = self.slopes.len() as f32 + FIRST_SLOPE_PAIRS;
+        (self.slope_sum + FIRST_SLOPE * FIRST_SLOPE_PAIRS) / pairs
+    }
+
+    /// What fillers with these shares add to the logarithm of the tail.
+    pub(super) fn added(&self, serving: ImageId, shares: &Shares) -> f32 {
+        shares
+            .iter()
+            .map(|(filler, share)| self.slope(serving, *filler) * share)
+            .sum()
     }
 
     /// Takes in one tail, as a part of its target, and the shares beside it.
@@ -75,7 +91,8 @@
             let slope = self.slope(serving, *filler);
             let step = SLOPE_STEP * error * share / (LEAST_POWER + power);
             let learned = (slope + step).clamp(0.0, GREATEST_SLOPE);
-            self.slopes.insert((serving, *filler), learned);
+            let before = self.slopes.insert((serving, *filler), learned);
+            self.slope_sum += learned - before.unwrap_or_default();
         }
     }
 }
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -70,17 +70,23 @@
         fillers.map(|run| run.pace).min().unwrap_or(100)
     }
 
-    /// Worst tail over its target that one more filler is expected to cause.
-    pub(super) fn expected_ratio(
-        &self,
-        model: &Interference,
-        filler: ImageId,
-        added_share: f32,
-    ) -> f32 {
-        let worst = self.serving_images.iter().map(|(serving, _)| {
-            self.recent_ratio * (model.slope(*serving, filler) * added_share).exp()
-        });
-        worst.fold(0.0, f32::max)
+    /// Worst tail over its target that is expected beside one more filler.
+    pub(super) fn expected_ratio(&self, model: &Interference, filler: ImageId, wish: u64) -> f32 {
+        if self.serving == 0 {
+            return 0.0;
+        }
+        let mut shares = self.filler_shares();
+        shares.push((filler, self.share(wish, 100)));
+        let expected = self
+            .serving_images
+            .iter()
+            .map(|serving| serving.undisturbed * model.added(serving.image, &shares).exp());
+        expected.fold(0.0, f32::max)
+    }
+
+    /// What the fillers here are expected to add to the logarithm of a serving task's tail.
+    pub(super) fn disturbance(&self, model: &Interference, serving: ImageId) -> f32 {
+        model.added(serving, &self.filler_shares())
     }
 }
 
@@ -117,12 +123,19 @@
     pub(super) fn set_paces(&mut self, x: usize) {
         let tails = self.fleet[x].tails();
         let worst = tails.iter().map(|(_, ratio, _)| *ratio).fold(0.0, f32::max);
-        let executor = &mut self.fleet[x];
-        executor.recent_ratio = worst.max(executor.recent_ratio * FADE);
-        if self.now < executor.paced_at {
+        if self.now < self.fleet[x].paced_at {
             return;
         }
-        let shares = executor.filler_shares();
+        let shares = self.fleet[x].filler_shares();
+        let model = &self.interference;
+        for serving in &mut self.fleet[x].serving_images {
+            let same = tails.iter().filter(|(image, _, _)| *image == serving.image);
+            let Some(worst) = same.map(|(_, ratio, _)| *ratio).max_by(f32::total_cmp) else {
+                continue;
+            };
+            let undisturbed = worst / model.added(serving.image, &shares).exp();
+            serving.undisturbed = undisturbed.max(serving.undisturbed * FADE);
+        }
         for (serving, ratio, _) in &tails {
             self.interference.learn(*serving, *ratio, &shares);
         }
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -11,6 +11,10 @@
 /// Factor on a step's estimate for which it waits for the rack of its data.
 const RACK_PATIENCE: u64 = 2;
 
+/// Steps in which the disturbance of a serving task by fillers is told apart, in each unit of the
+/// logarithm of its tail.
+const DISTURBANCE_GRAIN: f32 = 10.0;
+
 /// Where a step comes in the order of starts; the least goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
@@ -222,17 +226,28 @@
         rules.advice.is_none() || self.ticket(x, key).is_some()
     }
 
-    /// Fillers go where they find most processors unused and tails far from their targets; the others
-    /// where least would stay free, beside few fillers.
-    fn merit(&self, x: usize, step: &Step, image: ImageId) -> (i64, i64) {
+    /// Fillers go where they find most processors unused and tails far from their targets. Serving
+    /// tasks keep to executors of their own image, so that fillers that do not disturb it have a place.
+    /// The others go where least would stay free.
+    fn merit(&self, x: usize, step: &Step, image: ImageId) -> (i64, i64, i64) {
         let executor = &self.fleet[x];
         if step.is_filler {
             let wish = step.size.processors.0;
-            return (executor.filler_merit(&self.interference, image, wish), 0);
+            let ratio = executor.expected_ratio(&self.interference, image, wish);
+            return (executor.filler_merit(ratio, wish), 0, 0);
         }
         let free = i64::try_from(executor.free().processors.0).unwrap_or(i64::MAX);
-        let disturbance = i64::try_from(executor.filler_wish).unwrap_or(i64::MAX);
-        (-disturbance, -free)
+        if step.tail_target.is_none() {
+            return (0, 0, -free);
+        }
+        let others = executor
+            .serving_images
+            .iter()
+            .filter(|serving| serving.image != image);
+        let others = i64::try_from(others.count()).unwrap_or(i64::MAX);
+        let disturbance = executor.disturbance(&self.interference, image) * DISTURBANCE_GRAIN;
+        let is_alone = i64::from(executor.serving == 0);
+        (-others, -(disturbance as i64) - is_alone, -free)
     }
 
     /// The advice service's permission for a step on an executor, if it is still valid.
