--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -17,7 +17,7 @@
 /// Part of committed processors that is in use on average, in percent; measured on serving tasks.
 const COMMITTED_USE_PERCENT: u64 = 60;
 /// Tail over its target that a serving task may be expected to have beside one more filler.
-const CALM_RATIO: f32 = 0.5;
+pub(super) const CALM_RATIO: f32 = 0.5;
 /// Load in thousandths of an executor that one more unit of the worst tail over its target counts as.
 const STRAIN_WEIGHT: f32 = 4_000.0;
 /// Tail over its target that a serving task is taken to have before its executor has told one.
@@ -51,6 +51,9 @@
     pub(super) over_since: Option<Timestamp>,
     /// Its newest tail, in milliseconds, if it serves.
     pub(super) tail_ms: Option<u64>,
+    /// Since when it works at a low pace.
+    pub(super) slowed_since: Option<Timestamp>,
+    pub(super) has_checkpoints: bool,
     /// Looks in a row at which it used no processor.
     pub(super) idle_looks: u32,
     pub(super) checkpoint: Option<SmolStr>,
@@ -188,11 +191,16 @@
         Some(heard + Span(left * 100 / SLOWEST_CLOCK_PERCENT + 1))
     }
 
-    /// How well one more filler would fare here, and those that serve beside it; more is better.
-    pub(super) fn filler_merit(&self, ratio: f32, wish: u64) -> i64 {
+    /// Load with one more filler, in thousandths of the executor.
+    pub(super) fn filler_load(&self, wish: u64) -> u64 {
         let capacity = self.capacity.processors.0.max(1);
         let in_use = self.used.processors.0 * COMMITTED_USE_PERCENT / 100;
-        let load = (in_use + self.filler_wish + wish) * 1_000 / capacity;
+        (in_use + self.filler_wish + wish) * 1_000 / capacity
+    }
+
+    /// How well one more filler would fare here, and those that serve beside it; more is better.
+    pub(super) fn filler_merit(&self, ratio: f32, wish: u64) -> i64 {
+        let load = self.filler_load(wish);
         let strain = ((ratio - CALM_RATIO).max(0.0) * STRAIN_WEIGHT) as i64;
         -i64::try_from(load).unwrap_or(i64::MAX) - strain
     }
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -331,6 +331,8 @@
             image,
             over_since: None,
             tail_ms: None,
+            slowed_since: None,
+            has_checkpoints: spec.is_some_and(|step| step.has_checkpoints),
             idle_looks: 0,
             checkpoint: (!listed.checkpoint.is_empty()).then(|| listed.checkpoint.clone()),
             is_foreign: false,
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -49,6 +49,8 @@
             image,
             over_since: None,
             tail_ms: None,
+            slowed_since: None,
+            has_checkpoints: step.has_checkpoints,
             idle_looks: 0,
             checkpoint: None,
             is_foreign: false,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -4,8 +4,9 @@
 
 use super::{
     State,
-    fleet::{Executor, Phase, Run},
+    fleet::{CALM_RATIO, Executor, Phase, Run},
     interference::{ImageId, Interference, Shares},
+    placing::Taken,
 };
 use crate::{Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
 
@@ -25,6 +26,14 @@
 const HARM_PART: u64 = 2;
 /// What is left of an executor's worst tail at the next look.
 const FADE: f32 = 0.9;
+/// Pace up to which a filler counts as slow, in percent.
+const SLOW_PACE: u8 = 34;
+/// Time at a slow pace after which a filler is moved if another executor bears it.
+const SLOW_PATIENCE: Span = Span::millis(1_000);
+/// Fillers that are moved off one executor at a look.
+const MOVED_AT_ONCE: usize = 2;
+/// Load, in thousandths of an executor, up to which fillers are moved to it.
+const MOVING_LOAD: u64 = 1_500;
 /// Looks in a row without processor use after which a task counts as standing still.
 const IDLE_LOOKS: u32 = 3;
 /// Time from its start before a task's use is judged.
@@ -119,8 +128,45 @@
         }
     }
 
-    /// Learns from the tails on an executor, and sets its fillers' pace by them.
+    /// Learns from the tails on an executor, sets its fillers' pace by them, and moves those that
+    /// stay slow.
     pub(super) fn set_paces(&mut self, x: usize) {
+        self.learn_and_pace(x);
+        self.move_slowed(x);
+    }
+
+    /// Stops slowed fillers that lose nothing by it, if another executor bears them.
+    fn move_slowed(&mut self, x: usize) {
+        let now = self.now;
+        let is_stuck = |run: &Run| {
+            let since = run
+                .slowed_since
+                .filter(|_| run.has_checkpoints && run.stop.is_none());
+            since.is_some_and(|since| now.since(since) >= SLOW_PATIENCE)
+        };
+        let stuck = self.fleet[x].runs.iter().filter(|(_, run)| is_stuck(run));
+        let stuck: Vec<(TaskKey, ImageId, u64)> = stuck
+            .map(|(task, run)| (*task, run.image, run.wish))
+            .take(MOVED_AT_ONCE)
+            .collect();
+        for (task, image, wish) in stuck {
+            let Some(step) = self.spec(task).cloned() else {
+                continue;
+            };
+            let bears = |y: &usize| {
+                let executor = &self.fleet[*y];
+                *y != x
+                    && executor.expected_ratio(&self.interference, image, wish) < CALM_RATIO
+                    && executor.filler_load(wish) < MOVING_LOAD
+                    && self.fits(*y, task.step, &step, None, &Taken::new())
+            };
+            if (0..self.fleet.len()).any(|y| bears(&y)) {
+                self.stop_run(x, task, "it is slowed here, and another executor bears it");
+            }
+        }
+    }
+
+    fn learn_and_pace(&mut self, x: usize) {
         let tails = self.fleet[x].tails();
         let worst = tails.iter().map(|(_, ratio, _)| *ratio).fold(0.0, f32::max);
         if self.now < self.fleet[x].paced_at {
@@ -229,6 +275,8 @@
                 continue;
             }
             run.pace = percent;
+            let is_slow = percent <= SLOW_PACE;
+            run.slowed_since = is_slow.then(|| run.slowed_since.unwrap_or(now));
             has_changed = true;
             self.effects.push(Effect::Pace {
                 target: executor.target.clone(),
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -25,7 +25,7 @@
 }
 
 /// Room that this pass has given away on an executor, for gangs that are tried out.
-type Taken = BTreeMap<usize, (Resources, usize)>;
+pub(super) type Taken = BTreeMap<usize, (Resources, usize)>;
 
 impl State {
     /// Starts what fits, in order of rank.
@@ -180,7 +180,7 @@
         candidates.max_by_key(|x| (Some(*x) != avoid, self.merit(*x, step, image)))
     }
 
-    fn fits(
+    pub(super) fn fits(
         &self,
         x: usize,
         key: StepKey,
