--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -188,6 +188,17 @@
         /// Why.
         why: &'static str,
     },
+    /// Fillers on an executor are to work at another share of their speed.
+    Paced {
+        /// Where.
+        executor: ExecutorId,
+        /// How many runs.
+        runs: usize,
+        /// The share, in percent.
+        percent: u8,
+        /// Worst tail over its target there, in percent.
+        worst_percent: u64,
+    },
     /// A job has ended.
     JobEnded {
         /// Which.
--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -124,6 +124,8 @@
     pub(super) serving: usize,
     /// Images of the serving tasks.
     pub(super) serving_images: Vec<ServingImage>,
+    /// Until when it takes no more fillers, for the sake of its serving tasks.
+    pub(super) spares_until: Timestamp,
     pub(super) strikes: u32,
     pub(super) rests_until: Timestamp,
     /// Its machine is about to go down for its upkeep.
@@ -160,6 +162,7 @@
             filler_wish: 0,
             serving: 0,
             serving_images: Vec::new(),
+            spares_until: Timestamp(0),
             strikes: 0,
             rests_until: Timestamp(0),
             is_closing: false,
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -5,6 +5,7 @@
 use super::{
     IDLE_LOOK, State, Timer,
     fleet::{Phase, Run},
+    pacing::uncertain,
 };
 use crate::{
     Decision, Effect, ExecutorId, HoldOrder, HoldReport, JobKey, Loss, OrderFailure, Refusal,
@@ -327,7 +328,8 @@
             since: sent,
             stop: None,
             percent: listed.percent,
-            pace: 100,
+            // An earlier owner may have paced it.
+            pace: uncertain(100),
             image,
             over_since: None,
             tail_ms: None,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -3,12 +3,12 @@
 use guavacart_types::{Span, Timestamp};
 
 use super::{
-    State,
+    State, Timer,
     fleet::{CALM_RATIO, Executor, Phase, Run},
     interference::{ImageId, Interference, Shares},
     placing::Taken,
 };
-use crate::{Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
+use crate::{Decision, Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
 
 /// Tail over its target above which fillers are slowed.
 const SLOW_DOWN_RATIO: f32 = 0.9;
@@ -24,6 +24,12 @@
 const LEAST_BLAME: f32 = 0.05;
 /// Part of the time that a tail may be over its target after which all fillers beside it stand still.
 const HARM_PART: u64 = 2;
+/// Time in which an executor takes no more fillers once all of them stand still.
+const HARM_REST: Span = Span::millis(2_500);
+/// The same once some were slowed.
+const SLOWED_REST: Span = Span::millis(1_000);
+/// Part of what a filler should use, in percent, under which its pace is not what it was told.
+const LEAST_USE_PERCENT: u64 = 20;
 /// What is left of an executor's worst tail at the next look.
 const FADE: f32 = 0.9;
 /// Pace up to which a filler counts as slow, in percent.
@@ -116,6 +122,15 @@
             return;
         }
         let is_settled = now.since(run.since) > USE_SETTLES;
+        let should_use = run.wish * u64::from(run.pace) / 100;
+        if run.is_filler && is_settled && usage * 100 < should_use * LEAST_USE_PERCENT {
+            run.idle_looks += 1;
+            if run.idle_looks >= IDLE_LOOKS {
+                run.idle_looks = 0;
+                run.pace = uncertain(run.pace);
+            }
+            return;
+        }
         let should_work = !run.is_filler && run.stop.is_none() && run.pace > 0;
         if usage > 0 || !is_settled || !should_work {
             run.idle_looks = 0;
@@ -193,14 +208,22 @@
             since.is_some_and(|since| self.now.since(since) >= harm_near)
         };
         if tails.iter().any(|(_, _, since)| is_near(*since)) {
+            self.spare(x, HARM_REST);
             self.pace_images(x, |_| Some(0));
         } else if worst > SLOW_DOWN_RATIO {
+            self.spare(x, SLOWED_REST);
             self.slow_down(x, &tails, &shares, worst);
         } else {
             self.speed_up(x, &tails, &shares);
         }
     }
 
+    /// Gives an executor no more fillers for a while.
+    fn spare(&mut self, x: usize, rest: Span) {
+        self.fleet[x].spares_until = self.now + rest;
+        self.set_timer(rest, Timer::Place);
+    }
+
     /// Slows the image that is to blame most for the worst tail, or all if none is.
     fn slow_down(&mut self, x: usize, tails: &[Tail], shares: &Shares, worst: f32) {
         let is_worst = |tail: &&Tail| tail.1 >= worst;
@@ -265,7 +288,8 @@
     fn pace_images(&mut self, x: usize, wanted: impl Fn(ImageId) -> Option<u8>) {
         let now = self.now;
         let executor = &mut self.fleet[x];
-        let mut has_changed = false;
+        let mut changed = 0;
+        let mut least = 100;
         for (task, run) in &mut executor.runs {
             let is_running = matches!(run.phase, Phase::Running(_)) && run.stop.is_none();
             let Some(percent) = wanted(run.image).filter(|_| run.is_filler && is_running) else {
@@ -277,7 +301,8 @@
             run.pace = percent;
             let is_slow = percent <= SLOW_PACE;
             run.slowed_since = is_slow.then(|| run.slowed_since.unwrap_or(now));
-            has_changed = true;
+            changed += 1;
+            least = least.min(percent);
             self.effects.push(Effect::Pace {
                 target: executor.target.clone(),
                 task: *task,
@@ -286,9 +311,18 @@
                 epoch: self.epoch,
             });
         }
-        if has_changed {
-            executor.paced_at = now + PACE_INTERVAL;
+        if changed == 0 {
+            return;
         }
+        executor.paced_at = now + PACE_INTERVAL;
+        let tails = executor.tails();
+        let worst = tails.iter().map(|(_, ratio, _)| *ratio).fold(0.0, f32::max);
+        self.effects.push(Effect::Log(Decision::Paced {
+            executor: executor.id.clone(),
+            runs: changed,
+            percent: least,
+            worst_percent: (worst * 100.0) as u64,
+        }));
     }
 
     pub(super) fn paced(
@@ -311,8 +345,13 @@
         }
         let known = self.fleet[x].runs.get_mut(&task);
         if let Some(known) = known.filter(|known| known.run == run && known.pace == percent) {
-            // Not known to work at that share; the next change is sent whatever it is.
-            known.pace = if percent == 100 { 99 } else { percent + 1 };
+            known.pace = uncertain(percent);
         }
     }
 }
+
+/// A share next to `percent`, for a run that may not work at it, so that the next change is sent
+/// whatever it is.
+pub(super) fn uncertain(percent: u8) -> u8 {
+    if percent >= 100 { 99 } else { percent + 1 }
+}
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -192,7 +192,8 @@
         let Some(registration) = &executor.registration else {
             return false;
         };
-        if !self.is_usable(x) {
+        let spares = step.is_filler && executor.spares_until > self.now;
+        if spares || !self.is_usable(x) {
             return false;
         }
         let entry = &self.jobs[&key.job];
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -56,6 +56,12 @@
             is_trusted,
             why,
         } => info!(event = "trusted", %executor, epoch, is_trusted, why),
+        Decision::Paced {
+            executor,
+            runs,
+            percent,
+            worst_percent,
+        } => info!(event = "paced", %executor, epoch, runs, percent, worst_percent),
         Decision::JobEnded { job, outcome } => info!(event = "job_ended", %job, epoch, ?outcome),
         Decision::Advice { step, good } => info!(event = "advice", %step, epoch, good),
         Decision::Upkeep { machine, wave } => info!(event = "upkeep", %machine, %wave, epoch),
