--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -47,6 +47,8 @@
         records: Vec<(JobKey, Progress)>,
         /// Waves whose state changed.
         waves: Vec<(WaveNumber, WaveState)>,
+        /// All executors that may run something, if that changed.
+        fleet: Option<Vec<Target>>,
     },
     /// Remove everything that is kept of these jobs.
     Forget(Vec<JobKey>),
--- a/crates/guavacart_jobs/src/executor.rs
+++ b/crates/guavacart_jobs/src/executor.rs
@@ -35,7 +35,7 @@
 }
 
 /// Whom an order goes to.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
     /// The executor's id.
     pub id: ExecutorId,
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -18,9 +18,10 @@
 
 use crate::{
     Configuration, Effect, Event, ExecutorId, Job, JobKey, JobOutcome, Progress, QueueName,
-    Registration, StepKey, Wave,
+    Registration, StepKey, Target, Wave,
 };
 use fleet::Executor;
+use holding::Orphan;
 use interference::Interference;
 use ledger::JobEntry;
 use saving::Saving;
@@ -63,6 +64,8 @@
     pub cancelled: Vec<JobKey>,
     /// Executors with an entry.
     pub executors: Vec<(ExecutorId, Registration)>,
+    /// Executors that may run something of an earlier owner, by its record.
+    pub fleet: Vec<Target>,
     /// Waves of upkeep.
     pub waves: Vec<Wave>,
 }
@@ -106,6 +109,7 @@
     Lapse(usize),
     Stop(usize),
     Foreign(usize),
+    Orphans,
     Flush,
     Place,
     Due(JobKey, u32),
@@ -128,6 +132,8 @@
     ready: BTreeSet<StepKey>,
     fleet: Vec<Executor>,
     by_id: HashMap<ExecutorId, usize>,
+    /// Ends of runs whose job is not known yet; they are not acknowledged meanwhile.
+    orphans: Vec<Orphan>,
     /// Executors that may run tasks of an earlier owner.
     unresolved: BTreeSet<usize>,
     timers: BTreeSet<(Timestamp, Timer)>,
@@ -153,6 +159,7 @@
             ready: BTreeSet::new(),
             fleet: Vec::new(),
             by_id: HashMap::new(),
+            orphans: Vec::new(),
             unresolved: BTreeSet::new(),
             timers: BTreeSet::new(),
             saving: Saving::default(),
@@ -161,6 +168,9 @@
             must_place: false,
             effects: Vec::new(),
         };
+        for target in snapshot.fleet {
+            state.remember(target);
+        }
         for (id, registration) in snapshot.executors {
             state.registered(&id, Some(registration));
         }
@@ -171,6 +181,9 @@
             state.wave_asked(wave);
         }
         state.unresolved = (0..state.fleet.len()).collect();
+        for x in 0..state.fleet.len() {
+            state.hold_if_wanted(x);
+        }
         state.set_timer(RETENTION_CHECK, Timer::Retention);
         let effects = std::mem::take(&mut state.effects);
         (state, effects)
@@ -288,6 +301,7 @@
             Timer::Lapse(x) => self.check_lapse(x),
             Timer::Stop(x) => self.repeat_stops(x),
             Timer::Foreign(x) => self.stop_foreign(x),
+            Timer::Orphans => self.drop_orphans(),
             Timer::Flush => self.saving.is_due = true,
             Timer::Place => self.must_place = true,
             Timer::Due(key, occurrence) => self.begin_occurrence(key, occurrence),
--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -93,6 +93,8 @@
 pub(super) struct Executor {
     pub(super) id: ExecutorId,
     pub(super) registration: Option<Registration>,
+    /// The store's record of the fleet names it, so that a next owner asks it.
+    pub(super) is_recorded: bool,
     pub(super) target: Target,
     pub(super) capacity: Resources,
     pub(super) incarnation: Option<Incarnation>,
@@ -135,16 +137,13 @@
 }
 
 impl Executor {
-    fn new(id: &ExecutorId, registration: &Registration, now: Timestamp) -> Self {
-        let target = Target {
-            id: id.clone(),
-            address: registration.address,
-        };
+    fn new(target: Target, now: Timestamp) -> Self {
         Self {
-            id: id.clone(),
+            id: target.id.clone(),
             target,
-            capacity: registration.capacity,
+            capacity: Resources::default(),
             registration: None,
+            is_recorded: false,
             incarnation: None,
             clock: None,
             is_fenced: false,
@@ -261,6 +260,25 @@
         Some(deadline)
     }
 
+    /// An executor that an earlier owner used.
+    pub(super) fn remember(&mut self, target: Target) {
+        self.by_id.insert(target.id.clone(), self.fleet.len());
+        let mut executor = Executor::new(target, self.now);
+        executor.is_recorded = true;
+        self.fleet.push(executor);
+    }
+
+    /// Executors that may run something, for the store's record.
+    pub(super) fn recorded_fleet(&self) -> Vec<Target> {
+        let may_run = |(x, executor): &(usize, &Executor)| {
+            executor.registration.is_some()
+                || !executor.runs.is_empty()
+                || self.unresolved.contains(x)
+        };
+        let fleet = self.fleet.iter().enumerate().filter(may_run);
+        fleet.map(|(_, executor)| executor.target.clone()).collect()
+    }
+
     pub(super) fn registered(&mut self, id: &ExecutorId, registration: Option<Registration>) {
         let known = self.by_id.get(id).copied();
         let (x, registration) = match (known, registration) {
@@ -272,7 +290,11 @@
             (Some(x), Some(registration)) => (x, registration),
             (None, Some(registration)) => {
                 let x = self.fleet.len();
-                self.fleet.push(Executor::new(id, &registration, self.now));
+                let target = Target {
+                    id: id.clone(),
+                    address: registration.address,
+                };
+                self.fleet.push(Executor::new(target, self.now));
                 self.by_id.insert(id.clone(), x);
                 self.replace_others_at(x, &registration);
                 (x, registration)
@@ -281,6 +303,7 @@
         let executor = &mut self.fleet[x];
         executor.target.address = registration.address;
         executor.capacity = registration.capacity;
+        let must_record = !executor.is_recorded;
         let is_reborn = match (registration.incarnation, executor.incarnation) {
             (Some(told), Some(known)) => told > known,
             _ => false,
@@ -291,6 +314,10 @@
             executor.is_fenced = false;
             executor.misses = 0;
         }
+        if must_record {
+            self.saving.must_record_fleet = true;
+            self.saving.is_due = true;
+        }
         if drains {
             self.leave(x);
         }
@@ -330,6 +357,7 @@
             return false;
         };
         executor.is_fenced
+            && executor.is_recorded
             && !registration.is_draining
             && !executor.is_closing
             && executor.misses == 0
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -1,6 +1,6 @@
 //! Holds: leases, ends and lists of what runs.
 
-use guavacart_types::{Span, Timestamp};
+use guavacart_types::{Incarnation, Span, Timestamp};
 
 use super::{
     IDLE_LOOK, State, Timer,
@@ -9,7 +9,7 @@
 };
 use crate::{
     Decision, Effect, ExecutorId, HoldOrder, HoldReport, JobKey, Loss, OrderFailure, Refusal,
-    RunListed, TaskKey,
+    RunEnded, RunListed, TaskKey,
 };
 
 /// Longest wait of a hold for an end; also how often leases are extended.
@@ -27,6 +27,15 @@
 /// Added to the longest lease for what an earlier owner may have ordered.
 const EARLIER_OWNER_MARGIN: Span = Span::millis(400);
 
+/// An end whose job is not known yet.
+#[derive(Debug)]
+pub(super) struct Orphan {
+    executor: usize,
+    incarnation: Option<Incarnation>,
+    end: RunEnded,
+    since: Timestamp,
+}
+
 impl State {
     /// Sends the next hold if there is something to hold, to learn or to acknowledge.
     pub(super) fn hold_if_wanted(&mut self, x: usize) {
@@ -123,6 +132,9 @@
         }
         self.lose_all(x, Loss::Lapsed);
         self.resolve(x);
+        if self.fleet[x].registration.is_none() && self.fleet[x].is_recorded {
+            self.saving.must_record_fleet = true;
+        }
     }
 
     pub(super) fn held(
@@ -200,7 +212,11 @@
             if end.number > self.fleet[x].seen {
                 self.fleet[x].seen = end.number;
                 self.saving.has_ends = true;
-                self.settle(x, end);
+                if self.jobs.contains_key(&end.task.step.job) {
+                    self.settle(x, end);
+                } else {
+                    self.keep_orphan(x, end.clone());
+                }
             }
         }
         for listed in &report.running {
@@ -356,6 +372,48 @@
         }
     }
 
+    /// Keeps an end until its job is known, so that it is not acknowledged without a record.
+    fn keep_orphan(&mut self, x: usize, end: RunEnded) {
+        self.orphans.push(Orphan {
+            executor: x,
+            incarnation: self.fleet[x].incarnation,
+            end,
+            since: self.now,
+        });
+        self.set_timer(FOREIGN_PATIENCE, Timer::Orphans);
+    }
+
+    /// Settles the ends that waited for this job.
+    pub(super) fn settle_orphans(&mut self, job: JobKey) {
+        let is_of = |orphan: &Orphan| orphan.end.task.step.job == job;
+        let known: Vec<Orphan> = self
+            .orphans
+            .extract_if(.., |orphan| is_of(orphan))
+            .collect();
+        for orphan in known {
+            self.settle(orphan.executor, &orphan.end);
+        }
+    }
+
+    /// Ends whose job has not become known belong to jobs that are no longer kept.
+    pub(super) fn drop_orphans(&mut self) {
+        let now = self.now;
+        self.orphans
+            .retain(|orphan| now.since(orphan.since) < FOREIGN_PATIENCE);
+        self.saving.has_ends = true;
+    }
+
+    /// Greatest end of an executor that may be acknowledged once the records are written.
+    pub(super) fn settled_up_to(&self, x: usize) -> u64 {
+        let incarnation = self.fleet[x].incarnation;
+        let mine = self.orphans.iter();
+        let mine = mine.filter(|o| o.executor == x && o.incarnation == incarnation);
+        let first = mine.map(|orphan| orphan.end.number).min();
+        first.map_or(self.fleet[x].seen, |first| {
+            self.fleet[x].seen.min(first - 1)
+        })
+    }
+
     /// Stops runs whose job has not become known for a while.
     pub(super) fn stop_foreign(&mut self, x: usize) {
         let now = self.now;
--- a/crates/guavacart_jobs/src/state/ledger.rs
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -145,6 +145,7 @@
             self.begin_when_due(key, occurrence);
         }
         self.know_foreign(key);
+        self.settle_orphans(key);
         self.end_if_completed(key);
     }
 
--- a/crates/guavacart_jobs/src/state/saving.rs
+++ b/crates/guavacart_jobs/src/state/saving.rs
@@ -15,6 +15,8 @@
 pub(super) struct Saving {
     dirty: BTreeSet<JobKey>,
     waves: BTreeMap<WaveNumber, WaveState>,
+    /// The record of the fleet is to be written.
+    pub(super) must_record_fleet: bool,
     /// Ends were taken in that are not acknowledged.
     pub(super) has_ends: bool,
     /// The gathering time is over.
@@ -29,6 +31,8 @@
     save: u64,
     /// Jobs whose written record tells their end.
     ended: Vec<JobKey>,
+    /// Executors that the record of the fleet names, if it is written.
+    recorded: Option<Vec<usize>>,
     /// Ends taken in when the records were made, by executor.
     seen: Vec<(usize, guavacart_types::Incarnation, u64)>,
 }
@@ -49,6 +53,7 @@
     pub(super) fn flush_if_due(&mut self) {
         let has_work = !self.saving.dirty.is_empty() || self.saving.has_ends;
         let has_work = has_work || !self.saving.waves.is_empty();
+        let has_work = has_work || self.saving.must_record_fleet;
         if !has_work || self.saving.under_way.is_some() {
             return;
         }
@@ -76,7 +81,8 @@
             .collect();
         let unacknowledged = |(x, executor): (usize, &super::fleet::Executor)| {
             let incarnation = executor.incarnation?;
-            (executor.seen > executor.durable).then_some((x, incarnation, executor.seen))
+            let settled = self.settled_up_to(x);
+            (settled > executor.durable).then_some((x, incarnation, settled))
         };
         let seen = self
             .fleet
@@ -88,11 +94,21 @@
             .iter()
             .filter(|(_, record)| record.outcome.is_some());
         let ended = ended.map(|(key, _)| *key).collect();
-        self.saving.under_way = Some(UnderWay { save, ended, seen });
+        let must_record = std::mem::take(&mut self.saving.must_record_fleet);
+        let fleet = must_record.then(|| self.recorded_fleet());
+        let recorded = fleet.iter().flatten();
+        let recorded = recorded.filter_map(|target| self.by_id.get(&target.id).copied());
+        self.saving.under_way = Some(UnderWay {
+            save,
+            ended,
+            seen,
+            recorded: fleet.is_some().then(|| recorded.collect()),
+        });
         self.effects.push(Effect::Save {
             save,
             records,
             waves,
+            fleet,
         });
     }
 
@@ -109,6 +125,15 @@
                 entry.shown = entry.shown.or(entry.progress.outcome);
             }
         }
+        if let Some(recorded) = done.recorded {
+            self.fleet
+                .iter_mut()
+                .for_each(|executor| executor.is_recorded = false);
+            recorded
+                .into_iter()
+                .for_each(|x| self.fleet[x].is_recorded = true);
+            self.must_place = true;
+        }
         for (x, incarnation, seen) in done.seen {
             let executor = &mut self.fleet[x];
             if executor.incarnation == Some(incarnation) {
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -8,7 +8,9 @@
     rc::Rc,
 };
 
-use guavacart_jobs::{Effect, Event, ExecutorId, JobKey, JobState, Snapshot, State, Ticket};
+use guavacart_jobs::{
+    Effect, Event, ExecutorId, JobKey, JobState, Snapshot, State, Target, Ticket,
+};
 use guavacart_types::{Epoch, Revision, Span, Timestamp};
 use tokio::{
     sync::{Mutex, Notify},
@@ -54,21 +56,24 @@
         confirmed: Timestamp,
     ) -> Result<Rc<Self>, StoreError> {
         let platform = &shared.platform;
-        let (operator, executors, inbox, progress) = tokio::try_join!(
+        let (operator, executors, inbox, progress, fleet) = tokio::try_join!(
             platform.list(Space::Operator),
             platform.list(Space::Executors),
             platform.list(Space::Inbox),
             platform.list(Space::Progress),
+            platform.get(Key::Fleet),
         )?;
-        shared.counters.store_reads.add(4);
+        shared.counters.store_reads.add(5);
         let epoch = Epoch(revision.0);
         let (snapshot, revisions) = snapshot(epoch, operator.0, &executors.0, inbox.0, progress.0);
-        let snapshot = snapshot.ok_or(StoreError::Unreadable)?;
+        let mut snapshot = snapshot.ok_or(StoreError::Unreadable)?;
+        snapshot.fleet = fleet.and_then(fleet_of).unwrap_or_default();
         tracing::info!(
             event = "owner_begins",
             %epoch,
             jobs = snapshot.jobs.len(),
             executors = snapshot.executors.len(),
+            fleet = snapshot.fleet.len(),
             version = snapshot.configuration.version,
         );
         let (state, effects) = State::new(shared.settings.bounds, snapshot, clock::both());
@@ -306,8 +311,9 @@
                 save,
                 records,
                 waves,
+                fleet,
             } => {
-                task::spawn_local(async move { owner.save(save, records, waves).await });
+                task::spawn_local(async move { owner.save(save, records, waves, fleet).await });
             }
             Effect::Forget(jobs) => {
                 task::spawn_local(async move { owner.forget(jobs).await });
@@ -356,6 +362,13 @@
     }
 }
 
+fn fleet_of(item: Item) -> Option<Vec<Target>> {
+    match item.content {
+        Content::Own(Key::Fleet, Some(bytes)) => records::decode(&bytes),
+        _ => None,
+    }
+}
+
 type Revisions = HashMap<JobKey, Revision>;
 
 /// Sorts what was read; no snapshot if there is no configuration.
@@ -410,6 +423,7 @@
         jobs,
         cancelled,
         executors: executors.collect(),
+        fleet: Vec::new(),
         waves,
     });
     (snapshot, revisions)
--- a/crates/guavacart_node/src/owner/saving.rs
+++ b/crates/guavacart_node/src/owner/saving.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use guavacart_jobs::{Event, JobKey, Progress, WaveNumber, WaveState};
+use guavacart_jobs::{Event, JobKey, Progress, Target, WaveNumber, WaveState};
 use guavacart_types::Revision;
 
 use super::{Owner, Revisions};
@@ -42,6 +42,7 @@
         save: u64,
         jobs: Vec<(JobKey, Progress)>,
         waves: Vec<(WaveNumber, WaveState)>,
+        fleet: Option<Vec<Target>>,
     ) {
         let jobs: Vec<(JobKey, Vec<u8>)> = jobs
             .into_iter()
@@ -52,10 +53,14 @@
                 return;
             }
         }
-        for (wave, state) in waves {
+        let fleet = fleet.map(|fleet| (Key::Fleet, Value::Own(records::encode(&fleet))));
+        let waves = waves
+            .into_iter()
+            .map(|(wave, state)| (Key::WaveState(wave), Value::Wave(wave, state)));
+        for (key, value) in fleet.into_iter().chain(waves) {
             let put = Put {
-                key: Key::WaveState(wave),
-                value: Value::Wave(wave, state),
+                key,
+                value,
                 lease: None,
             };
             let write = Write {
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -131,6 +131,8 @@
     Cancel(JobKey),
     /// A job's progress.
     Progress(JobKey),
+    /// Executors that may run something.
+    Fleet,
     /// How far a wave has come.
     WaveState(WaveNumber),
 }
