--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -76,7 +76,12 @@
     }
 
     fn hold(&mut self, x: usize, must_wait: bool) {
-        let deadline_ms = self.extend_lease(x);
+        // The lease of an executor that does not answer must be left to run out.
+        let deadline_ms = if self.fleet[x].misses == 0 {
+            self.extend_lease(x)
+        } else {
+            None
+        };
         let watches = self.fleet[x].serving > 0 && self.fleet[x].filler_wish > 0;
         let executor = &mut self.fleet[x];
         let wait = match (must_wait, watches) {
@@ -249,17 +254,10 @@
         executor.acknowledged = 0;
         executor.strikes = 0;
         executor.is_fenced = false;
-        // A start that was never answered may still reach the new incarnation.
-        let (lost, doubtful): (Vec<TaskKey>, Vec<TaskKey>) = executor
-            .runs
-            .keys()
-            .copied()
-            .partition(|task| matches!(executor.runs[task].phase, Phase::Running(_)));
-        for task in lost {
-            self.lose(x, task, Loss::Reborn);
-        }
-        for task in doubtful {
-            self.stop_run(x, task, "the executor was born again");
+        // Starts may have reached the new incarnation already, or may yet; its lists tell which runs
+        // are over, and deadlines by the earlier clock tell nothing.
+        for run in executor.runs.values_mut() {
+            run.deadline_ms = 0;
         }
     }
 
--- /dev/null
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -0,0 +1,332 @@
+//! A rig of executors that answer at once, for tests of single decisions.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use guavacart_jobs::{
+    Accepted, Bounds, Configuration, Effect, Event, ExecutorId, HoldReport, HttpLimits, Job,
+    JobKey, OrderFailure, Pool, Progress, Queue, QueueRules, Registration, RunListed, RunNumber,
+    Snapshot, State, Step, Target, TaskKey,
+};
+use guavacart_types::{
+    Accelerators, ByteSize, Epoch, Incarnation, Processors, Resources, Span, Timestamp,
+};
+
+/// Time until an order is answered.
+const ANSWER_MS: u64 = 2;
+/// Longest step of the rig's time.
+const MAX_STEP_MS: u64 = 100;
+
+/// A start that an executor has carried out.
+#[derive(Clone, Debug)]
+pub(crate) struct Started {
+    pub(crate) executor: ExecutorId,
+    pub(crate) task: TaskKey,
+    pub(crate) run: RunNumber,
+}
+
+/// One owner and its executors.
+pub(crate) struct Rig {
+    state: State,
+    now: u64,
+    executors: Vec<ExecutorId>,
+    silent: BTreeSet<ExecutorId>,
+    running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
+    jobs: Vec<(JobKey, Job)>,
+    fleet: Vec<Target>,
+    starts: Vec<Started>,
+    taken: usize,
+    seen: Vec<Effect>,
+    /// Orders that are answered at a time, with when they were sent.
+    pending: BTreeMap<(u64, usize), (u64, Effect)>,
+}
+
+pub(crate) fn rules() -> QueueRules {
+    QueueRules {
+        pool: "pool".into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2.0,
+        target: Span(500),
+        advice: None,
+    }
+}
+
+pub(crate) fn step(count: u16) -> Step {
+    Step {
+        count,
+        size: Resources {
+            processors: Processors(2_000),
+            memory: ByteSize::gib(1),
+            accelerators: Accelerators(0),
+        },
+        estimate: Span(1_000),
+        ..Step::default()
+    }
+}
+
+pub(crate) fn job(steps: Vec<Step>) -> Job {
+    Job {
+        queue: "q".into(),
+        rules: rules(),
+        accepted_unix_ms: 0,
+        payload: "p".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+pub(crate) fn one_task_job() -> Job {
+    job(vec![step(1)])
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 1,
+        queues: vec![Queue {
+            name: "q".into(),
+            host: "h".into(),
+            prefix: "/q/".into(),
+            rules: rules(),
+        }],
+        pools: vec![Pool {
+            name: "pool".into(),
+            checks_admission: false,
+            is_spare: false,
+        }],
+        limits: HttpLimits {
+            head: ByteSize::kib(16),
+            body: ByteSize::kib(256),
+            head_timeout: Span::secs(3),
+            idle_timeout: Span::secs(15),
+        },
+    }
+}
+
+fn registration(index: usize) -> Registration {
+    Registration {
+        pool: "pool".into(),
+        address: ([127, 0, 0, 1], 1_000 + u16::try_from(index).expect("few")).into(),
+        is_draining: false,
+        drain_left: None,
+        capacity: Resources {
+            processors: Processors(8_000),
+            memory: ByteSize::gib(16),
+            accelerators: Accelerators(0),
+        },
+        labels: vec!["a".into(), "r1".into()],
+        incarnation: Some(Incarnation(7)),
+    }
+}
+
+impl Rig {
+    pub(crate) fn new(executors: &[&str]) -> Self {
+        let executors = executors.iter().map(|id| ExecutorId::from(*id)).collect();
+        let mut rig = Self::with(1, 1, executors, Vec::new(), Vec::new(), BTreeMap::new());
+        rig.run_for(300);
+        rig
+    }
+
+    fn with(
+        epoch: u64,
+        now: u64,
+        executors: Vec<ExecutorId>,
+        jobs: Vec<(JobKey, Job)>,
+        fleet: Vec<Target>,
+        running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
+    ) -> Self {
+        let listed = executors.iter().enumerate();
+        let snapshot = Snapshot {
+            epoch: Epoch(epoch),
+            configuration: configuration(),
+            jobs: jobs
+                .iter()
+                .map(|(key, job)| (*key, job.clone(), Progress::default()))
+                .collect(),
+            cancelled: Vec::new(),
+            executors: listed
+                .map(|(x, id)| (id.clone(), registration(x)))
+                .collect(),
+            fleet: fleet.clone(),
+            waves: Vec::new(),
+        };
+        let at = Accepted {
+            now: Timestamp(now),
+            unix_ms: now,
+        };
+        let bounds = Bounds {
+            max_lease: Span::secs(6),
+            stop_timeout: Span(200),
+            retention: Span::secs(120),
+            harm: Span::secs(4),
+            notice: Span::secs(4),
+            upkeep: Span::secs(2),
+            cross_rack_factor: 3,
+        };
+        let (state, effects) = State::new(bounds, snapshot, at);
+        let mut rig = Self {
+            state,
+            now,
+            executors,
+            silent: BTreeSet::new(),
+            running,
+            jobs,
+            fleet,
+            starts: Vec::new(),
+            taken: 0,
+            seen: Vec::new(),
+            pending: BTreeMap::new(),
+        };
+        rig.carry_out(effects);
+        rig
+    }
+
+    /// The owner after this one; what runs goes on.
+    pub(crate) fn take_over(&self) -> Self {
+        Self::with(
+            2,
+            self.now + 1_000,
+            self.executors.clone(),
+            self.jobs.clone(),
+            self.fleet.clone(),
+            self.running.clone(),
+        )
+    }
+
+    pub(crate) fn accept(&mut self, key: u64, job: Job) {
+        self.jobs.push((JobKey(key), job.clone()));
+        self.tell(Event::Accepted(JobKey(key), Box::new(job)));
+    }
+
+    pub(crate) fn go_silent(&mut self, executor: &ExecutorId) {
+        self.silent.insert(executor.clone());
+    }
+
+    /// The next start that was carried out and not asked for yet.
+    pub(crate) fn started(&mut self) -> Option<Started> {
+        let started = self.starts.get(self.taken).cloned()?;
+        self.taken += 1;
+        Some(started)
+    }
+
+    pub(crate) fn seen(&self) -> &[Effect] {
+        &self.seen
+    }
+
+    pub(crate) fn run_for(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            let tick = self.state.next_tick().map_or(end, |at| at.0);
+            let answer = self.pending.keys().next().map_or(end, |(at, _)| *at);
+            let next = tick.min(answer).max(self.now + 1);
+            self.now = next.min(self.now + MAX_STEP_MS).min(end);
+            while let Some(entry) = self.pending.first_entry().filter(|e| e.key().0 <= self.now) {
+                let (sent, effect) = entry.remove();
+                if let Some(event) = self.answer(sent, effect) {
+                    self.tell(event);
+                }
+            }
+            self.tell(Event::Tick);
+        }
+    }
+
+    pub(crate) fn tell(&mut self, event: Event) {
+        let at = Accepted {
+            now: Timestamp(self.now),
+            unix_ms: self.now,
+        };
+        let effects = self.state.apply(at, event);
+        self.carry_out(effects);
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            self.seen.push(effect.clone());
+            let wait = match &effect {
+                Effect::Hold(_, order) => order.wait.0,
+                _ => 0,
+            };
+            let at = (self.now + wait + ANSWER_MS, self.seen.len());
+            self.pending.insert(at, (self.now, effect));
+        }
+    }
+
+    fn answer(&mut self, sent: u64, effect: Effect) -> Option<Event> {
+        let sent = Timestamp(sent);
+        Some(match effect {
+            Effect::Save { save, fleet, .. } => {
+                if let Some(fleet) = fleet {
+                    self.fleet = fleet;
+                }
+                Event::Saved { save }
+            }
+            Effect::Hold(target, order) => Event::Held {
+                report: self.lists(&target.id),
+                executor: target.id,
+                sent,
+                is_waiting: order.wait > Span::ZERO,
+            },
+            Effect::Start(target, order) => {
+                let is_silent = self.silent.contains(&target.id);
+                if !is_silent {
+                    self.running
+                        .insert((target.id.clone(), order.task), order.run);
+                    self.starts.push(Started {
+                        executor: target.id.clone(),
+                        task: order.task,
+                        run: order.run,
+                    });
+                }
+                Event::Started {
+                    executor: target.id,
+                    task: order.task,
+                    run: order.run,
+                    result: if is_silent {
+                        Err(OrderFailure::NoAnswer)
+                    } else {
+                        Ok(())
+                    },
+                }
+            }
+            Effect::Stop {
+                target, task, run, ..
+            } => {
+                let is_silent = self.silent.contains(&target.id);
+                if !is_silent {
+                    self.running.remove(&(target.id.clone(), task));
+                }
+                Event::Stopped {
+                    executor: target.id,
+                    task,
+                    run,
+                    result: if is_silent {
+                        Err(OrderFailure::NoAnswer)
+                    } else {
+                        Ok(())
+                    },
+                }
+            }
+            _ => return None,
+        })
+    }
+
+    fn lists(&self, id: &ExecutorId) -> Result<HoldReport, OrderFailure> {
+        if self.silent.contains(id) {
+            return Err(OrderFailure::NoAnswer);
+        }
+        let here = self.running.iter().filter(|((x, _), _)| x == id);
+        let running = here.map(|((_, task), run)| RunListed {
+            task: *task,
+            run: *run,
+            checkpoint: "".into(),
+            percent: 50,
+            usage: Some(2_000),
+        });
+        Ok(HoldReport {
+            incarnation: Incarnation(7),
+            clock_ms: self.now,
+            running: running.collect(),
+            ended: Vec::new(),
+            is_partial: false,
+        })
+    }
+}
