--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -97,7 +97,12 @@
         let order = HoldOrder {
             epoch: self.epoch,
             deadline_ms,
-            acknowledged: executor.durable,
+            // Another incarnation may answer, which counts its ends anew.
+            acknowledged: if executor.misses == 0 && executor.is_fenced {
+                executor.durable
+            } else {
+                0
+            },
             wait,
         };
         self.effects
