--- a/crates/guavacart_jobs/src/configuration.rs
+++ b/crates/guavacart_jobs/src/configuration.rs
@@ -97,12 +97,6 @@
         matching.max_by_key(|(queue, _)| queue.prefix.len())
     }
 
-    /// The rules of the queue with that name.
-    pub fn rules(&self, name: &QueueName) -> Option<&QueueRules> {
-        let queue = self.queues.iter().find(|queue| queue.name == *name)?;
-        Some(&queue.rules)
-    }
-
     /// True if executors of that pool may be given work.
     pub fn has_pool_on(&self, name: &PoolName) -> bool {
         self.pools
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     Configuration, Effect, Event, ExecutorId, Job, JobKey, JobOutcome, Progress, QueueName,
-    Registration, StepKey, Target, Wave,
+    QueueRules, Registration, StepKey, Target, Wave,
 };
 use fleet::Executor;
 use holding::Orphan;
@@ -127,6 +127,8 @@
     now: Timestamp,
     unix_ms: u64,
     configuration: Configuration,
+    /// The configuration's queues by name.
+    rules: HashMap<QueueName, QueueRules>,
     jobs: BTreeMap<JobKey, JobEntry>,
     cancelled: BTreeSet<JobKey>,
     ready: BTreeSet<StepKey>,
@@ -153,6 +155,7 @@
             began: at.now,
             now: at.now,
             unix_ms: at.unix_ms,
+            rules: rules_by_name(&snapshot.configuration),
             configuration: snapshot.configuration,
             jobs: BTreeMap::new(),
             cancelled: snapshot.cancelled.into_iter().collect(),
@@ -276,6 +279,7 @@
 
     fn configured(&mut self, configuration: Configuration) {
         if configuration.version > self.configuration.version {
+            self.rules = rules_by_name(&configuration);
             self.configuration = configuration;
             self.must_place = true;
         }
@@ -311,3 +315,10 @@
         }
     }
 }
+
+fn rules_by_name(configuration: &Configuration) -> HashMap<QueueName, QueueRules> {
+    let queues = configuration.queues.iter();
+    queues
+        .map(|queue| (queue.name.clone(), queue.rules.clone()))
+        .collect()
+}
--- a/crates/guavacart_jobs/src/state/advising.rs
+++ b/crates/guavacart_jobs/src/state/advising.rs
@@ -102,7 +102,7 @@
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let now_rules = self.configuration.rules(&entry.job.queue);
+        let now_rules = self.rules.get(&entry.job.queue);
         let rules = now_rules.unwrap_or(&entry.job.rules);
         let validity = rules.advice.map_or(Span::ZERO, |advice| advice.validity);
         let ends = now + Span(validity.0 * VALIDITY_PERCENT / 100);
--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -5,7 +5,10 @@
 use guavacart_types::{Incarnation, Resources, Span, Timestamp};
 use smol_str::SmolStr;
 
-use super::{State, Timer, interference::ImageId};
+use super::{
+    State, Timer,
+    interference::{ImageId, Shares},
+};
 use crate::{Decision, Effect, ExecutorId, Loss, Registration, RunNumber, Target, TaskKey};
 
 /// Part of an executor's lease that an order asks for; the rest bears a slow answer.
@@ -121,6 +124,8 @@
     pub(super) heard: Timestamp,
     pub(super) runs: BTreeMap<TaskKey, Run>,
     pub(super) used: Resources,
+    /// Parts of it that its fillers use, by image.
+    pub(super) filler_shares: Shares,
     /// Processors that its fillers wish for.
     pub(super) filler_wish: u64,
     pub(super) serving: usize,
@@ -158,6 +163,7 @@
             heard: now,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            filler_shares: Shares::new(),
             filler_wish: 0,
             serving: 0,
             serving_images: Vec::new(),
@@ -209,7 +215,8 @@
 
     pub(super) fn add(&mut self, task: TaskKey, run: Run) {
         self.used = self.used.plus(&run.size);
-        if run.is_filler {
+        let is_filler = run.is_filler;
+        if is_filler {
             self.filler_wish += run.wish;
         }
         if run.tail_target.is_some() {
@@ -225,6 +232,9 @@
             }
         }
         self.runs.insert(task, run);
+        if is_filler {
+            self.sum_filler_shares();
+        }
     }
 
     pub(super) fn remove(&mut self, task: TaskKey) -> Option<Run> {
@@ -232,6 +242,7 @@
         self.used = self.used.minus(&run.size).unwrap_or_default();
         if run.is_filler {
             self.filler_wish -= run.wish;
+            self.sum_filler_shares();
         }
         if run.tail_target.is_some() {
             self.serving -= 1;
@@ -300,6 +311,11 @@
                 (x, registration)
             }
         };
+        // Entries are written about once a second, mostly without a change.
+        if self.fleet[x].registration.as_ref() == Some(&registration) {
+            self.hold_if_wanted(x);
+            return;
+        }
         let executor = &mut self.fleet[x];
         executor.target.address = registration.address;
         executor.capacity = registration.capacity;
--- a/crates/guavacart_jobs/src/state/ledger.rs
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub(super) struct JobEntry {
     pub(super) job: Job,
+    /// Estimated length of its longest chain of steps.
+    pub(super) chain: Span,
     pub(super) progress: Progress,
     /// An earlier owner may have started its tasks.
     pub(super) is_earlier: bool,
@@ -92,7 +94,7 @@
 impl State {
     /// The rules of a job's queue as they are now, or as they were when the queue was removed.
     pub(super) fn rules<'a>(&'a self, entry: &'a JobEntry) -> &'a QueueRules {
-        let now = self.configuration.rules(&entry.job.queue);
+        let now = self.rules.get(&entry.job.queue);
         now.unwrap_or(&entry.job.rules)
     }
 
@@ -134,6 +136,7 @@
             is_earlier,
             shown: progress.outcome,
             steps: BTreeMap::new(),
+            chain: job.longest_chain(),
             job,
             progress,
         };
@@ -408,6 +411,16 @@
         if task.is_done || task.placed.is_some() {
             return;
         }
+        // The other members would wait for this one in vain.
+        let members = state.tasks.iter().enumerate().filter(|_| is_gang);
+        let members = members.filter_map(|(index, task)| {
+            let (x, placed) = task.placed?;
+            (placed == run).then_some((x, u16::try_from(index).ok()?))
+        });
+        let members: Vec<(usize, u16)> = members.collect();
+        let Some(task) = state.tasks.get_mut(usize::from(key.index)) else {
+            return;
+        };
         let is_new = saved.is_some() && saved != task.checkpoint;
         if let Some(saved) = saved {
             task.checkpoint = Some(saved.clone());
@@ -429,6 +442,13 @@
         if is_new {
             self.must_save(key.step.job, false);
         }
+        for (x, index) in members {
+            self.stop_run(
+                x,
+                key.step.task(index),
+                "another member of its gang is not there",
+            );
+        }
     }
 
     pub(super) fn forget_old_jobs(&mut self) {
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -23,7 +23,7 @@
 /// Added logarithm of a tail under which an image is not blamed for it.
 const LEAST_BLAME: f32 = 0.05;
 /// Part of the time that a tail may be over its target after which all fillers beside it stand still.
-const HARM_PART: u64 = 2;
+const HARM_PART: u64 = 3;
 /// Time in which an executor takes no more fillers once all of them stand still.
 const HARM_REST: Span = Span::millis(2_500);
 /// The same once some were slowed.
@@ -64,7 +64,8 @@
         wish as f32 / capacity * f32::from(pace) / 100.0
     }
 
-    fn filler_shares(&self) -> Shares {
+    /// Sums up its fillers' shares; called whenever a filler or its pace changes.
+    pub(super) fn sum_filler_shares(&mut self) {
         let mut shares = Shares::new();
         for run in self.runs.values().filter(|run| run.is_filler) {
             let share = self.share(run.wish, run.pace);
@@ -73,7 +74,7 @@
                 None => shares.push((run.image, share)),
             }
         }
-        shares
+        self.filler_shares = shares;
     }
 
     /// The pace of the fillers of an image; the slowest counts.
@@ -90,18 +91,18 @@
         if self.serving == 0 {
             return 0.0;
         }
-        let mut shares = self.filler_shares();
-        shares.push((filler, self.share(wish, 100)));
-        let expected = self
-            .serving_images
-            .iter()
-            .map(|serving| serving.undisturbed * model.added(serving.image, &shares).exp());
+        let share = self.share(wish, 100);
+        let expected = self.serving_images.iter().map(|serving| {
+            let here = model.added(serving.image, &self.filler_shares);
+            let more = model.slope(serving.image, filler) * share;
+            serving.undisturbed * (here + more).exp()
+        });
         expected.fold(0.0, f32::max)
     }
 
     /// What the fillers here are expected to add to the logarithm of a serving task's tail.
     pub(super) fn disturbance(&self, model: &Interference, serving: ImageId) -> f32 {
-        model.added(serving, &self.filler_shares())
+        model.added(serving, &self.filler_shares)
     }
 }
 
@@ -116,9 +117,15 @@
             return;
         };
         if let Some(target) = run.tail_target {
+            // A run of an earlier owner may have been over its target for a while.
+            let first_seen = if run.tail_ms.is_none() {
+                now - Span(self.bounds.harm.0 / HARM_PART / 2)
+            } else {
+                now
+            };
             run.tail_ms = Some(usage);
             let is_over = usage > target.0;
-            run.over_since = is_over.then(|| run.over_since.unwrap_or(now));
+            run.over_since = is_over.then(|| run.over_since.unwrap_or(first_seen));
             return;
         }
         let is_settled = now.since(run.since) > USE_SETTLES;
@@ -168,12 +175,15 @@
             let Some(step) = self.spec(task).cloned() else {
                 continue;
             };
+            let Some(wanted) = self.wanted(task.step, &step, None) else {
+                continue;
+            };
             let bears = |y: &usize| {
                 let executor = &self.fleet[*y];
                 *y != x
                     && executor.expected_ratio(&self.interference, image, wish) < CALM_RATIO
                     && executor.filler_load(wish) < MOVING_LOAD
-                    && self.fits(*y, task.step, &step, None, &Taken::new())
+                    && self.fits(*y, &wanted, &Taken::new())
             };
             if (0..self.fleet.len()).any(|y| bears(&y)) {
                 self.stop_run(x, task, "it is slowed here, and another executor bears it");
@@ -187,7 +197,7 @@
         if self.now < self.fleet[x].paced_at {
             return;
         }
-        let shares = self.fleet[x].filler_shares();
+        let shares = self.fleet[x].filler_shares.clone();
         let model = &self.interference;
         for serving in &mut self.fleet[x].serving_images {
             let same = tails.iter().filter(|(image, _, _)| *image == serving.image);
@@ -315,6 +325,7 @@
             return;
         }
         executor.paced_at = now + PACE_INTERVAL;
+        executor.sum_filler_shares();
         let tails = executor.tails();
         let worst = tails.iter().map(|(_, ratio, _)| *ratio).fold(0.0, f32::max);
         self.effects.push(Effect::Log(Decision::Paced {
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -6,11 +6,15 @@
 use smol_str::SmolStr;
 
 use super::{State, Timer, interference::ImageId};
-use crate::{Decision, Effect, RunNumber, Step, StepKey, Ticket};
+use crate::{Decision, Effect, PoolName, RunNumber, Step, StepKey, Ticket};
 
 /// Factor on a step's estimate for which it waits for the rack of its data.
 const RACK_PATIENCE: u64 = 2;
 
+/// Steps that may stay without room in one pass; bounds the time that a pass takes under overload.
+const MOST_UNPLACED: usize = 48;
+/// Pause until the next pass after one that was cut short.
+const NEXT_PASS: Span = Span::millis(50);
 /// Steps in which the disturbance of a serving task by fillers is told apart, in each unit of the
 /// logarithm of its tail.
 const DISTURBANCE_GRAIN: f32 = 10.0;
@@ -24,6 +28,18 @@
     step: StepKey,
 }
 
+/// What an executor must have for the tasks of a step.
+pub(super) struct Wanted<'a> {
+    key: StepKey,
+    step: &'a Step,
+    /// What one task commits.
+    size: Resources,
+    pool: PoolName,
+    has_advice: bool,
+    rack: Option<SmolStr>,
+    image: ImageId,
+}
+
 /// Room that this pass has given away on an executor, for gangs that are tried out.
 pub(super) type Taken = BTreeMap<usize, (Resources, usize)>;
 
@@ -39,8 +55,15 @@
             .filter_map(|key| self.rank(*key))
             .collect();
         ranks.sort_unstable();
+        let mut unplaced = 0;
         for rank in ranks {
             self.place_step(rank.step);
+            unplaced += usize::from(self.ready.contains(&rank.step));
+            if unplaced >= MOST_UNPLACED {
+                // The rest is tried once there is time; what is first in rank goes first.
+                self.set_timer(NEXT_PASS, Timer::Place);
+                break;
+            }
         }
     }
 
@@ -50,7 +73,7 @@
             return None;
         }
         let rules = self.rules(entry);
-        let chain = entry.job.longest_chain().0;
+        let chain = entry.chain.0;
         let due = entry.job.due_unix_ms(key.occurrence);
         let from = due.unwrap_or(entry.job.accepted_unix_ms);
         let stretched = (chain as f32 * (rules.stretch - 1.0).max(0.0)) as u64;
@@ -80,6 +103,9 @@
         };
         let waiting: Vec<u16> = state.waiting.iter().copied().collect();
         let rack = self.wanted_rack(key, &step, waiting.len());
+        let Some(wanted) = self.wanted(key, &step, rack) else {
+            return;
+        };
         for index in waiting {
             let task =
                 &self.jobs[&key.job].steps[&(key.occurrence, key.step)].tasks[usize::from(index)];
@@ -87,7 +113,7 @@
                 continue;
             }
             let (avoid, last_run) = (task.avoid, task.last_run);
-            let Some(x) = self.choose(key, &step, rack.as_ref(), avoid, &Taken::new()) else {
+            let Some(x) = self.choose(&wanted, avoid, &Taken::new()) else {
                 break;
             };
             let run = self.next_run(last_run);
@@ -105,10 +131,13 @@
         let last_run = state.tasks.iter().map(|task| task.last_run).max();
         let run = self.next_run(last_run.unwrap_or(RunNumber(0)));
         let rack = self.wanted_rack(key, step, usize::from(step.count));
+        let Some(wanted) = self.wanted(key, step, rack) else {
+            return;
+        };
         let mut taken = Taken::new();
         let mut chosen = Vec::with_capacity(usize::from(step.count));
         for index in 0..step.count {
-            let Some(x) = self.choose(key, step, rack.as_ref(), None, &taken) else {
+            let Some(x) = self.choose(&wanted, None, &taken) else {
                 return;
             };
             let entry = taken.entry(x).or_default();
@@ -165,40 +194,45 @@
         Some(best.0.clone())
     }
 
-    /// The best executor for one task of the step, if any has room.
-    fn choose(
+    /// What an executor must have for the tasks of a step; `None` if its pool is off.
+    pub(super) fn wanted<'a>(
         &self,
         key: StepKey,
-        step: &Step,
-        rack: Option<&SmolStr>,
-        avoid: Option<usize>,
-        taken: &Taken,
-    ) -> Option<usize> {
-        let image = self.interference.known(step.image.as_ref());
-        let fits = |x: &usize| self.fits(*x, key, step, rack, taken);
-        let candidates = (0..self.fleet.len()).filter(fits);
-        candidates.max_by_key(|x| (Some(*x) != avoid, self.merit(*x, step, image)))
+        step: &'a Step,
+        rack: Option<SmolStr>,
+    ) -> Option<Wanted<'a>> {
+        let rules = self.rules(self.jobs.get(&key.job)?);
+        let is_on = self.configuration.has_pool_on(&rules.pool);
+        is_on.then(|| Wanted {
+            key,
+            step,
+            size: step.committed(),
+            pool: rules.pool.clone(),
+            has_advice: rules.advice.is_some(),
+            rack,
+            image: self.interference.known(step.image.as_ref()),
+        })
     }
 
-    pub(super) fn fits(
-        &self,
-        x: usize,
-        key: StepKey,
-        step: &Step,
-        rack: Option<&SmolStr>,
-        taken: &Taken,
-    ) -> bool {
+    /// The best executor for one task of the step, if any has room.
+    fn choose(&self, wanted: &Wanted<'_>, avoid: Option<usize>, taken: &Taken) -> Option<usize> {
+        let candidates = (0..self.fleet.len()).filter(|x| self.fits(*x, wanted, taken));
+        candidates.max_by_key(|x| (Some(*x) != avoid, self.merit(*x, wanted.step, wanted.image)))
+    }
+
+    pub(super) fn fits(&self, x: usize, wanted: &Wanted<'_>, taken: &Taken) -> bool {
         let executor = &self.fleet[x];
         let Some(registration) = &executor.registration else {
             return false;
         };
-        let spares = step.is_filler && executor.spares_until > self.now;
-        if spares || !self.is_usable(x) {
+        let (taken_size, taken_tasks) = taken.get(&x).copied().unwrap_or_default();
+        let needed = taken_size.plus(&wanted.size);
+        if !needed.fits_in(&executor.free()) || registration.pool != wanted.pool {
             return false;
         }
-        let entry = &self.jobs[&key.job];
-        let rules = self.rules(entry);
-        if registration.pool != rules.pool || !self.configuration.has_pool_on(&rules.pool) {
+        let step = wanted.step;
+        let spares = step.is_filler && executor.spares_until > self.now;
+        if spares || !self.is_usable(x) {
             return false;
         }
         let has = |label: &SmolStr| registration.labels.contains(label);
@@ -209,22 +243,17 @@
         {
             return false;
         }
-        if rack.is_some_and(|rack| !has(rack)) {
-            return false;
-        }
-        let (taken_size, taken_tasks) = taken.get(&x).copied().unwrap_or_default();
-        let needed = taken_size.plus(&step.committed());
-        if !needed.fits_in(&executor.free()) {
+        if wanted.rack.as_ref().is_some_and(|rack| !has(rack)) {
             return false;
         }
-        let running = executor.runs_of(key) + taken_tasks;
+        let running = || executor.runs_of(wanted.key) + taken_tasks;
         if step
             .max_per_executor
-            .is_some_and(|most| running >= usize::from(most))
+            .is_some_and(|most| running() >= usize::from(most))
         {
             return false;
         }
-        rules.advice.is_none() || self.ticket(x, key).is_some()
+        !wanted.has_advice || self.ticket(x, wanted.key).is_some()
     }
 
     /// Fillers go where they find most processors unused and tails far from their targets. Serving
