--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -143,6 +143,8 @@
     upkeep: Upkeep,
     interference: Interference,
     must_place: bool,
+    /// Where the next pass goes on among the steps that take turns.
+    next_tried: usize,
     effects: Vec<Effect>,
 }
 
@@ -169,6 +171,7 @@
             upkeep: Upkeep::default(),
             interference: Interference::default(),
             must_place: false,
+            next_tried: 0,
             effects: Vec::new(),
         };
         for target in snapshot.fleet {
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -13,6 +13,8 @@
 
 /// Steps that may stay without room in one pass; bounds the time that a pass takes under overload.
 const MOST_UNPLACED: usize = 48;
+/// Steps that each pass tries, in order of rank.
+const ALWAYS_TRIED: usize = 24;
 /// Pause until the next pass after one that was cut short.
 const NEXT_PASS: Span = Span::millis(50);
 /// Steps in which the disturbance of a serving task by fillers is told apart, in each unit of the
@@ -55,16 +57,25 @@
             .filter_map(|key| self.rank(*key))
             .collect();
         ranks.sort_unstable();
+        // What is first in rank goes first in each pass; the rest takes turns.
+        let rest = ranks.split_off(ranks.len().min(ALWAYS_TRIED));
+        let start = if rest.is_empty() {
+            0
+        } else {
+            self.next_tried % rest.len()
+        };
+        let (before, after) = rest.split_at(start);
         let mut unplaced = 0;
-        for rank in ranks {
+        for rank in ranks.iter().chain(after).chain(before) {
             self.place_step(rank.step);
             unplaced += usize::from(self.ready.contains(&rank.step));
             if unplaced >= MOST_UNPLACED {
-                // The rest is tried once there is time; what is first in rank goes first.
+                self.next_tried = start + MOST_UNPLACED - ALWAYS_TRIED;
                 self.set_timer(NEXT_PASS, Timer::Place);
-                break;
+                return;
             }
         }
+        self.next_tried = 0;
     }
 
     fn rank(&self, key: StepKey) -> Option<Rank> {
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A rig of executors that answer at once, for tests of single decisions.
 
+#![allow(dead_code, reason = "each test file uses its part of the rig")]
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use guavacart_jobs::{
@@ -30,6 +32,7 @@
     now: u64,
     executors: Vec<ExecutorId>,
     silent: BTreeSet<ExecutorId>,
+    refusing: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
     jobs: Vec<(JobKey, Job)>,
     fleet: Vec<Target>,
@@ -168,6 +171,7 @@
             now,
             executors,
             silent: BTreeSet::new(),
+            refusing: BTreeMap::new(),
             running,
             jobs,
             fleet,
@@ -201,6 +205,16 @@
         self.silent.insert(executor.clone());
     }
 
+    pub(crate) fn refuse_starts_on(&mut self, executor: &str, failure: OrderFailure) {
+        self.refusing.insert(executor.into(), failure);
+    }
+
+    fn failure_of(&self, executor: &ExecutorId) -> Option<OrderFailure> {
+        let is_silent = self.silent.contains(executor);
+        let silent = is_silent.then_some(OrderFailure::NoAnswer);
+        silent.or_else(|| self.refusing.get(executor).copied())
+    }
+
     /// The next start that was carried out and not asked for yet.
     pub(crate) fn started(&mut self) -> Option<Started> {
         let started = self.starts.get(self.taken).cloned()?;
