--- a/crates/guavacart/src/cli.rs
+++ b/crates/guavacart/src/cli.rs
@@ -10,7 +10,7 @@
     command::Command,
     config,
     exit::{EXIT_STATUSES, Failure},
-    jobs, node, patch, serve, status,
+    explain, jobs, node, patch, serve, status,
 };
 
 const COMMANDS: &[&Command] = &[
@@ -25,6 +25,7 @@
     &jobs::CANCEL,
     &status::COMMAND,
     &burn::COMMAND,
+    &explain::COMMAND,
 ];
 
 /// Runs the subcommand that `args` name.
--- /dev/null
+++ b/crates/guavacart/src/explain.rs
@@ -0,0 +1,119 @@
+//! `guavacart explain`: tells the story of a job, task or executor from the logs of all nodes.
+
+use std::{
+    collections::BTreeSet,
+    fs::File,
+    io::{self, BufRead, BufReader},
+};
+
+use getopts::{Matches, Options};
+use serde_json::{Map, Value};
+use smol_str::format_smolstr;
+
+use crate::{
+    cli::{print, print_json},
+    command::Command,
+    exit::Failure,
+};
+
+pub(crate) const COMMAND: Command = Command {
+    name: "explain",
+    arguments: "ID [FILE...]",
+    summary: "Tell what the logs of all nodes say of a job, task or executor, in order of time",
+    options,
+    takes_version: false,
+    run,
+};
+
+/// Fields that each line has, or that stand before the others.
+const FIRST_FIELDS: [&str; 4] = ["timestamp", "level", "event", "message"];
+
+fn options(options: &mut Options) {
+    options.optflag("", "json", "print the lines as JSON, one array");
+}
+
+fn run(matches: &Matches) -> Result<(), Failure> {
+    let Some((id, files)) = matches.free.split_first() else {
+        return Err(Failure::Usage("expected ID and the log files".into()));
+    };
+    let mut told = BTreeSet::new();
+    for path in files {
+        let file = File::open(path)
+            .map_err(|err| Failure::Rejected(format_smolstr!("{path} cannot be read: {err}")))?;
+        collect(id, BufReader::new(file), &mut told)?;
+    }
+    if files.is_empty() {
+        collect(id, io::stdin().lock(), &mut told)?;
+    }
+    if told.is_empty() {
+        return Err(Failure::Rejected(format_smolstr!("no line names {id}")));
+    }
+    let lines = told.into_iter().filter_map(|(_, line)| {
+        let value: Option<Map<String, Value>> = serde_json::from_str(&line).ok();
+        value
+    });
+    if matches.opt_present("json") {
+        return print_json(&Value::Array(lines.map(Value::Object).collect()));
+    }
+    let text: String = lines.map(|line| told_line(&line)).collect();
+    print(&text)
+}
+
+/// Keeps the lines that name the id, by their time; the others are not held.
+fn collect(
+    id: &str,
+    reader: impl BufRead,
+    told: &mut BTreeSet<(String, String)>,
+) -> Result<(), Failure> {
+    for line in reader.split(b'\n') {
+        let line = line?;
+        let line = String::from_utf8_lossy(&line);
+        if !line.contains(id) {
+            continue;
+        }
+        // What stands before the JSON, such as a node's name, is put there by whoever gathered it.
+        let Some(start) = line.find('{') else {
+            continue;
+        };
+        let json = &line[start..];
+        let Ok(fields) = serde_json::from_str::<Map<String, Value>>(json) else {
+            continue;
+        };
+        let names = |value: &Value| {
+            let text = value.as_str().unwrap_or_default();
+            text == id
+                || text
+                    .strip_prefix(id)
+                    .is_some_and(|rest| rest.starts_with('.'))
+        };
+        if fields.values().any(names) {
+            let time = fields.get("timestamp").and_then(Value::as_str);
+            told.insert((time.unwrap_or_default().to_owned(), json.to_owned()));
+        }
+    }
+    Ok(())
+}
+
+fn told_line(fields: &Map<String, Value>) -> String {
+    let text = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or("-");
+    let mut line = format!(
+        "{} {:<5} {}",
+        text("timestamp"),
+        text("level"),
+        text("event")
+    );
+    for (name, value) in fields {
+        if FIRST_FIELDS.contains(&name.as_str()) {
+            continue;
+        }
+        match value {
+            Value::String(value) => line.push_str(&format!(" {name}={value}")),
+            value => line.push_str(&format!(" {name}={value}")),
+        }
+    }
+    if let Some(message) = fields.get("message").and_then(Value::as_str) {
+        line.push_str(&format!(" ({message})"));
+    }
+    line.push('\n');
+    line
+}
--- a/crates/guavacart/src/main.rs
+++ b/crates/guavacart/src/main.rs
@@ -7,6 +7,7 @@
 mod command;
 mod config;
 mod exit;
+mod explain;
 mod jobs;
 mod log_writer;
 mod node;
--- a/crates/guavacart/src/node.rs
+++ b/crates/guavacart/src/node.rs
@@ -7,11 +7,11 @@
 use smol_str::format_smolstr;
 use tracing_subscriber::EnvFilter;
 
-use crate::{command::Command, exit::Failure, log_writer};
+use crate::{cli::print_line, command::Command, exit::Failure, log_writer};
 
 pub(crate) const COMMAND: Command = Command {
     name: "node",
-    arguments: "[--settings FILE]",
+    arguments: "[--settings FILE] [--check]",
     summary: "Run a node of the users' platform until SIGTERM, which stops it gracefully",
     options,
     takes_version: false,
@@ -30,10 +30,14 @@
         "the platform's settings file, in TOML (or GUAVACART_CONFIG)",
         "FILE",
     );
+    options.optflag("c", "check", "check the settings file and exit");
 }
 
 fn run(matches: &Matches) -> Result<(), Failure> {
     let settings = read(matches)?;
+    if matches.opt_present("check") {
+        return print_line(&format!("settings of {}: no faults", settings.node.name));
+    }
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| DEFAULT_LEVEL.into());
     tracing_subscriber::fmt()
         .json()
--- a/crates/guavacart/tests/command.rs
+++ b/crates/guavacart/tests/command.rs
@@ -58,6 +58,8 @@
 helps! {
     help:;
     help_serve: "serve";
+    help_node: "node";
+    help_explain: "explain";
     help_check: "check";
     help_patch: "patch";
     help_config_show: "config" "show";
--- /dev/null
+++ b/crates/guavacart/tests/node.rs
@@ -0,0 +1,89 @@
+//! `guavacart node --check` and `guavacart explain` as an operator sees them.
+
+use std::{fs, process::Command};
+
+use rstest::rstest;
+
+const SETTINGS: &str = r#"
+node = "n-1"
+ip = "127.0.0.1"
+internal-ports = [7720, 7735]
+[listen]
+front = "127.0.0.1:8161"
+[bounds]
+grace-s = 6
+[platform]
+address = "127.0.0.1:8169"
+"#;
+
+const LOGS: &str = r#"
+  0.2 n-2 {"timestamp":"2026-01-01T00:00:02Z","level":"INFO","event":"placed","task":"00000000000000aa.0.0.1","run":1}
+  0.1 n-1 {"timestamp":"2026-01-01T00:00:01Z","level":"INFO","event":"submitted","job":"00000000000000aa","outcome":"Stored"}
+  0.3 n-2 {"timestamp":"2026-01-01T00:00:03Z","level":"INFO","event":"placed","task":"00000000000000bb.0.0.1","run":1}
+not a line of ours with 00000000000000aa
+"#;
+
+fn run(args: &[&str]) -> (bool, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_guavacart"))
+        .args(args)
+        .output();
+    let output = output.expect("the command runs");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (
+        output.status.success(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+fn file(name: &str, text: &str) -> (tempfile::TempDir, String) {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join(name);
+    fs::write(&path, text).expect("a file");
+    let path = path.to_str().expect("a path").to_owned();
+    (dir, path)
+}
+
+#[test]
+fn sound_settings_have_no_faults() {
+    let (_dir, path) = file("node.toml", SETTINGS);
+    let (ok, out, _) = run(&["node", "--settings", &path, "--check"]);
+    assert!(ok);
+    assert_eq!(out, "settings of n-1: no faults\n");
+}
+
+#[rstest]
+#[case::no_ports("[7720, 7735]", "[]", "internal-ports is empty")]
+#[case::no_store("address = \"127.0.0.1:8169\"", "", "missing field `address`")]
+#[case::not_toml("node =", "node", "expected")]
+fn faults_are_named(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
+    let (_dir, path) = file("node.toml", &SETTINGS.replacen(from, to, 1));
+    let (ok, _, err) = run(&["node", "--settings", &path, "--check"]);
+    assert!(!ok);
+    assert!(err.contains(says), "{err}");
+}
+
+#[test]
+fn a_story_is_told_in_order_of_time_and_of_one_job_only() {
+    let (_dir, path) = file("logs.txt", LOGS);
+    let (ok, out, _) = run(&["explain", "00000000000000aa", &path]);
+    assert!(ok);
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines.len(), 2, "{out}");
+    assert!(
+        lines[0].contains("submitted") && lines[0].contains("outcome=Stored"),
+        "{out}"
+    );
+    assert!(
+        lines[1].contains("placed") && lines[1].contains("run=1"),
+        "{out}"
+    );
+}
+
+#[test]
+fn an_unknown_id_is_said_so() {
+    let (_dir, path) = file("logs.txt", LOGS);
+    let (ok, _, err) = run(&["explain", "00000000000000cc", &path]);
+    assert!(!ok);
+    assert!(err.contains("no line names 00000000000000cc"), "{err}");
+}
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -299,7 +299,7 @@
     let outcome = submitter.submit(key, job, until).await;
     tracing::info!(
         event = "submitted", job = %key, queue = %queue.name, version = configuration.version,
-        ?outcome,
+        store_failing_ms = submitter.shared.health.failing().0, ?outcome,
     );
     match outcome {
         Outcome::Stored => json(b"{}".to_vec()),
@@ -347,7 +347,8 @@
     until: Timestamp,
 ) -> Answer {
     let outcome = submitter.cancel(key, until).await;
-    tracing::info!(event = "cancel", job = %key, ?outcome);
+    let store_failing_ms = submitter.shared.health.failing().0;
+    tracing::info!(event = "cancel", job = %key, store_failing_ms, ?outcome);
     match outcome {
         Outcome::Stored => json(b"{}".to_vec()),
         Outcome::NoSuchJob => answer(StatusCode::GONE, Bytes::new()),
--- a/crates/guavacart_node/src/shared.rs
+++ b/crates/guavacart_node/src/shared.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// How long the store has not served this node.
+    pub(crate) fn failing(&self) -> Span {
+        let since = self.failing_since.get();
+        since.map_or(Span::ZERO, |since| clock::now().since(since))
+    }
+
     /// True if a write is worth trying now; while the store fails, one in each interval is.
     pub(crate) fn may_try(&self) -> bool {
         if self.failing_since.get().is_none() {
