--- a/crates/guavacart_jobs/src/job.rs
+++ b/crates/guavacart_jobs/src/job.rs
@@ -145,17 +145,20 @@
         Some(schedule.first_unix_ms.saturating_add(offset))
     }
 
+    /// Estimated length of the longest chain of steps from each step on.
+    pub fn chains_from(&self) -> Vec<Span> {
+        let mut chains: Vec<Span> = self.steps.iter().map(|step| step.estimate).collect();
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            for before in step.after.iter().map(|before| usize::from(*before)) {
+                let through = self.steps[before].estimate + chains[index];
+                chains[before] = chains[before].max(through);
+            }
+        }
+        chains
+    }
+
     /// Estimated length of the longest chain of steps.
     pub fn longest_chain(&self) -> Span {
-        let mut ends = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let start = step
-                .after
-                .iter()
-                .filter_map(|i| ends.get(usize::from(*i)).copied());
-            let start: Span = start.max().unwrap_or(Span::ZERO);
-            ends.push(start + step.estimate);
-        }
-        ends.into_iter().max().unwrap_or(Span::ZERO)
+        self.chains_from().into_iter().max().unwrap_or(Span::ZERO)
     }
 }
--- a/crates/guavacart_jobs/src/state/ledger.rs
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -22,8 +22,8 @@
 #[derive(Debug)]
 pub(super) struct JobEntry {
     pub(super) job: Job,
-    /// Estimated length of its longest chain of steps.
-    pub(super) chain: Span,
+    /// Estimated length of the longest chain of steps from each step on.
+    pub(super) chains: Vec<Span>,
     pub(super) progress: Progress,
     /// An earlier owner may have started its tasks.
     pub(super) is_earlier: bool,
@@ -136,7 +136,7 @@
             is_earlier,
             shown: progress.outcome,
             steps: BTreeMap::new(),
-            chain: job.longest_chain(),
+            chains: job.chains_from(),
             job,
             progress,
         };
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
     priority: u32,
+    /// It cannot be in time any more, by the estimates; what can goes first.
+    is_late: bool,
     /// Latest start that is in time, in Unix milliseconds.
     latest_start: u64,
     step: StepKey,
@@ -84,13 +86,24 @@
             return None;
         }
         let rules = self.rules(entry);
-        let chain = entry.chain.0;
+        let whole = entry
+            .chains
+            .iter()
+            .map(|chain| chain.0)
+            .max()
+            .unwrap_or_default();
+        let left = entry
+            .chains
+            .get(usize::from(key.step))
+            .map_or(0, |chain| chain.0);
         let due = entry.job.due_unix_ms(key.occurrence);
         let from = due.unwrap_or(entry.job.accepted_unix_ms);
-        let stretched = (chain as f32 * (rules.stretch - 1.0).max(0.0)) as u64;
+        let stretched = (whole as f32 * rules.stretch) as u64;
+        let latest_start = (from + rules.target.0 + stretched).saturating_sub(left);
         Some(Rank {
             priority: rules.priority,
-            latest_start: from + rules.target.0 + stretched,
+            is_late: self.unix_ms > latest_start,
+            latest_start,
             step: key,
         })
     }
