--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -11,9 +11,9 @@
 use crate::{Decision, Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
 
 /// Tail over its target above which fillers are slowed.
-const SLOW_DOWN_RATIO: f32 = 0.9;
+const SLOW_DOWN_RATIO: f32 = 1.05;
 /// Tail over its target that fillers may be expected to cause when they are sped up or placed.
-const EXPECTED_RATIO: f32 = 0.75;
+const EXPECTED_RATIO: f32 = 0.95;
 /// Time between two changes of pace on an executor; tails are told each half second.
 const PACE_INTERVAL: Span = Span::millis(600);
 /// Least share above none that fillers work at, in percent.
@@ -27,7 +27,7 @@
 /// Time in which an executor takes no more fillers once all of them stand still.
 const HARM_REST: Span = Span::millis(2_500);
 /// The same once some were slowed.
-const SLOWED_REST: Span = Span::millis(1_000);
+const SLOWED_REST: Span = Span::millis(300);
 /// Part of what a filler should use, in percent, under which its pace is not what it was told.
 const LEAST_USE_PERCENT: u64 = 20;
 /// What is left of an executor's worst tail at the next look.
@@ -245,14 +245,13 @@
         };
         let blamed = shares.iter().map(blame).max_by(|a, b| a.1.total_cmp(&b.1));
         let culprit = blamed.filter(|(_, blame)| *blame > LEAST_BLAME);
-        let divisor = if worst > 1.0 { 3 } else { 2 };
         let executor = &self.fleet[x];
         let slower = |image: ImageId| {
             let pace = executor.pace_of(image);
             if worst > 1.0 && pace <= LEAST_PACE {
                 0
             } else {
-                (pace / divisor).max(LEAST_PACE).min(pace)
+                (pace / 2).max(LEAST_PACE).min(pace)
             }
         };
         let paces: Vec<(ImageId, u8)> = match culprit {
