--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -311,6 +311,7 @@
 
     /// Takes over a run of a known job, or stops it if the task is elsewhere or over.
     fn adopt_or_stop(&mut self, x: usize, sent: Timestamp, listed: &RunListed) {
+        self.begin_listed(listed.task);
         let task = self.task(listed.task);
         let is_free = task.is_some_and(|task| !task.is_done && task.placed.is_none());
         let is_open = self
--- a/crates/guavacart_jobs/src/state/ledger.rs
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -165,14 +165,22 @@
         }
     }
 
+    /// Begins an occurrence that an earlier owner has begun: it is due, whatever this clock says.
+    pub(super) fn begin_listed(&mut self, key: TaskKey) {
+        let count = self
+            .jobs
+            .get(&key.step.job)
+            .map_or(0, |entry| entry.job.occurrences());
+        if key.step.occurrence < count {
+            self.begin(key.step.job, key.step.occurrence);
+        }
+    }
+
+    /// Begins an occurrence if it is due.
     pub(super) fn begin_occurrence(&mut self, key: JobKey, occurrence: u32) {
         let Some(entry) = self.jobs.get(&key) else {
             return;
         };
-        let is_begun = entry.steps.contains_key(&(occurrence, 0));
-        if entry.is_over() || is_begun {
-            return;
-        }
         // The time of day may have been set back since the timer was set.
         if entry
             .job
@@ -182,10 +190,18 @@
             self.begin_when_due(key, occurrence);
             return;
         }
+        self.begin(key, occurrence);
+    }
+
+    fn begin(&mut self, key: JobKey, occurrence: u32) {
         let now = self.now;
         let Some(entry) = self.jobs.get_mut(&key) else {
             return;
         };
+        let is_begun = entry.steps.contains_key(&(occurrence, 0));
+        if entry.is_over() || is_begun {
+            return;
+        }
         entry.to_come -= 1;
         for step in 0..entry.job.steps.len() {
             let step = u16::try_from(step).unwrap_or(u16::MAX);
@@ -275,6 +291,7 @@
         if self.spec(end.task).is_none() {
             return;
         }
+        self.begin_listed(end.task);
         match end.how {
             HowEnded::Done if !self.is_lasting(end.task) => {
                 self.clear_strikes(x);
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Rig {
     state: State,
     now: u64,
+    /// How far the time of day is behind.
+    clock_back: u64,
     executors: Vec<ExecutorId>,
     silent: BTreeSet<ExecutorId>,
     refusing: BTreeMap<ExecutorId, OrderFailure>,
@@ -124,7 +126,7 @@
 impl Rig {
     pub(crate) fn new(executors: &[&str]) -> Self {
         let executors = executors.iter().map(|id| ExecutorId::from(*id)).collect();
-        let mut rig = Self::with(1, 1, executors, Vec::new(), Vec::new(), BTreeMap::new());
+        let mut rig = Self::with(1, 1, 0, executors, Vec::new(), Vec::new(), BTreeMap::new());
         rig.run_for(300);
         rig
     }
@@ -132,6 +134,7 @@
     fn with(
         epoch: u64,
         now: u64,
+        clock_back: u64,
         executors: Vec<ExecutorId>,
         jobs: Vec<(JobKey, Job)>,
         fleet: Vec<Target>,
@@ -154,7 +157,7 @@
         };
         let at = Accepted {
             now: Timestamp(now),
-            unix_ms: now,
+            unix_ms: now - clock_back,
         };
         let bounds = Bounds {
             max_lease: Span::secs(6),
@@ -169,6 +172,7 @@
         let mut rig = Self {
             state,
             now,
+            clock_back,
             executors,
             silent: BTreeSet::new(),
             refusing: BTreeMap::new(),
@@ -186,9 +190,15 @@
 
     /// The owner after this one; what runs goes on.
     pub(crate) fn take_over(&self) -> Self {
+        self.take_over_with_clock(0)
+    }
+
+    /// The same, on a node whose time of day is behind by that much.
+    pub(crate) fn take_over_with_clock(&self, clock_back: u64) -> Self {
         Self::with(
             2,
             self.now + 1_000,
+            clock_back,
             self.executors.clone(),
             self.jobs.clone(),
             self.fleet.clone(),
@@ -246,7 +256,7 @@
     pub(crate) fn tell(&mut self, event: Event) {
         let at = Accepted {
             now: Timestamp(self.now),
-            unix_ms: self.now,
+            unix_ms: self.now - self.clock_back,
         };
         let effects = self.state.apply(at, event);
         self.carry_out(effects);
