--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -37,18 +37,12 @@
 pub struct Bounds {
     /// Longest lease that an executor grants.
     pub max_lease: Span,
-    /// Longest time that a stop takes.
-    pub stop_timeout: Span,
     /// How long an ended job's state is kept.
     pub retention: Span,
     /// How long a task may have a tail over its target.
     pub harm: Span,
-    /// How long before a lasting task counts as away.
-    pub notice: Span,
     /// How long an upkeep takes.
     pub upkeep: Span,
-    /// Factor on a task's time away from its data's rack.
-    pub cross_rack_factor: u32,
 }
 
 /// What an owner reads before it acts.
--- a/crates/guavacart_jobs/tests/model/executor.rs
+++ b/crates/guavacart_jobs/tests/model/executor.rs
@@ -8,8 +8,7 @@
 };
 use guavacart_types::{Epoch, Incarnation};
 
-/// Longest lease, on the executor's clock.
-pub(crate) const MAX_LEASE_MS: u64 = 6_000;
+use crate::site::MAX_LEASE_MS;
 
 pub(crate) struct Running {
     pub(crate) run: RunNumber,
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -4,6 +4,8 @@
 
 mod executor;
 mod promises;
+#[path = "../support/site.rs"]
+mod site;
 mod world;
 
 use std::env;
--- a/crates/guavacart_jobs/tests/model/world.rs
+++ b/crates/guavacart_jobs/tests/model/world.rs
@@ -3,9 +3,8 @@
 use std::collections::BTreeMap;
 
 use guavacart_jobs::{
-    Accepted, Bounds, Configuration, Effect, Event, ExecutorId, HowEnded, HttpLimits, Job, JobKey,
-    JobOutcome, OrderFailure, Pool, Progress, Queue, QueueRules, Registration, Snapshot, State,
-    Step, Target,
+    Accepted, Effect, Event, ExecutorId, HowEnded, Job, JobKey, JobOutcome, OrderFailure, Progress,
+    Registration, Snapshot, State, Step, Target,
 };
 use guavacart_types::{
     Accelerators, ByteSize, Epoch, Incarnation, Processors, Resources, Span, Timestamp,
@@ -13,8 +12,9 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
-    executor::{Executor, MAX_LEASE_MS, Running},
+    executor::{Executor, Running},
     promises::Observed,
+    site::{bounds, configuration, rules},
 };
 
 const EXECUTORS: usize = 5;
@@ -112,52 +112,6 @@
     id.0[1..].parse().expect("an id of this model")
 }
 
-fn rules() -> QueueRules {
-    QueueRules {
-        pool: "pool".into(),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 2.0,
-        target: Span(500),
-        advice: None,
-    }
-}
-
-fn configuration() -> Configuration {
-    Configuration {
-        version: 1,
-        queues: vec![Queue {
-            name: "q".into(),
-            host: "h".into(),
-            prefix: "/q/".into(),
-            rules: rules(),
-        }],
-        pools: vec![Pool {
-            name: "pool".into(),
-            checks_admission: false,
-            is_spare: false,
-        }],
-        limits: HttpLimits {
-            head: ByteSize::kib(16),
-            body: ByteSize::kib(256),
-            head_timeout: Span::secs(3),
-            idle_timeout: Span::secs(15),
-        },
-    }
-}
-
-fn bounds() -> Bounds {
-    Bounds {
-        max_lease: Span(MAX_LEASE_MS),
-        stop_timeout: Span(200),
-        retention: Span::secs(600),
-        harm: Span::secs(4),
-        notice: Span::secs(4),
-        upkeep: Span::secs(2),
-        cross_rack_factor: 3,
-    }
-}
-
 impl World {
     pub(crate) fn new(seed: u64, faults: Faults) -> Self {
         let mut world = Self {
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -2,17 +2,21 @@
 
 #![allow(dead_code, reason = "each test file uses its part of the rig")]
 
+mod site;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use guavacart_jobs::{
-    Accepted, Bounds, Configuration, Effect, Event, ExecutorId, HoldReport, HttpLimits, Job,
-    JobKey, OrderFailure, Pool, Progress, Queue, QueueRules, Registration, RunListed, RunNumber,
-    Snapshot, State, Step, Target, TaskKey,
+    Accepted, Effect, Event, ExecutorId, HoldReport, Job, JobKey, OrderFailure, Progress,
+    Registration, RunListed, RunNumber, Snapshot, State, Step, Target, TaskKey,
 };
+
 use guavacart_types::{
     Accelerators, ByteSize, Epoch, Incarnation, Processors, Resources, Span, Timestamp,
 };
 
+use site::{bounds, configuration, rules};
+
 /// Time until an order is answered.
 const ANSWER_MS: u64 = 2;
 /// Longest step of the rig's time.
@@ -45,17 +49,6 @@
     pending: BTreeMap<(u64, usize), (u64, Effect)>,
 }
 
-pub(crate) fn rules() -> QueueRules {
-    QueueRules {
-        pool: "pool".into(),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 2.0,
-        target: Span(500),
-        advice: None,
-    }
-}
-
 pub(crate) fn step(count: u16) -> Step {
     Step {
         count,
@@ -84,29 +77,6 @@
     job(vec![step(1)])
 }
 
-fn configuration() -> Configuration {
-    Configuration {
-        version: 1,
-        queues: vec![Queue {
-            name: "q".into(),
-            host: "h".into(),
-            prefix: "/q/".into(),
-            rules: rules(),
-        }],
-        pools: vec![Pool {
-            name: "pool".into(),
-            checks_admission: false,
-            is_spare: false,
-        }],
-        limits: HttpLimits {
-            head: ByteSize::kib(16),
-            body: ByteSize::kib(256),
-            head_timeout: Span::secs(3),
-            idle_timeout: Span::secs(15),
-        },
-    }
-}
-
 fn registration(index: usize) -> Registration {
     Registration {
         pool: "pool".into(),
@@ -159,16 +129,7 @@
             now: Timestamp(now),
             unix_ms: now - clock_back,
         };
-        let bounds = Bounds {
-            max_lease: Span::secs(6),
-            stop_timeout: Span(200),
-            retention: Span::secs(120),
-            harm: Span::secs(4),
-            notice: Span::secs(4),
-            upkeep: Span::secs(2),
-            cross_rack_factor: 3,
-        };
-        let (state, effects) = State::new(bounds, snapshot, at);
+        let (state, effects) = State::new(bounds(), snapshot, at);
         let mut rig = Self {
             state,
             now,
--- a/crates/guavacart_node/src/node.rs
+++ b/crates/guavacart_node/src/node.rs
@@ -76,9 +76,10 @@
         .await
         .map_err(bound("the readiness answer", settings.readiness))?;
     if let Some(at) = settings.metrics {
-        front::serve_metrics(Rc::clone(&shared), at)
-            .await
-            .map_err(bound("the metrics", at))?;
+        // Jobs are served without metrics as well.
+        if let Err(err) = front::serve_metrics(Rc::clone(&shared), at).await {
+            tracing::warn!(event = "no_metrics", %at, cause = %err, "check that the port is free");
+        }
     }
     task::spawn_local(watching::operator(Rc::clone(&shared)));
     let submitter = Rc::new(Submitter {
