--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -134,7 +134,10 @@
     /// Until when it takes no more fillers, for the sake of its serving tasks.
     pub(super) spares_until: Timestamp,
     pub(super) strikes: u32,
+    /// Until when it is not asked, since it refused or called itself unhealthy.
     pub(super) rests_until: Timestamp,
+    /// Until when it is only the last choice, since runs failed there.
+    pub(super) struck_until: Timestamp,
     /// Its machine is about to go down for its upkeep.
     pub(super) is_closing: bool,
     /// Its machine's pace is eased or tightened next at that time.
@@ -170,6 +173,7 @@
             spares_until: Timestamp(0),
             strikes: 0,
             rests_until: Timestamp(0),
+            struck_until: Timestamp(0),
             is_closing: false,
             paced_at: now,
         }
@@ -368,6 +372,11 @@
     }
 
     pub(super) fn is_usable(&self, x: usize) -> bool {
+        self.fleet[x].struck_until <= self.now && self.takes_orders(x)
+    }
+
+    /// True if it can be given work, be it as the last choice.
+    pub(super) fn takes_orders(&self, x: usize) -> bool {
         let executor = &self.fleet[x];
         let Some(registration) = &executor.registration else {
             return false;
@@ -421,7 +430,7 @@
         }
         let doublings = (executor.strikes - STRIKES_TO_REST).min(4);
         let rest = Span(FIRST_REST.0 << doublings).min(LONGEST_REST);
-        executor.rests_until = self.now + rest;
+        executor.struck_until = self.now + rest;
         let decision = Decision::Trusted {
             executor: executor.id.clone(),
             is_trusted: false,
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -42,6 +42,8 @@
     has_advice: bool,
     rack: Option<SmolStr>,
     image: ImageId,
+    /// Executors on which runs failed are taken as well.
+    takes_struck: bool,
 }
 
 /// Room that this pass has given away on an executor, for gangs that are tried out.
@@ -127,7 +129,7 @@
         };
         let waiting: Vec<u16> = state.waiting.iter().copied().collect();
         let rack = self.wanted_rack(key, &step, waiting.len());
-        let Some(wanted) = self.wanted(key, &step, rack) else {
+        let Some(mut wanted) = self.wanted(key, &step, rack) else {
             return;
         };
         for index in waiting {
@@ -137,7 +139,12 @@
                 continue;
             }
             let (avoid, last_run) = (task.avoid, task.last_run);
-            let Some(x) = self.choose(&wanted, avoid, &Taken::new()) else {
+            let mut chosen = self.choose(&wanted, avoid, &Taken::new());
+            if chosen.is_none() && step.is_lasting {
+                wanted.takes_struck = true;
+                chosen = self.choose(&wanted, avoid, &Taken::new());
+            }
+            let Some(x) = chosen else {
                 break;
             };
             let run = self.next_run(last_run);
@@ -235,6 +242,7 @@
             has_advice: rules.advice.is_some(),
             rack,
             image: self.interference.known(step.image.as_ref()),
+            takes_struck: false,
         })
     }
 
@@ -256,7 +264,8 @@
         }
         let step = wanted.step;
         let spares = step.is_filler && executor.spares_until > self.now;
-        if spares || !self.is_usable(x) {
+        let is_struck = executor.struck_until > self.now && !wanted.takes_struck;
+        if spares || is_struck || !self.takes_orders(x) {
             return false;
         }
         let has = |label: &SmolStr| registration.labels.contains(label);
--- a/crates/guavacart_jobs/tests/placing.rs
+++ b/crates/guavacart_jobs/tests/placing.rs
@@ -107,3 +107,23 @@
     assert_eq!(stops.count(), 4);
     assert!(rig.started().is_none());
 }
+
+#[test]
+fn a_lasting_task_takes_an_executor_on_which_runs_failed_if_no_other_has_room() {
+    let mut rig = Rig::new(&["a"]);
+    let lasting = Step {
+        is_lasting: true,
+        ..step(1)
+    };
+    rig.accept(1, job(vec![lasting]));
+    rig.run_for(100);
+    for _ in 0..4 {
+        let last = rig.started().expect("the task is started within 3 s");
+        rig.fail(&last);
+        rig.run_for(3_000);
+    }
+    assert!(
+        rig.started().is_some(),
+        "the task was not started again within 3 s"
+    );
+}
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use guavacart_jobs::{
-    Accepted, Effect, Event, ExecutorId, HoldReport, Job, JobKey, OrderFailure, Progress,
-    Registration, RunListed, RunNumber, Snapshot, State, Step, Target, TaskKey,
+    Accepted, Effect, Event, ExecutorId, HoldReport, HowEnded, Job, JobKey, OrderFailure, Progress,
+    Registration, RunEnded, RunListed, RunNumber, Snapshot, State, Step, Target, TaskKey,
 };
 
 use guavacart_types::{
@@ -40,6 +40,8 @@
     silent: BTreeSet<ExecutorId>,
     refusing: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
+    /// Ends with their executors; none is forgotten.
+    ended: Vec<(ExecutorId, RunEnded)>,
     jobs: Vec<(JobKey, Job)>,
     fleet: Vec<Target>,
     starts: Vec<Started>,
@@ -138,6 +140,7 @@
             silent: BTreeSet::new(),
             refusing: BTreeMap::new(),
             running,
+            ended: Vec::new(),
             jobs,
             fleet,
             starts: Vec::new(),
@@ -180,6 +183,20 @@
         self.refusing.insert(executor.into(), failure);
     }
 
+    /// Lets a run fail.
+    pub(crate) fn fail(&mut self, started: &Started) {
+        let key = (started.executor.clone(), started.task);
+        self.running.remove(&key);
+        let end = RunEnded {
+            number: u64::try_from(self.ended.len()).expect("few ends") + 1,
+            task: started.task,
+            run: started.run,
+            how: HowEnded::Failed,
+            checkpoint: "".into(),
+        };
+        self.ended.push((started.executor.clone(), end));
+    }
+
     fn failure_of(&self, executor: &ExecutorId) -> Option<OrderFailure> {
         let is_silent = self.silent.contains(executor);
         let silent = is_silent.then_some(OrderFailure::NoAnswer);
@@ -302,11 +319,13 @@
             percent: 50,
             usage: Some(2_000),
         });
+        let ended = self.ended.iter().filter(|(x, _)| x == id);
+        let ended = ended.map(|(_, end)| end);
         Ok(HoldReport {
             incarnation: Incarnation(7),
             clock_ms: self.now,
             running: running.collect(),
-            ended: Vec::new(),
+            ended: ended.cloned().collect(),
             is_partial: false,
         })
     }
