--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -128,7 +128,6 @@
     pub(super) filler_shares: Shares,
     /// Processors that its fillers wish for.
     pub(super) filler_wish: u64,
-    pub(super) serving: usize,
     /// Images of the serving tasks.
     pub(super) serving_images: Vec<ServingImage>,
     /// Until when it takes no more fillers, for the sake of its serving tasks.
@@ -168,7 +167,6 @@
             used: Resources::default(),
             filler_shares: Shares::new(),
             filler_wish: 0,
-            serving: 0,
             serving_images: Vec::new(),
             spares_until: Timestamp(0),
             strikes: 0,
@@ -179,6 +177,11 @@
         }
     }
 
+    /// True if serving tasks run there.
+    pub(super) fn serves(&self) -> bool {
+        !self.serving_images.is_empty()
+    }
+
     /// What is not committed.
     pub(super) fn free(&self) -> Resources {
         self.capacity.minus(&self.used).unwrap_or_default()
@@ -224,7 +227,6 @@
             self.filler_wish += run.wish;
         }
         if run.tail_target.is_some() {
-            self.serving += 1;
             let mut known = self.serving_images.iter_mut();
             match known.find(|serving| serving.image == run.image) {
                 Some(serving) => serving.count += 1,
@@ -249,7 +251,6 @@
             self.sum_filler_shares();
         }
         if run.tail_target.is_some() {
-            self.serving -= 1;
             let image = run.image;
             if let Some(serving) = self.serving_images.iter_mut().find(|s| s.image == image) {
                 serving.count -= 1;
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -82,7 +82,7 @@
         } else {
             None
         };
-        let watches = self.fleet[x].serving > 0 && self.fleet[x].filler_wish > 0;
+        let watches = self.fleet[x].serves() && self.fleet[x].filler_wish > 0;
         let executor = &mut self.fleet[x];
         let wait = match (must_wait, watches) {
             (false, _) => Span::ZERO,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -88,7 +88,7 @@
 
     /// Worst tail over its target that is expected beside one more filler.
     pub(super) fn expected_ratio(&self, model: &Interference, filler: ImageId, wish: u64) -> f32 {
-        if self.serving == 0 {
+        if !self.serves() {
             return 0.0;
         }
         let share = self.share(wish, 100);
@@ -150,6 +150,15 @@
         }
     }
 
+    /// Stops a task that uses no processor although it should, and counts it against its executor.
+    fn give_up_idle(&mut self, x: usize, task: TaskKey) {
+        self.strike(x, "a task stands still there");
+        if let Some(task) = self.task_mut(task) {
+            task.avoid = Some(x);
+        }
+        self.stop_run(x, task, "it stands still");
+    }
+
     /// Learns from the tails on an executor, sets its fillers' pace by them, and moves those that
     /// stay slow.
     pub(super) fn set_paces(&mut self, x: usize) {
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::{State, Timer, interference::ImageId};
-use crate::{Decision, Effect, PoolName, RunNumber, Step, StepKey, Ticket};
+use crate::{PoolName, RunNumber, Step, StepKey, Ticket};
 
 /// Factor on a step's estimate for which it waits for the rack of its data.
 const RACK_PATIENCE: u64 = 2;
@@ -309,7 +309,7 @@
             .filter(|serving| serving.image != image);
         let others = i64::try_from(others.count()).unwrap_or(i64::MAX);
         let disturbance = executor.disturbance(&self.interference, image) * DISTURBANCE_GRAIN;
-        let is_alone = i64::from(executor.serving == 0);
+        let is_alone = i64::from(!executor.serves());
         (-others, -(disturbance as i64) - is_alone, -free)
     }
 
@@ -319,19 +319,4 @@
         let (ticket, ends) = state.tickets.get(&self.fleet[x].id)?;
         (*ends > self.now).then(|| ticket.clone())
     }
-
-    /// Stops tasks that use no processor although they should, and rests their executor.
-    pub(super) fn give_up_idle(&mut self, x: usize, task: crate::TaskKey) {
-        let executor = self.fleet[x].id.clone();
-        self.effects.push(Effect::Log(Decision::Trusted {
-            executor,
-            is_trusted: false,
-            why: "a task stands still there",
-        }));
-        self.strike(x, "a task stands still there");
-        if let Some(task) = self.task_mut(task) {
-            task.avoid = Some(x);
-        }
-        self.stop_run(x, task, "it stands still");
-    }
 }
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -37,7 +37,7 @@
 
 /// Serves submitters at the address of the settings until the node ends.
 pub(crate) async fn serve<P: Platform>(submitter: Rc<Submitter<P>>) -> io::Result<()> {
-    let listener = bind(submitter.shared.settings.callers).await?;
+    let listener = TcpListener::bind(submitter.shared.settings.callers).await?;
     task::spawn_local(accept(listener, move |stream| {
         let submitter = Rc::clone(&submitter);
         task::spawn_local(async move {
@@ -52,7 +52,7 @@
 
 /// Serves the balancer's question whether the node takes requests.
 pub(crate) async fn serve_readiness<P: Platform>(shared: Rc<Shared<P>>) -> io::Result<()> {
-    let listener = bind(shared.settings.readiness).await?;
+    let listener = TcpListener::bind(shared.settings.readiness).await?;
     serve_plain(listener, move |path| {
         if path != P::READINESS_PATH {
             return answer(StatusCode::NOT_FOUND, Bytes::new());
@@ -73,7 +73,7 @@
     shared: Rc<Shared<P>>,
     at: SocketAddr,
 ) -> io::Result<()> {
-    let listener = bind(at).await?;
+    let listener = TcpListener::bind(at).await?;
     serve_plain(listener, move |_| {
         let mut text = shared.counters.text();
         if let Some(owner) = shared.owner() {
@@ -90,10 +90,6 @@
     Ok(())
 }
 
-async fn bind(at: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(at).await
-}
-
 async fn accept(listener: TcpListener, serve: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
