Model a serving task's headroom as linear in the fillers' shares, and plan paces from it

The former model was linear in the logarithm of the tail, took the load as constant, and slowed by halves after the target was missed.

Ruled out: processors as the limit (fillers get all but 5% of what they wish until executors are full), and committed processors as what serving tasks use (they use their load's share).

Change: slopes of each serving image by recursive least squares; the own load of each step by a Kalman filter over level and rate; paces shared out of the headroom left; fillers wait while no executor is expected to bear them.

--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -2,6 +2,7 @@
 
 mod advising;
 mod fleet;
+mod headroom;
 mod holding;
 mod interference;
 mod ledger;
@@ -21,6 +22,7 @@
     QueueRules, Registration, StepKey, Target, Wave,
 };
 use fleet::Executor;
+use headroom::Headrooms;
 use holding::Orphan;
 use interference::Interference;
 use ledger::JobEntry;
@@ -136,9 +138,12 @@
     saving: Saving,
     upkeep: Upkeep,
     interference: Interference,
+    headrooms: Headrooms,
     must_place: bool,
     /// Where the next pass goes on among the steps that take turns.
     next_tried: usize,
+    /// When steps that wait for headroom are tried again.
+    retry_at: Timestamp,
     effects: Vec<Effect>,
 }
 
@@ -164,8 +169,10 @@
             saving: Saving::default(),
             upkeep: Upkeep::default(),
             interference: Interference::default(),
+            headrooms: Headrooms::default(),
             must_place: false,
             next_tried: 0,
+            retry_at: Timestamp(0),
             effects: Vec::new(),
         };
         for target in snapshot.fleet {
--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -7,6 +7,7 @@
 
 use super::{
     State, Timer,
+    headroom::UNSEEN_OUTLOOK,
     interference::{ImageId, Shares},
 };
 use crate::{Decision, Effect, ExecutorId, Loss, Registration, RunNumber, Target, TaskKey};
@@ -19,12 +20,6 @@
 const STRIKES_TO_REST: u32 = 2;
 /// Part of committed processors that is in use on average, in percent; measured on serving tasks.
 const COMMITTED_USE_PERCENT: u64 = 60;
-/// Tail over its target that a serving task may be expected to have beside one more filler.
-pub(super) const CALM_RATIO: f32 = 0.5;
-/// Load in thousandths of an executor that one more unit of the worst tail over its target counts as.
-const STRAIN_WEIGHT: f32 = 4_000.0;
-/// Tail over its target that a serving task is taken to have before its executor has told one.
-const UNSEEN_RATIO: f32 = 0.4;
 /// First rest; doubled with each further strike.
 const FIRST_REST: Span = Span::millis(1_500);
 /// Longest rest.
@@ -69,8 +64,8 @@
 pub(super) struct ServingImage {
     pub(super) image: ImageId,
     pub(super) count: usize,
-    /// Worst tail over its target lately without what fillers add; falls slowly.
-    pub(super) undisturbed: f32,
+    /// Least headroom that its tasks' own load leaves while a filler runs, as of the last report.
+    pub(super) outlook: f32,
 }
 
 /// What is known of a run's start.
@@ -126,6 +121,9 @@
     pub(super) used: Resources,
     /// Parts of it that its fillers use, by image.
     pub(super) filler_shares: Shares,
+    /// The same, averaged over the time that a reported tail tells of, and until when.
+    pub(super) felt_shares: Shares,
+    pub(super) felt_until: Timestamp,
     /// Processors that its fillers wish for.
     pub(super) filler_wish: u64,
     /// Images of the serving tasks.
@@ -139,8 +137,6 @@
     pub(super) struck_until: Timestamp,
     /// Its machine is about to go down for its upkeep.
     pub(super) is_closing: bool,
-    /// Its machine's pace is eased or tightened next at that time.
-    pub(super) paced_at: Timestamp,
 }
 
 impl Executor {
@@ -166,6 +162,8 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             filler_shares: Shares::new(),
+            felt_shares: Shares::new(),
+            felt_until: now,
             filler_wish: 0,
             serving_images: Vec::new(),
             spares_until: Timestamp(0),
@@ -173,7 +171,6 @@
             rests_until: Timestamp(0),
             struck_until: Timestamp(0),
             is_closing: false,
-            paced_at: now,
         }
     }
 
@@ -213,14 +210,8 @@
         (in_use + self.filler_wish + wish) * 1_000 / capacity
     }
 
-    /// How well one more filler would fare here, and those that serve beside it; more is better.
-    pub(super) fn filler_merit(&self, ratio: f32, wish: u64) -> i64 {
-        let load = self.filler_load(wish);
-        let strain = ((ratio - CALM_RATIO).max(0.0) * STRAIN_WEIGHT) as i64;
-        -i64::try_from(load).unwrap_or(i64::MAX) - strain
-    }
-
-    pub(super) fn add(&mut self, task: TaskKey, run: Run) {
+    pub(super) fn add(&mut self, now: Timestamp, task: TaskKey, run: Run) {
+        self.feel(now);
         self.used = self.used.plus(&run.size);
         let is_filler = run.is_filler;
         if is_filler {
@@ -233,7 +224,7 @@
                 None => self.serving_images.push(ServingImage {
                     image: run.image,
                     count: 1,
-                    undisturbed: UNSEEN_RATIO,
+                    outlook: UNSEEN_OUTLOOK,
                 }),
             }
         }
@@ -243,7 +234,8 @@
         }
     }
 
-    pub(super) fn remove(&mut self, task: TaskKey) -> Option<Run> {
+    pub(super) fn remove(&mut self, now: Timestamp, task: TaskKey) -> Option<Run> {
+        self.feel(now);
         let run = self.runs.remove(&task)?;
         self.used = self.used.minus(&run.size).unwrap_or_default();
         if run.is_filler {
@@ -408,7 +400,7 @@
 
     /// Takes one run as over without a listed end.
     pub(super) fn lose(&mut self, x: usize, task: TaskKey, why: Loss) {
-        let Some(run) = self.fleet[x].remove(task) else {
+        let Some(run) = self.fleet[x].remove(self.now, task) else {
             return;
         };
         let executor = self.fleet[x].id.clone();
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -296,6 +296,7 @@
             let run = self.run_of(listed, sent);
             let free = self.fleet[x].free();
             self.fleet[x].add(
+                self.now,
                 listed.task,
                 Run {
                     size: free,
@@ -319,7 +320,7 @@
             .get(&listed.task.step.job)
             .is_some_and(|entry| !entry.is_over());
         let run = self.run_of(listed, sent);
-        self.fleet[x].add(listed.task, run);
+        self.fleet[x].add(self.now, listed.task, run);
         if !(is_free && is_open) {
             self.stop_run(x, listed.task, "the run is not wanted");
             return;
@@ -370,7 +371,7 @@
                 .map(|(task, run)| (run.since, relisted(*task, run)))
                 .collect();
             for (since, row) in rows {
-                self.fleet[x].remove(row.task);
+                self.fleet[x].remove(self.now, row.task);
                 self.adopt_or_stop(x, since, &row);
             }
         }
--- a/crates/guavacart_jobs/src/state/interference.rs
+++ b/crates/guavacart_jobs/src/state/interference.rs
@@ -1,35 +1,33 @@
-//! Learns how much fillers of each image lengthen the tails of serving tasks of each image.
+//! Learns how much fillers of each image disturb serving tasks of each image.
 //!
-//! The logarithm of a tail over its target is taken as a base of the serving image plus a slope for
-//! each pair of images times the filler's share of the executor. Both are learned by normalised least
-//! mean squares from the tails that executors list.
+//! A serving task's headroom is its target over its tail: 1 at the target, more below it. Response
+//! times grow as in a queue, so the headroom falls in proportion to the server's occupancy: it is the
+//! headroom that the task's own load leaves (see [`super::headroom`]) less a slope for each pair of
+//! images times the share of the executor that the fillers use. The slopes of one serving image are
+//! learned together by recursive least squares.
 
 use std::collections::HashMap;
 
 use smol_str::SmolStr;
 
-/// Slope of a pair before any pair was seen; a moderate pair of those measured.
-const FIRST_SLOPE: f32 = 2.0;
-/// How many learned pairs the first slope counts as in the slope of an unseen pair.
-const FIRST_SLOPE_PAIRS: f32 = 4.0;
-/// Greatest slope that is believed.
-const GREATEST_SLOPE: f32 = 12.0;
-/// Logarithm of an undisturbed tail over its target before anything was seen.
-const UNSEEN_BASE: f32 = -0.9;
-/// Step of the learning of slopes.
-const SLOPE_STEP: f32 = 0.15;
-/// Step of the learning of bases, which only change with the load.
-const BASE_STEP: f32 = 0.02;
-/// Keeps steps small where hardly any filler runs.
-const LEAST_POWER: f32 = 0.01;
-/// Longest tail over its target that is learned from; longer ones say no more.
-const GREATEST_RATIO: f32 = 6.0;
-/// Shortest one.
-const LEAST_RATIO: f32 = 0.05;
+use super::headroom::Estimate;
+
+/// Slope of a pair that has not been seen, in headroom per whole executor.
+const FIRST_SLOPE: f32 = 4.0;
+/// Standard deviation of slopes over pairs; some pairs disturb ten times more than others.
+const SLOPE_DEVIATION: f32 = 5.0;
+/// Least variance of a learned slope; slopes stay open to change.
+const LEAST_VARIANCE: f32 = 0.1;
+/// Variance of a measured headroom around the model.
+const NOISE: f32 = 0.06;
+/// Shares under which a filler tells nothing.
+const LEAST_SHARE: f32 = 0.005;
+/// Most images that are told apart; bounds the size of what is learned.
+const MOST_IMAGES: usize = 64;
 
 /// An image, numbered in the order of appearance.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub(super) struct ImageId(u32);
+pub(super) struct ImageId(u16);
 
 /// Shares of an executor that fillers of each image use.
 pub(super) type Shares = Vec<(ImageId, f32)>;
@@ -38,61 +36,113 @@
 #[derive(Debug, Default)]
 pub(super) struct Interference {
     images: HashMap<SmolStr, ImageId>,
-    slopes: HashMap<(ImageId, ImageId), f32>,
-    slope_sum: f32,
-    bases: HashMap<ImageId, f32>,
+    /// Slopes of each serving image.
+    serving: HashMap<ImageId, Slopes>,
+}
+
+/// The slopes of one serving image, by filler image, and their covariance.
+#[derive(Debug, Default)]
+struct Slopes {
+    means: Vec<f32>,
+    covariance: Vec<Vec<f32>>,
+}
+
+impl Slopes {
+    fn grow(&mut self, len: usize) {
+        while self.means.len() < len {
+            self.means.push(FIRST_SLOPE);
+            self.covariance.iter_mut().for_each(|row| row.push(0.0));
+            let mut row = vec![0.0; self.means.len()];
+            row[self.means.len() - 1] = SLOPE_DEVIATION * SLOPE_DEVIATION;
+            self.covariance.push(row);
+        }
+    }
+
+    /// Covariance of each slope with the disturbance by these shares.
+    fn gains(&self, shares: &Shares) -> Vec<f32> {
+        let gain = |row: &Vec<f32>| -> f32 {
+            let parts = shares.iter().map(|(image, share)| row[image.at()] * share);
+            parts.sum()
+        };
+        self.covariance.iter().map(gain).collect()
+    }
+}
+
+impl ImageId {
+    fn at(self) -> usize {
+        usize::from(self.0)
+    }
 }
 
 impl Interference {
-    /// The number of an image; tasks without one count as one image.
+    /// The number of an image; tasks without one count as one image, and so do those over the bound.
     pub(super) fn image(&mut self, name: Option<&SmolStr>) -> ImageId {
         let name = name.cloned().unwrap_or_default();
-        let next = ImageId(u32::try_from(self.images.len()).unwrap_or(u32::MAX));
+        let next = self.images.len().min(MOST_IMAGES - 1);
+        let next = ImageId(u16::try_from(next).unwrap_or_default());
         *self.images.entry(name).or_insert(next)
     }
 
     /// The number of an image that was numbered before.
     pub(super) fn known(&self, name: Option<&SmolStr>) -> ImageId {
         let name = name.map_or("", SmolStr::as_str);
-        self.images.get(name).copied().unwrap_or(ImageId(u32::MAX))
+        self.images.get(name).copied().unwrap_or(ImageId(0))
     }
 
-    /// What one more unit of share adds to the logarithm of the tail.
+    /// Headroom that a serving task loses to one more unit of share of a filler.
     pub(super) fn slope(&self, serving: ImageId, filler: ImageId) -> f32 {
-        let slope = self.slopes.get(&(serving, filler));
-        slope.copied().unwrap_or_else(|| self.unseen_slope())
+        let slopes = self.serving.get(&serving);
+        let slope = slopes.and_then(|slopes| slopes.means.get(filler.at()));
+        slope.copied().unwrap_or(FIRST_SLOPE).max(0.0)
     }
 
-    fn unseen_slope(&self) -> f32 {
-        let pairs = self.slopes.len() as f32 + FIRST_SLOPE_PAIRS;
-        (self.slope_sum + FIRST_SLOPE * FIRST_SLOPE_PAIRS) / pairs
+    /// Headroom that a serving task loses to fillers with these shares.
+    pub(super) fn lost(&self, serving: ImageId, shares: &Shares) -> f32 {
+        let lost = |(filler, share): &(ImageId, f32)| self.slope(serving, *filler) * share;
+        shares.iter().map(lost).sum()
     }
 
-    /// What fillers with these shares add to the logarithm of the tail.
-    pub(super) fn added(&self, serving: ImageId, shares: &Shares) -> f32 {
-        shares
-            .iter()
-            .map(|(filler, share)| self.slope(serving, *filler) * share)
-            .sum()
+    /// The same, with how sure that is.
+    pub(super) fn estimate(&self, serving: ImageId, shares: &Shares) -> Estimate {
+        let variance = |(filler, share): &(ImageId, f32)| {
+            let slopes = self.serving.get(&serving);
+            let row = slopes.and_then(|slopes| slopes.covariance.get(filler.at()));
+            let variance = row.map_or(SLOPE_DEVIATION * SLOPE_DEVIATION, |row| row[filler.at()]);
+            variance * share * share
+        };
+        Estimate {
+            mean: self.lost(serving, shares),
+            variance: shares.iter().map(variance).sum(),
+        }
     }
 
-    /// Takes in one tail, as a part of its target, and the shares beside it.
-    pub(super) fn learn(&mut self, serving: ImageId, ratio: f32, shares: &Shares) {
-        let seen = ratio.clamp(LEAST_RATIO, GREATEST_RATIO).ln();
-        let base = self.bases.get(&serving).copied().unwrap_or(UNSEEN_BASE);
-        let added: f32 = shares
+    /// Takes in the headroom that fillers with these shares were seen to take.
+    pub(super) fn learn(&mut self, serving: ImageId, seen: Estimate, shares: &Shares) {
+        let shares: Shares = shares
+            .iter()
+            .filter(|(_, share)| *share >= LEAST_SHARE)
+            .copied()
+            .collect();
+        let Some(greatest) = shares.iter().map(|(filler, _)| filler.at()).max() else {
+            return;
+        };
+        let slopes = self.serving.entry(serving).or_default();
+        slopes.grow(greatest + 1);
+        let gains = slopes.gains(&shares);
+        let spread: f32 = shares.iter().map(|(i, share)| gains[i.at()] * share).sum();
+        let weight = 1.0 / (spread + NOISE + seen.variance);
+        let told: f32 = shares
             .iter()
-            .map(|(i, share)| self.slope(serving, *i) * share)
+            .map(|(i, share)| slopes.means[i.at()] * share)
             .sum();
-        let error = seen - base - added;
-        self.bases.insert(serving, base + BASE_STEP * error);
-        let power: f32 = shares.iter().map(|(_, share)| share * share).sum();
-        for (filler, share) in shares {
-            let slope = self.slope(serving, *filler);
-            let step = SLOPE_STEP * error * share / (LEAST_POWER + power);
-            let learned = (slope + step).clamp(0.0, GREATEST_SLOPE);
-            let before = self.slopes.insert((serving, *filler), learned);
-            self.slope_sum += learned - before.unwrap_or_default();
+        let error = seen.mean - told;
+        for (i, gain) in gains.iter().enumerate() {
+            slopes.means[i] += gain * weight * error;
+            for (j, other) in gains.iter().enumerate() {
+                slopes.covariance[i][j] -= gain * weight * other;
+            }
+            let own = &mut slopes.covariance[i][i];
+            *own = own.max(LEAST_VARIANCE);
         }
     }
 }
--- a/crates/guavacart_jobs/src/state/ledger.rs
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -262,6 +262,7 @@
             state.waiting.clear();
         }
         self.ready.retain(|step| step.job != key);
+        self.headrooms.forget(key);
         self.effects
             .push(Effect::Log(Decision::JobEnded { job: key, outcome }));
         self.stop_job(key);
@@ -285,7 +286,7 @@
         }));
         let is_same = |run: &super::fleet::Run| run.run <= end.run;
         if self.fleet[x].runs.get(&end.task).is_some_and(is_same) {
-            self.fleet[x].remove(end.task);
+            self.fleet[x].remove(self.now, end.task);
         }
         self.must_place = true;
         if self.spec(end.task).is_none() {
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -65,7 +65,7 @@
             free: executor.free(),
             age: self.now.since(executor.heard),
         };
-        executor.add(task, order);
+        executor.add(self.now, task, order);
         self.effects.push(Effect::Log(decision));
         self.effects.push(Effect::Start(
             self.fleet[x].target.clone(),
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -4,34 +4,39 @@
 
 use super::{
     State, Timer,
-    fleet::{CALM_RATIO, Executor, Phase, Run},
+    fleet::{Executor, Phase, Run},
+    headroom::Estimate,
     interference::{ImageId, Interference, Shares},
     placing::Taken,
 };
-use crate::{Decision, Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
+use crate::{
+    Decision, Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, StepKey, TaskKey,
+};
 
-/// Tail over its target above which fillers are slowed.
-const SLOW_DOWN_RATIO: f32 = 1.05;
-/// Tail over its target that fillers may be expected to cause when they are sped up or placed.
-const EXPECTED_RATIO: f32 = 0.95;
-/// Time between two changes of pace on an executor; tails are told each half second.
-const PACE_INTERVAL: Span = Span::millis(600);
-/// Least share above none that fillers work at, in percent.
-const LEAST_PACE: u8 = 10;
-/// Share at which fillers that stood still work again, in percent.
-const FIRST_PACE: u8 = 25;
-/// Added logarithm of a tail under which an image is not blamed for it.
-const LEAST_BLAME: f32 = 0.05;
+/// Headroom over the target that is left to serving tasks, for what the model does not tell.
+const MARGIN: f32 = 0.15;
+/// The same when a filler is placed, since it is harder to undo.
+const PLACING_MARGIN: f32 = 0.2;
+/// Standard deviations of a pair's slope that are added to it, so that little known pairs count more.
+const CAUTION: f32 = 0.3;
+/// Time for which headroom is looked for when a filler is placed; a usual filler's length.
+const PLACING_HORIZON: Span = Span::millis(2_500);
+/// Time over which a reported tail is averaged, as the time constant of a mean that fades.
+const FELT_OVER: f32 = 250.0;
+/// Least headroom that is left to share out; keeps the order of fillers defined under overload.
+const LEAST_BUDGET: f32 = 0.05;
+/// Shares at which fillers work are multiples of this, in percent.
+const PACE_STEP: u8 = 10;
+/// Part of a millisecond by which a reported tail may be off, by rounding.
+const ROUNDING_MS: f32 = 0.3;
+/// Least tail that is told apart, in milliseconds.
+const LEAST_TAIL_MS: f32 = 0.5;
 /// Part of the time that a tail may be over its target after which all fillers beside it stand still.
 const HARM_PART: u64 = 3;
 /// Time in which an executor takes no more fillers once all of them stand still.
 const HARM_REST: Span = Span::millis(2_500);
-/// The same once some were slowed.
-const SLOWED_REST: Span = Span::millis(300);
 /// Part of what a filler should use, in percent, under which its pace is not what it was told.
 const LEAST_USE_PERCENT: u64 = 20;
-/// What is left of an executor's worst tail at the next look.
-const FADE: f32 = 0.9;
 /// Pace up to which a filler counts as slow, in percent.
 const SLOW_PACE: u8 = 34;
 /// Time at a slow pace after which a filler is moved if another executor bears it.
@@ -45,17 +50,70 @@
 /// Time from its start before a task's use is judged.
 const USE_SETTLES: Span = Span::millis(1_200);
 
-/// A serving task's image, its tail over its target, and since when it is over.
-type Tail = (ImageId, f32, Option<Timestamp>);
+/// What the serving tasks of one step on an executor report.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    step: StepKey,
+    image: ImageId,
+    /// Mean target over tail.
+    headroom: f32,
+    /// Variance of that by rounding.
+    variance: f32,
+    count: f32,
+}
 
 impl Executor {
-    fn tails(&self) -> Vec<Tail> {
-        let tail = |run: &Run| {
-            let target = run.tail_target?.0.max(1);
-            let ratio = run.tail_ms? as f32 / target as f32;
-            (run.percent == 100).then_some((run.image, ratio, run.over_since))
-        };
-        self.runs.values().filter_map(tail).collect()
+    /// What its serving tasks report, by step.
+    fn reported(&self) -> Vec<Reported> {
+        let mut reported: Vec<Reported> = Vec::new();
+        for (task, run) in &self.runs {
+            let (Some(target), Some(tail)) = (run.tail_target, run.tail_ms) else {
+                continue;
+            };
+            if run.percent < 100 {
+                continue;
+            }
+            let target = target.0 as f32;
+            let headroom = target / (tail as f32).max(LEAST_TAIL_MS);
+            let off = headroom * headroom / target.max(1.0) * ROUNDING_MS;
+            match reported.iter_mut().find(|known| known.step == task.step) {
+                Some(known) => {
+                    known.count += 1.0;
+                    known.headroom += (headroom - known.headroom) / known.count;
+                }
+                None => reported.push(Reported {
+                    step: task.step,
+                    image: run.image,
+                    headroom,
+                    variance: off * off,
+                    count: 1.0,
+                }),
+            }
+        }
+        reported
+    }
+
+    /// Worst tail over its target, in percent.
+    fn worst_percent(&self) -> u64 {
+        let ratio = |run: &Run| Some(run.tail_ms? * 100 / run.tail_target?.0.max(1));
+        self.runs.values().filter_map(ratio).max().unwrap_or(0)
+    }
+
+    /// Brings the averaged shares up to date; called before fillers change and when tails are read.
+    pub(super) fn feel(&mut self, now: Timestamp) {
+        let span = now.since(self.felt_until).0 as f32;
+        self.felt_until = self.felt_until.max(now);
+        let kept = (-span / FELT_OVER).exp();
+        self.felt_shares
+            .iter_mut()
+            .for_each(|(_, share)| *share *= kept);
+        for (image, share) in &self.filler_shares {
+            let added = share * (1.0 - kept);
+            match self.felt_shares.iter_mut().find(|(felt, _)| felt == image) {
+                Some((_, felt)) => *felt += added,
+                None => self.felt_shares.push((*image, added)),
+            }
+        }
     }
 
     /// Part of this executor that a filler of that size takes at a pace.
@@ -77,35 +135,33 @@
         self.filler_shares = shares;
     }
 
-    /// The pace of the fillers of an image; the slowest counts.
-    fn pace_of(&self, image: ImageId) -> u8 {
-        let fillers = self
-            .runs
-            .values()
-            .filter(|run| run.is_filler && run.image == image);
-        fillers.map(|run| run.pace).min().unwrap_or(100)
-    }
-
-    /// Worst tail over its target that is expected beside one more filler.
-    pub(super) fn expected_ratio(&self, model: &Interference, filler: ImageId, wish: u64) -> f32 {
-        if !self.serves() {
-            return 0.0;
-        }
-        let share = self.share(wish, 100);
+    /// Least headroom that is expected for serving tasks beside one more filler.
+    pub(super) fn expected_headroom(
+        &self,
+        model: &Interference,
+        filler: ImageId,
+        wish: u64,
+    ) -> f32 {
+        let more: Shares = vec![(filler, self.share(wish, 100))];
         let expected = self.serving_images.iter().map(|serving| {
-            let here = model.added(serving.image, &self.filler_shares);
-            let more = model.slope(serving.image, filler) * share;
-            serving.undisturbed * (here + more).exp()
+            let here = model.lost(serving.image, &self.filler_shares);
+            let added = model.estimate(serving.image, &more);
+            serving.outlook - here - added.mean - CAUTION * added.variance.sqrt()
         });
-        expected.fold(0.0, f32::max)
+        expected.fold(f32::INFINITY, f32::min)
     }
 
-    /// What the fillers here are expected to add to the logarithm of a serving task's tail.
+    /// Headroom that the fillers here take from a serving task.
     pub(super) fn disturbance(&self, model: &Interference, serving: ImageId) -> f32 {
-        model.added(serving, &self.filler_shares)
+        model.lost(serving, &self.filler_shares)
     }
 }
 
+/// True if serving tasks with that headroom keep their targets.
+pub(super) fn is_calm(headroom: f32) -> bool {
+    headroom >= 1.0 + PLACING_MARGIN
+}
+
 impl State {
     /// Takes in what a listed run uses.
     pub(super) fn take_usage(&mut self, x: usize, listed: &RunListed) {
@@ -190,7 +246,7 @@
             let bears = |y: &usize| {
                 let executor = &self.fleet[*y];
                 *y != x
-                    && executor.expected_ratio(&self.interference, image, wish) < CALM_RATIO
+                    && is_calm(executor.expected_headroom(&self.interference, image, wish))
                     && executor.filler_load(wish) < MOVING_LOAD
                     && self.fits(*y, &wanted, &Taken::new())
             };
@@ -201,111 +257,122 @@
     }
 
     fn learn_and_pace(&mut self, x: usize) {
-        let tails = self.fleet[x].tails();
-        let worst = tails.iter().map(|(_, ratio, _)| *ratio).fold(0.0, f32::max);
-        if self.now < self.fleet[x].paced_at {
-            return;
-        }
-        let shares = self.fleet[x].filler_shares.clone();
-        let model = &self.interference;
-        for serving in &mut self.fleet[x].serving_images {
-            let same = tails.iter().filter(|(image, _, _)| *image == serving.image);
-            let Some(worst) = same.map(|(_, ratio, _)| *ratio).max_by(f32::total_cmp) else {
-                continue;
-            };
-            let undisturbed = worst / model.added(serving.image, &shares).exp();
-            serving.undisturbed = undisturbed.max(serving.undisturbed * FADE);
-        }
-        for (serving, ratio, _) in &tails {
-            self.interference.learn(*serving, *ratio, &shares);
-        }
-        if shares.is_empty() {
+        self.learn(x);
+        if self.fleet[x].filler_shares.is_empty() {
             return;
         }
         let harm_near = Span(self.bounds.harm.0 / HARM_PART);
-        let is_near = |since: Option<Timestamp>| {
+        let is_near = |run: &Run| {
+            let since = run.over_since;
             since.is_some_and(|since| self.now.since(since) >= harm_near)
         };
-        if tails.iter().any(|(_, _, since)| is_near(*since)) {
+        if self.fleet[x].runs.values().any(is_near) {
             self.spare(x, HARM_REST);
             self.pace_images(x, |_| Some(0));
-        } else if worst > SLOW_DOWN_RATIO {
-            self.spare(x, SLOWED_REST);
-            self.slow_down(x, &tails, &shares, worst);
-        } else {
-            self.speed_up(x, &tails, &shares);
+            return;
         }
+        let paces = self.plan_paces(x);
+        self.pace_images(x, |image| {
+            paces.iter().find(|(i, _)| *i == image).map(|(_, p)| *p)
+        });
     }
 
-    /// Gives an executor no more fillers for a while.
-    fn spare(&mut self, x: usize, rest: Span) {
-        self.fleet[x].spares_until = self.now + rest;
-        self.set_timer(rest, Timer::Place);
+    /// Learns from the tails that an executor has just reported.
+    fn learn(&mut self, x: usize) {
+        let now = self.now;
+        if !self.fleet[x].serves() {
+            return;
+        }
+        self.fleet[x].feel(now);
+        let reported = self.fleet[x].reported();
+        let felt = &self.fleet[x].felt_shares;
+        let mut outlooks: Vec<(ImageId, f32)> = Vec::new();
+        for row in &reported {
+            let lost = self.interference.estimate(row.image, felt);
+            let before = self.headrooms.now(now, row.step, row.image);
+            let own = Estimate {
+                mean: row.headroom + lost.mean,
+                variance: lost.variance + row.variance,
+            };
+            self.headrooms.take(now, row.step, row.image, own);
+            let taken = Estimate {
+                mean: before.mean - row.headroom,
+                variance: before.variance + row.variance,
+            };
+            self.interference.learn(row.image, taken, felt);
+            let outlook = self
+                .headrooms
+                .within(now, row.step, row.image, PLACING_HORIZON);
+            outlooks.push((row.image, outlook));
+        }
+        for serving in &mut self.fleet[x].serving_images {
+            let mine = outlooks.iter().filter(|(image, _)| *image == serving.image);
+            let least = mine.map(|(_, outlook)| *outlook).min_by(f32::total_cmp);
+            serving.outlook = least.unwrap_or(serving.outlook);
+        }
     }
 
-    /// Slows the image that is to blame most for the worst tail, or all if none is.
-    fn slow_down(&mut self, x: usize, tails: &[Tail], shares: &Shares, worst: f32) {
-        let is_worst = |tail: &&Tail| tail.1 >= worst;
-        let Some((serving, _, _)) = tails.iter().find(is_worst) else {
-            return;
-        };
-        let blame = |(image, share): &(ImageId, f32)| {
-            (*image, self.interference.slope(*serving, *image) * share)
-        };
-        let blamed = shares.iter().map(blame).max_by(|a, b| a.1.total_cmp(&b.1));
-        let culprit = blamed.filter(|(_, blame)| *blame > LEAST_BLAME);
+    /// Shares out the headroom that serving tasks can spare among the images of the fillers; those
+    /// that disturb least for what they work come first.
+    fn plan_paces(&self, x: usize) -> Vec<(ImageId, u8)> {
+        let now = self.now;
         let executor = &self.fleet[x];
-        let slower = |image: ImageId| {
-            let pace = executor.pace_of(image);
-            if worst > 1.0 && pace <= LEAST_PACE {
-                0
-            } else {
-                (pace / 2).max(LEAST_PACE).min(pace)
+        let mut budgets: Vec<(ImageId, f32)> = Vec::new();
+        for row in executor.reported() {
+            let soon = self.headrooms.soon(now, row.step, row.image);
+            let budget = soon - 1.0 - MARGIN;
+            match budgets.iter_mut().find(|(image, _)| *image == row.image) {
+                Some((_, least)) => *least = least.min(budget),
+                None => budgets.push((row.image, budget)),
             }
+        }
+        let slope = |serving: ImageId, filler: ImageId| {
+            let unit: Shares = vec![(filler, 1.0)];
+            let told = self.interference.estimate(serving, &unit);
+            told.mean + CAUTION * told.variance.sqrt()
         };
-        let paces: Vec<(ImageId, u8)> = match culprit {
-            Some((image, _)) => vec![(image, slower(image))],
-            None => shares
-                .iter()
-                .map(|(image, _)| (*image, slower(*image)))
-                .collect(),
-        };
-        self.pace_images(x, |image| {
-            paces.iter().find(|(i, _)| *i == image).map(|(_, p)| *p)
-        });
-    }
-
-    /// Speeds up one slowed image if all tails are expected to stay well under their targets.
-    fn speed_up(&mut self, x: usize, tails: &[Tail], shares: &Shares) {
-        let executor = &self.fleet[x];
-        let slowed = shares
-            .iter()
-            .filter(|(image, _)| executor.pace_of(*image) < 100);
-        let mut choices = Vec::new();
-        for (image, share) in slowed {
-            let pace = executor.pace_of(*image);
-            let faster = pace.saturating_mul(2).clamp(FIRST_PACE, 100);
-            let wish: u64 = executor
-                .runs
-                .values()
-                .filter(|run| run.is_filler && run.image == *image)
-                .map(|run| run.wish)
-                .sum();
-            let added = (executor.share(wish, faster) - share).max(0.0);
-            let expected = tails.iter().map(|(serving, ratio, _)| {
-                ratio * (self.interference.slope(*serving, *image) * added).exp()
-            });
-            choices.push((*image, faster, expected.fold(0.0, f32::max)));
+        let mut wishes: Vec<(ImageId, f32, f32)> = Vec::new();
+        for run in executor.runs.values().filter(|run| run.is_filler) {
+            let share = executor.share(run.wish, 100);
+            match wishes.iter_mut().find(|(image, ..)| *image == run.image) {
+                Some((_, sum, _)) => *sum += share,
+                None => {
+                    let cost = |(serving, budget): &(ImageId, f32)| {
+                        slope(*serving, run.image) / budget.max(LEAST_BUDGET)
+                    };
+                    let cost = budgets.iter().map(cost).fold(0.0, f32::max);
+                    wishes.push((run.image, share, cost));
+                }
+            }
         }
-        let best = choices.into_iter().min_by(|a, b| a.2.total_cmp(&b.2));
-        if let Some((image, faster, _)) = best.filter(|best| best.2 < EXPECTED_RATIO) {
-            self.pace_images(x, |other| (other == image).then_some(faster));
+        wishes.sort_by(|a, b| a.2.total_cmp(&b.2));
+        let mut paces = Vec::with_capacity(wishes.len());
+        for (image, share, _) in wishes {
+            let bears = |(serving, budget): &(ImageId, f32)| {
+                budget.max(0.0) / slope(*serving, image).max(f32::EPSILON)
+            };
+            let most = budgets.iter().map(bears).fold(share, f32::min);
+            let percent = (most / share.max(f32::EPSILON) * 100.0) as u8;
+            let pace = percent / PACE_STEP * PACE_STEP;
+            let taken = share * f32::from(pace) / 100.0;
+            for (serving, budget) in &mut budgets {
+                *budget -= slope(*serving, image) * taken;
+            }
+            paces.push((image, pace.min(100)));
         }
+        paces
+    }
+
+    /// Gives an executor no more fillers for a while.
+    fn spare(&mut self, x: usize, rest: Span) {
+        self.fleet[x].spares_until = self.now + rest;
+        self.set_timer(rest, Timer::Place);
     }
 
     fn pace_images(&mut self, x: usize, wanted: impl Fn(ImageId) -> Option<u8>) {
         let now = self.now;
         let executor = &mut self.fleet[x];
+        executor.feel(now);
         let mut changed = 0;
         let mut least = 100;
         for (task, run) in &mut executor.runs {
@@ -332,15 +399,12 @@
         if changed == 0 {
             return;
         }
-        executor.paced_at = now + PACE_INTERVAL;
         executor.sum_filler_shares();
-        let tails = executor.tails();
-        let worst = tails.iter().map(|(_, ratio, _)| *ratio).fold(0.0, f32::max);
         self.effects.push(Effect::Log(Decision::Paced {
             executor: executor.id.clone(),
             runs: changed,
             percent: least,
-            worst_percent: (worst * 100.0) as u64,
+            worst_percent: executor.worst_percent(),
         }));
     }
 
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -5,7 +5,7 @@
 use guavacart_types::{Resources, Span};
 use smol_str::SmolStr;
 
-use super::{State, Timer, interference::ImageId};
+use super::{State, Timer, interference::ImageId, pacing::is_calm};
 use crate::{PoolName, RunNumber, Step, StepKey, Ticket};
 
 /// Factor on a step's estimate for which it waits for the rack of its data.
@@ -46,6 +46,13 @@
     takes_struck: bool,
 }
 
+/// Pause until the next pass while steps wait for headroom of serving tasks.
+const HELD_BACK_RETRY: Span = Span::millis(150);
+/// Units of headroom in which executors are told apart for a filler.
+const HEADROOM_GRAIN: f32 = 10.0;
+/// Headroom, in these units, from which more makes no difference.
+const MOST_HEADROOM: f32 = 100.0;
+
 /// Room that this pass has given away on an executor, for gangs that are tried out.
 pub(super) type Taken = BTreeMap<usize, (Resources, usize)>;
 
@@ -80,6 +87,16 @@
             }
         }
         self.next_tried = 0;
+        self.retry_held_back();
+    }
+
+    /// Sets the next pass if fillers wait; headroom comes back without an event.
+    fn retry_held_back(&mut self) {
+        if self.ready.is_empty() || self.retry_at > self.now {
+            return;
+        }
+        self.retry_at = self.now + HELD_BACK_RETRY;
+        self.set_timer(HELD_BACK_RETRY, Timer::Place);
     }
 
     fn rank(&self, key: StepKey) -> Option<Rank> {
@@ -263,7 +280,13 @@
             return false;
         }
         let step = wanted.step;
-        let spares = step.is_filler && executor.spares_until > self.now;
+        let spares = step.is_filler
+            && (executor.spares_until > self.now
+                || !is_calm(executor.expected_headroom(
+                    &self.interference,
+                    wanted.image,
+                    step.size.processors.0,
+                )));
         let is_struck = executor.struck_until > self.now && !wanted.takes_struck;
         if spares || is_struck || !self.takes_orders(x) {
             return false;
@@ -296,8 +319,10 @@
         let executor = &self.fleet[x];
         if step.is_filler {
             let wish = step.size.processors.0;
-            let ratio = executor.expected_ratio(&self.interference, image, wish);
-            return (executor.filler_merit(ratio, wish), 0, 0);
+            let headroom = executor.expected_headroom(&self.interference, image, wish);
+            let load = i64::try_from(executor.filler_load(wish)).unwrap_or(i64::MAX);
+            let strain = (headroom * HEADROOM_GRAIN).min(MOST_HEADROOM) as i64;
+            return (i64::from(is_calm(headroom)), -load, strain);
         }
         let free = i64::try_from(executor.free().processors.0).unwrap_or(i64::MAX);
         if step.tail_target.is_none() {
