Learn from each reported tail once, and take the outlook over all serving tasks of an executor

Looks that follow each other within the time over which a tail is averaged tell the same tail again.

--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -49,6 +49,10 @@
     pub(super) over_since: Option<Timestamp>,
     /// Its newest tail, in milliseconds, if it serves.
     pub(super) tail_ms: Option<u64>,
+    /// When that was first told.
+    pub(super) tail_at: Timestamp,
+    /// It has not been learned from.
+    pub(super) is_tail_new: bool,
     /// Since when it works at a low pace.
     pub(super) slowed_since: Option<Timestamp>,
     pub(super) has_checkpoints: bool,
--- a/crates/guavacart_jobs/src/state/holding.rs
+++ b/crates/guavacart_jobs/src/state/holding.rs
@@ -354,6 +354,8 @@
             image,
             over_since: None,
             tail_ms: None,
+            tail_at: Timestamp(0),
+            is_tail_new: false,
             slowed_since: None,
             has_checkpoints: spec.is_some_and(|step| step.has_checkpoints),
             idle_looks: 0,
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -1,6 +1,6 @@
 //! Starts and stops, and the answers to them.
 
-use guavacart_types::Span;
+use guavacart_types::{Span, Timestamp};
 
 use super::{
     State, Timer,
@@ -49,6 +49,8 @@
             image,
             over_since: None,
             tail_ms: None,
+            tail_at: Timestamp(0),
+            is_tail_new: false,
             slowed_since: None,
             has_checkpoints: step.has_checkpoints,
             idle_looks: 0,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -21,6 +21,8 @@
 const CAUTION: f32 = 0.3;
 /// Time for which headroom is looked for when a filler is placed; a usual filler's length.
 const PLACING_HORIZON: Span = Span::millis(2_500);
+/// Time after which an unchanged tail is a new one; tails are told each half second.
+const TAIL_PERIOD: Span = Span::millis(450);
 /// Time over which a reported tail is averaged, as the time constant of a mean that fades.
 const FELT_OVER: f32 = 250.0;
 /// Least headroom that is left to share out; keeps the order of fillers defined under overload.
@@ -29,6 +31,8 @@
 const PACE_STEP: u8 = 10;
 /// Part of a millisecond by which a reported tail may be off, by rounding.
 const ROUNDING_MS: f32 = 0.3;
+/// Part of a reported tail by which it may be off otherwise.
+const ROUGHNESS: f32 = 0.0;
 /// Least tail that is told apart, in milliseconds.
 const LEAST_TAIL_MS: f32 = 0.5;
 /// Part of the time that a tail may be over its target after which all fillers beside it stand still.
@@ -57,16 +61,19 @@
     image: ImageId,
     /// Mean target over tail.
     headroom: f32,
-    /// Variance of that by rounding.
+    /// Variance of one of them.
     variance: f32,
     count: f32,
 }
 
 impl Executor {
-    /// What its serving tasks report, by step.
-    fn reported(&self) -> Vec<Reported> {
+    /// What its serving tasks report, by step; only what is new if asked for.
+    fn reported(&self, is_new: bool) -> Vec<Reported> {
         let mut reported: Vec<Reported> = Vec::new();
         for (task, run) in &self.runs {
+            if is_new && !run.is_tail_new {
+                continue;
+            }
             let (Some(target), Some(tail)) = (run.tail_target, run.tail_ms) else {
                 continue;
             };
@@ -75,7 +82,8 @@
             }
             let target = target.0 as f32;
             let headroom = target / (tail as f32).max(LEAST_TAIL_MS);
-            let off = headroom * headroom / target.max(1.0) * ROUNDING_MS;
+            let rounding = headroom * headroom / target.max(1.0) * ROUNDING_MS;
+            let off = rounding + headroom * ROUGHNESS;
             match reported.iter_mut().find(|known| known.step == task.step) {
                 Some(known) => {
                     known.count += 1.0;
@@ -179,6 +187,11 @@
             } else {
                 now
             };
+            // Looks within the time that a tail is averaged over tell the same one again.
+            if run.tail_ms != Some(usage) || now.since(run.tail_at) >= TAIL_PERIOD {
+                run.tail_at = now;
+                run.is_tail_new = true;
+            }
             run.tail_ms = Some(usage);
             let is_over = usage > target.0;
             run.over_since = is_over.then(|| run.over_since.unwrap_or(first_seen));
@@ -284,9 +297,8 @@
             return;
         }
         self.fleet[x].feel(now);
-        let reported = self.fleet[x].reported();
+        let reported = self.fleet[x].reported(true);
         let felt = &self.fleet[x].felt_shares;
-        let mut outlooks: Vec<(ImageId, f32)> = Vec::new();
         for row in &reported {
             let lost = self.interference.estimate(row.image, felt);
             let before = self.headrooms.now(now, row.step, row.image);
@@ -300,11 +312,17 @@
                 variance: before.variance + row.variance,
             };
             self.interference.learn(row.image, taken, felt);
+        }
+        let runs = self.fleet[x].runs.values_mut();
+        runs.for_each(|run| run.is_tail_new = false);
+        let outlook = |row: Reported| {
             let outlook = self
                 .headrooms
                 .within(now, row.step, row.image, PLACING_HORIZON);
-            outlooks.push((row.image, outlook));
-        }
+            (row.image, outlook)
+        };
+        let reported = self.fleet[x].reported(false).into_iter();
+        let outlooks: Vec<(ImageId, f32)> = reported.map(outlook).collect();
         for serving in &mut self.fleet[x].serving_images {
             let mine = outlooks.iter().filter(|(image, _)| *image == serving.image);
             let least = mine.map(|(_, outlook)| *outlook).min_by(f32::total_cmp);
@@ -318,7 +336,7 @@
         let now = self.now;
         let executor = &self.fleet[x];
         let mut budgets: Vec<(ImageId, f32)> = Vec::new();
-        for row in executor.reported() {
+        for row in executor.reported(false) {
             let soon = self.headrooms.soon(now, row.step, row.image);
             let budget = soon - 1.0 - MARGIN;
             match budgets.iter_mut().find(|(image, _)| *image == row.image) {
