--- a/crates/guavacart_jobs/src/state/headroom.rs
+++ b/crates/guavacart_jobs/src/state/headroom.rs
@@ -15,7 +15,7 @@
 /// Variance of a level's rate before anything was seen.
 const FIRST_RATE_VARIANCE: f32 = 0.05;
 /// Variance of a measured headroom.
-const NOISE: f32 = 0.02;
+const NOISE: f32 = 0.03;
 /// Greatest headroom that is told apart.
 const MOST: f32 = 8.0;
 /// Headroom at the greatest load before any was seen.
