Hand what was learned of images to the next owner, and leave executors to fillers that few bear

Under rolling restarts each new owner learned interference anew. The record goes with a save that is written anyway, every 2 s at most. Tests of guavacart_jobs and the adapter pass.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -4,8 +4,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    ExecutorId, HowEnded, JobKey, JobOutcome, MachineId, OrderFailure, Progress, RunNumber,
-    StepKey, Target, TaskKey, Ticket, WaveNumber, WaveState,
+    ExecutorId, HowEnded, JobKey, JobOutcome, Learned, MachineId, OrderFailure, Progress,
+    RunNumber, StepKey, Target, TaskKey, Ticket, WaveNumber, WaveState,
 };
 
 /// Everything that the reducer asks for.
@@ -40,16 +40,7 @@
         epoch: Epoch,
     },
     /// Write records, as long as this owner owns; answered by [`crate::Event::Saved`].
-    Save {
-        /// Counts the saves.
-        save: u64,
-        /// The records; an older one of the same job is replaced.
-        records: Vec<(JobKey, Progress)>,
-        /// Waves whose state changed.
-        waves: Vec<(WaveNumber, WaveState)>,
-        /// All executors that may run something, if that changed.
-        fleet: Option<Vec<Target>>,
-    },
+    Save(SaveOrder),
     /// Remove everything that is kept of these jobs.
     Forget(Vec<JobKey>),
     /// Ask which executors may run a step.
@@ -71,6 +62,21 @@
     Log(Decision),
 }
 
+/// Records to write.
+#[derive(Clone, Debug)]
+pub struct SaveOrder {
+    /// Counts the saves.
+    pub save: u64,
+    /// The jobs' records; an older one of the same job is replaced.
+    pub records: Vec<(JobKey, Progress)>,
+    /// Waves whose state changed.
+    pub waves: Vec<(WaveNumber, WaveState)>,
+    /// All executors that may run something, if that changed.
+    pub fleet: Option<Vec<Target>>,
+    /// What has been learned of images, from time to time.
+    pub learned: Option<Learned>,
+}
+
 /// A hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HoldOrder {
--- a/crates/guavacart_jobs/src/lib.rs
+++ b/crates/guavacart_jobs/src/lib.rs
@@ -10,11 +10,12 @@
 mod executor;
 mod ids;
 mod job;
+mod learned;
 mod progress;
 mod state;
 
 pub use configuration::{AdvicePolicy, Configuration, HttpLimits, Pool, Queue, QueueRules};
-pub use effect::{Decision, Effect, HoldOrder, Loss, StartOrder, UpkeepOrder};
+pub use effect::{Decision, Effect, HoldOrder, Loss, SaveOrder, StartOrder, UpkeepOrder};
 pub use event::{Event, HoldReport, HowEnded, OrderFailure, Refusal, RunEnded, RunListed};
 pub use executor::{Machine, MachineState, Registration, Target, Wave, WaveState};
 pub use ids::{
@@ -22,5 +23,6 @@
     Ticket, WaveNumber,
 };
 pub use job::{Job, JobError, Schedule, Step};
+pub use learned::{Learned, LearnedImage};
 pub use progress::{JobOutcome, Progress, StepProgress};
 pub use state::{Accepted, Bounds, JobState, Snapshot, State, StateSummary};
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -9,7 +9,9 @@
 mod orders;
 mod pacing;
 mod placing;
+mod recalling;
 mod saving;
+mod scarcity;
 mod upkeep;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -18,8 +20,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Configuration, Effect, Event, ExecutorId, Job, JobKey, JobOutcome, Progress, QueueName,
-    QueueRules, Registration, StepKey, Target, Wave,
+    Configuration, Effect, Event, ExecutorId, Job, JobKey, JobOutcome, Learned, Progress,
+    QueueName, QueueRules, Registration, StepKey, Target, Wave,
 };
 use fleet::Executor;
 use headroom::Headrooms;
@@ -64,6 +66,8 @@
     pub fleet: Vec<Target>,
     /// Waves of upkeep.
     pub waves: Vec<Wave>,
+    /// What an earlier owner has learned of images.
+    pub learned: Learned,
 }
 
 /// The two clocks that the reducer is told.
@@ -142,6 +146,8 @@
     must_place: bool,
     /// Where the next pass goes on among the steps that take turns.
     next_tried: usize,
+    /// When executors are weighed again by how many fillers seek them.
+    weigh_at: Timestamp,
     /// When steps that wait for headroom are tried again.
     retry_at: Timestamp,
     effects: Vec<Effect>,
@@ -172,9 +178,11 @@
             headrooms: Headrooms::default(),
             must_place: false,
             next_tried: 0,
+            weigh_at: Timestamp(0),
             retry_at: Timestamp(0),
             effects: Vec::new(),
         };
+        state.recall(&snapshot.learned);
         for target in snapshot.fleet {
             state.remember(target);
         }
--- a/crates/guavacart_jobs/src/state/fleet.rs
+++ b/crates/guavacart_jobs/src/state/fleet.rs
@@ -128,6 +128,8 @@
     /// The same, averaged over the time that a reported tail tells of, and until when.
     pub(super) felt_shares: Shares,
     pub(super) felt_until: Timestamp,
+    /// Load, in thousandths, that fillers which few executors bear would bring here.
+    pub(super) sought: i64,
     /// Processors that its fillers wish for.
     pub(super) filler_wish: u64,
     /// Images of the serving tasks.
@@ -168,6 +170,7 @@
             filler_shares: Shares::new(),
             felt_shares: Shares::new(),
             felt_until: now,
+            sought: 0,
             filler_wish: 0,
             serving_images: Vec::new(),
             spares_until: Timestamp(0),
--- a/crates/guavacart_jobs/src/state/headroom.rs
+++ b/crates/guavacart_jobs/src/state/headroom.rs
@@ -131,7 +131,17 @@
         fallen.max(self.floor(image)).min(soon)
     }
 
-    fn floor(&self, image: ImageId) -> f32 {
+    /// The floor of an image that was learned.
+    pub(super) fn learned_floor(&self, image: ImageId) -> Option<f32> {
+        self.floors.get(&image).copied()
+    }
+
+    /// Takes over a floor that an earlier owner has learned.
+    pub(super) fn recall(&mut self, image: ImageId, floor: f32) {
+        self.floors.insert(image, floor);
+    }
+
+    pub(super) fn floor(&self, image: ImageId) -> f32 {
         self.floors.get(&image).copied().unwrap_or(FIRST_FLOOR)
     }
 
--- a/crates/guavacart_jobs/src/state/interference.rs
+++ b/crates/guavacart_jobs/src/state/interference.rs
@@ -69,7 +69,12 @@
 }
 
 impl ImageId {
-    fn at(self) -> usize {
+    /// The image with that number.
+    pub(super) fn numbered(at: usize) -> Self {
+        Self(u16::try_from(at).unwrap_or_default())
+    }
+
+    pub(super) fn at(self) -> usize {
         usize::from(self.0)
     }
 }
@@ -79,10 +84,47 @@
     pub(super) fn image(&mut self, name: Option<&SmolStr>) -> ImageId {
         let name = name.cloned().unwrap_or_default();
         let next = self.images.len().min(MOST_IMAGES - 1);
-        let next = ImageId(u16::try_from(next).unwrap_or_default());
+        let next = ImageId::numbered(next);
         *self.images.entry(name).or_insert(next)
     }
 
+    /// True if nothing was learned.
+    pub(super) fn is_empty(&self) -> bool {
+        self.serving.is_empty()
+    }
+
+    /// The names of the images, by number.
+    pub(super) fn names(&self) -> Vec<SmolStr> {
+        let mut names = vec![SmolStr::default(); self.images.len().min(MOST_IMAGES)];
+        for (name, image) in &self.images {
+            names[image.at()] = name.clone();
+        }
+        names
+    }
+
+    /// The learned slopes of a serving image and their variances, by filler image.
+    pub(super) fn slopes(&self, serving: ImageId) -> Vec<(ImageId, Estimate)> {
+        let Some(slopes) = self.serving.get(&serving) else {
+            return Vec::new();
+        };
+        let is_learned = |own: f32| own < SLOPE_DEVIATION * SLOPE_DEVIATION;
+        let row = |(at, mean): (usize, &f32)| {
+            let variance = slopes.covariance[at][at];
+            let filler = ImageId::numbered(at);
+            let mean = *mean;
+            is_learned(variance).then_some((filler, Estimate { mean, variance }))
+        };
+        slopes.means.iter().enumerate().filter_map(row).collect()
+    }
+
+    /// Takes over a slope that an earlier owner has learned.
+    pub(super) fn recall(&mut self, serving: ImageId, filler: ImageId, slope: Estimate) {
+        let slopes = self.serving.entry(serving).or_default();
+        slopes.grow(filler.at() + 1);
+        slopes.means[filler.at()] = slope.mean;
+        slopes.covariance[filler.at()][filler.at()] = slope.variance.max(LEAST_VARIANCE);
+    }
+
     /// The number of an image that was numbered before.
     pub(super) fn known(&self, name: Option<&SmolStr>) -> ImageId {
         let name = name.map_or("", SmolStr::as_str);
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -62,6 +62,7 @@
         if self.ready.is_empty() {
             return;
         }
+        self.weigh_executors();
         let mut ranks: Vec<Rank> = self
             .ready
             .iter()
@@ -321,6 +322,7 @@
             let wish = step.size.processors.0;
             let headroom = executor.expected_headroom(&self.interference, image, wish);
             let load = i64::try_from(executor.filler_load(wish)).unwrap_or(i64::MAX);
+            let load = load + executor.sought;
             let strain = (headroom * HEADROOM_GRAIN).min(MOST_HEADROOM) as i64;
             return (i64::from(is_calm(headroom)), -load, strain);
         }
--- a/crates/guavacart_jobs/src/state/saving.rs
+++ b/crates/guavacart_jobs/src/state/saving.rs
@@ -2,14 +2,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_types::Span;
+use guavacart_types::{Span, Timestamp};
 
 use super::{State, Timer};
-use crate::{Effect, JobKey, WaveNumber, WaveState};
+use crate::{Effect, JobKey, Learned, SaveOrder, WaveNumber, WaveState};
 
 /// Longest time that ends gather before they are written; a job's end is written at once.
 const GATHER: Span = Span::millis(50);
 
+/// How often what was learned is written for the next owner.
+const LEARNED_INTERVAL: Span = Span::secs(2);
+
 /// What is to be written, and what is being written.
 #[derive(Debug, Default)]
 pub(super) struct Saving {
@@ -22,6 +25,8 @@
     /// The gathering time is over.
     pub(super) is_due: bool,
     is_timed: bool,
+    /// When what was learned is written again.
+    learned_at: Timestamp,
     last: u64,
     under_way: Option<UnderWay>,
 }
@@ -104,12 +109,23 @@
             seen,
             recorded: fleet.is_some().then(|| recorded.collect()),
         });
-        self.effects.push(Effect::Save {
+        let learned = self.learned_if_due();
+        self.effects.push(Effect::Save(SaveOrder {
             save,
             records,
             waves,
             fleet,
-        });
+            learned,
+        }));
+    }
+
+    /// What has been learned, if it was not written lately; it goes with what is written anyway.
+    fn learned_if_due(&mut self) -> Option<Learned> {
+        if self.interference.is_empty() || self.saving.learned_at > self.now {
+            return None;
+        }
+        self.saving.learned_at = self.now + LEARNED_INTERVAL;
+        Some(self.learned())
     }
 
     pub(super) fn saved(&mut self, save: u64) {
--- a/crates/guavacart_jobs/tests/model/world.rs
+++ b/crates/guavacart_jobs/tests/model/world.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use guavacart_jobs::{
-    Accepted, Effect, Event, ExecutorId, HowEnded, Job, JobKey, JobOutcome, OrderFailure, Progress,
-    Registration, Snapshot, State, Step, Target,
+    Accepted, Effect, Event, ExecutorId, HowEnded, Job, JobKey, JobOutcome, Learned, OrderFailure,
+    Progress, Registration, Snapshot, State, Step, Target,
 };
 use guavacart_types::{
     Accelerators, ByteSize, Epoch, Incarnation, Processors, Resources, Span, Timestamp,
@@ -333,6 +333,7 @@
                 .collect(),
             fleet: self.store.fleet.clone(),
             waves: Vec::new(),
+            learned: Learned::default(),
         };
         let (state, effects) = State::new(bounds(), snapshot, self.clocks());
         let owner = self.owners.len();
@@ -365,7 +366,7 @@
         for effect in effects {
             match effect {
                 Effect::StepDown => self.owners[owner].is_alive = false,
-                Effect::Save { .. }
+                Effect::Save(_)
                 | Effect::Hold(..)
                 | Effect::Start(..)
                 | Effect::Stop { .. }
@@ -396,7 +397,7 @@
         } else {
             self.rng.random_range(1..8)
         };
-        let is_save = matches!(order, Effect::Save { .. });
+        let is_save = matches!(order, Effect::Save(_));
         let answered = is_save || !(is_late || is_lost);
         if !answered {
             let event = failed(&order, sent, OrderFailure::NoAnswer);
@@ -418,7 +419,7 @@
     }
 
     fn order(&mut self, owner: usize, order: Effect, sent: u64, answered: bool) {
-        if let Effect::Save { .. } = order {
+        if let Effect::Save(_) = order {
             self.save(owner, order);
             return;
         }
@@ -538,20 +539,15 @@
             self.owners[owner].is_alive = false;
             return;
         }
-        let Effect::Save {
-            save,
-            records,
-            fleet,
-            ..
-        } = order
-        else {
+        let Effect::Save(order) = order else {
             return;
         };
-        self.store.progress.extend(records);
-        if let Some(fleet) = fleet {
+        self.store.progress.extend(order.records);
+        if let Some(fleet) = order.fleet {
             self.store.fleet = fleet;
         }
-        self.at(self.now + 4, Happening::Told(owner, Event::Saved { save }));
+        let saved = Event::Saved { save: order.save };
+        self.at(self.now + 4, Happening::Told(owner, saved));
     }
 }
 
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use guavacart_jobs::{
-    Accepted, Effect, Event, ExecutorId, HoldReport, HowEnded, Job, JobKey, OrderFailure, Progress,
-    Registration, RunEnded, RunListed, RunNumber, Snapshot, State, Step, Target, TaskKey,
+    Accepted, Effect, Event, ExecutorId, HoldReport, HowEnded, Job, JobKey, Learned, OrderFailure,
+    Progress, Registration, RunEnded, RunListed, RunNumber, Snapshot, State, Step, Target, TaskKey,
 };
 
 use guavacart_types::{
@@ -30,6 +30,13 @@
     pub(crate) run: RunNumber,
 }
 
+/// What the store keeps for the next owner beside jobs.
+#[derive(Clone, Default)]
+struct Kept {
+    fleet: Vec<Target>,
+    learned: Learned,
+}
+
 /// One owner and its executors.
 pub(crate) struct Rig {
     state: State,
@@ -43,7 +50,7 @@
     /// Ends with their executors; none is forgotten.
     ended: Vec<(ExecutorId, RunEnded)>,
     jobs: Vec<(JobKey, Job)>,
-    fleet: Vec<Target>,
+    kept: Kept,
     starts: Vec<Started>,
     taken: usize,
     seen: Vec<Effect>,
@@ -98,7 +105,15 @@
 impl Rig {
     pub(crate) fn new(executors: &[&str]) -> Self {
         let executors = executors.iter().map(|id| ExecutorId::from(*id)).collect();
-        let mut rig = Self::with(1, 1, 0, executors, Vec::new(), Vec::new(), BTreeMap::new());
+        let mut rig = Self::with(
+            1,
+            1,
+            0,
+            executors,
+            Vec::new(),
+            Kept::default(),
+            BTreeMap::new(),
+        );
         rig.run_for(300);
         rig
     }
@@ -109,7 +124,7 @@
         clock_back: u64,
         executors: Vec<ExecutorId>,
         jobs: Vec<(JobKey, Job)>,
-        fleet: Vec<Target>,
+        kept: Kept,
         running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
     ) -> Self {
         let listed = executors.iter().enumerate();
@@ -124,8 +139,9 @@
             executors: listed
                 .map(|(x, id)| (id.clone(), registration(x)))
                 .collect(),
-            fleet: fleet.clone(),
+            fleet: kept.fleet.clone(),
             waves: Vec::new(),
+            learned: kept.learned.clone(),
         };
         let at = Accepted {
             now: Timestamp(now),
@@ -142,7 +158,7 @@
             running,
             ended: Vec::new(),
             jobs,
-            fleet,
+            kept,
             starts: Vec::new(),
             taken: 0,
             seen: Vec::new(),
@@ -165,7 +181,7 @@
             clock_back,
             self.executors.clone(),
             self.jobs.clone(),
-            self.fleet.clone(),
+            self.kept.clone(),
             self.running.clone(),
         )
     }
@@ -255,11 +271,14 @@
     fn answer(&mut self, sent: u64, effect: Effect) -> Option<Event> {
         let sent = Timestamp(sent);
         Some(match effect {
-            Effect::Save { save, fleet, .. } => {
-                if let Some(fleet) = fleet {
-                    self.fleet = fleet;
+            Effect::Save(order) => {
+                if let Some(fleet) = order.fleet {
+                    self.kept.fleet = fleet;
+                }
+                if let Some(learned) = order.learned {
+                    self.kept.learned = learned;
                 }
-                Event::Saved { save }
+                Event::Saved { save: order.save }
             }
             Effect::Hold(target, order) => Event::Held {
                 report: self.lists(&target.id),
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -8,10 +8,9 @@
     rc::Rc,
 };
 
-use guavacart_jobs::{
-    Effect, Event, ExecutorId, JobKey, JobState, Snapshot, State, Target, Ticket,
-};
+use guavacart_jobs::{Effect, Event, ExecutorId, JobKey, JobState, Snapshot, State, Ticket};
 use guavacart_types::{Epoch, Revision, Span, Timestamp};
+use serde::de::DeserializeOwned;
 use tokio::{
     sync::{Mutex, Notify},
     task, time,
@@ -56,18 +55,20 @@
         confirmed: Timestamp,
     ) -> Result<Rc<Self>, StoreError> {
         let platform = &shared.platform;
-        let (operator, executors, inbox, progress, fleet) = tokio::try_join!(
+        let (operator, executors, inbox, progress, fleet, learned) = tokio::try_join!(
             platform.list(Space::Operator),
             platform.list(Space::Executors),
             platform.list(Space::Inbox),
             platform.list(Space::Progress),
             platform.get(Key::Fleet),
+            platform.get(Key::Learned),
         )?;
-        shared.counters.store_reads.add(5);
+        shared.counters.store_reads.add(6);
         let epoch = Epoch(revision.0);
         let (snapshot, revisions) = snapshot(epoch, operator.0, &executors.0, inbox.0, progress.0);
         let mut snapshot = snapshot.ok_or(StoreError::Unreadable)?;
-        snapshot.fleet = fleet.and_then(fleet_of).unwrap_or_default();
+        snapshot.fleet = fleet.and_then(record_of).unwrap_or_default();
+        snapshot.learned = learned.and_then(record_of).unwrap_or_default();
         tracing::info!(
             event = "owner_begins",
             %epoch,
@@ -307,13 +308,8 @@
                     });
                 });
             }
-            Effect::Save {
-                save,
-                records,
-                waves,
-                fleet,
-            } => {
-                task::spawn_local(async move { owner.save(save, records, waves, fleet).await });
+            Effect::Save(order) => {
+                task::spawn_local(async move { owner.save(order).await });
             }
             Effect::Forget(jobs) => {
                 task::spawn_local(async move { owner.forget(jobs).await });
@@ -362,9 +358,10 @@
     }
 }
 
-fn fleet_of(item: Item) -> Option<Vec<Target>> {
+/// One of the product's own records; what cannot be read counts as missing.
+fn record_of<T: DeserializeOwned>(item: Item) -> Option<T> {
     match item.content {
-        Content::Own(Key::Fleet, Some(bytes)) => records::decode(&bytes),
+        Content::Own(_, Some(bytes)) => records::decode(&bytes),
         _ => None,
     }
 }
@@ -425,6 +422,7 @@
         executors: executors.collect(),
         fleet: Vec::new(),
         waves,
+        learned: guavacart_jobs::Learned::default(),
     });
     (snapshot, revisions)
 }
--- a/crates/guavacart_node/src/owner/saving.rs
+++ b/crates/guavacart_node/src/owner/saving.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use guavacart_jobs::{Event, JobKey, Progress, Target, WaveNumber, WaveState};
+use guavacart_jobs::{Event, JobKey, SaveOrder};
 use guavacart_types::Revision;
 
 use super::{Owner, Revisions};
@@ -13,6 +13,18 @@
 /// Jobs that one call forgets: each has three keys.
 const FORGOTTEN_PER_CALL: usize = 10;
 
+/// Other records beside them.
+const OTHERS_PER_CALL: usize = 3;
+
+/// A record that stays.
+fn put((key, value): (Key, Value)) -> Put {
+    Put {
+        key,
+        value,
+        lease: None,
+    }
+}
+
 /// What is known of the records in the store.
 #[derive(Debug)]
 pub(super) struct Saver {
@@ -37,58 +49,50 @@
 
 impl<P: Platform> Owner<P> {
     /// Writes until everything stands or the term has ended.
-    pub(super) async fn save(
-        self: Rc<Self>,
-        save: u64,
-        jobs: Vec<(JobKey, Progress)>,
-        waves: Vec<(WaveNumber, WaveState)>,
-        fleet: Option<Vec<Target>>,
-    ) {
+    pub(super) async fn save(self: Rc<Self>, order: SaveOrder) {
+        let jobs = order.records.into_iter();
         let jobs: Vec<(JobKey, Vec<u8>)> = jobs
-            .into_iter()
             .map(|(key, progress)| (key, records::encode(&progress)))
             .collect();
+        let fleet = order
+            .fleet
+            .map(|fleet| (Key::Fleet, records::encode(&fleet)));
+        let learned = order
+            .learned
+            .map(|learned| (Key::Learned, records::encode(&learned)));
+        let own = fleet.into_iter().chain(learned);
+        let own = own.map(|(key, bytes)| (key, Value::Own(bytes)));
+        let waves = order.waves.into_iter();
+        let waves = waves.map(|(wave, state)| (Key::WaveState(wave), Value::Wave(wave, state)));
+        let mut others: Vec<Put> = own.chain(waves).map(put).collect();
+        // What else is to be written goes with the jobs' records as far as it fits.
         for chunk in jobs.chunks(RECORDS_PER_CALL) {
-            if !self.save_chunk(chunk).await {
+            let beside = others.split_off(others.len().saturating_sub(OTHERS_PER_CALL));
+            if !self.save_chunk(chunk, &beside).await {
                 return;
             }
         }
-        let fleet = fleet.map(|fleet| (Key::Fleet, Value::Own(records::encode(&fleet))));
-        let waves = waves
-            .into_iter()
-            .map(|(wave, state)| (Key::WaveState(wave), Value::Wave(wave, state)));
-        for (key, value) in fleet.into_iter().chain(waves) {
-            let put = Put {
-                key,
-                value,
-                lease: None,
-            };
-            let write = Write {
-                expected: vec![(Key::Owner, self.revision)],
-                puts: vec![put],
-                removes: Vec::new(),
-            };
-            if self.write(|| write.clone()).await.is_none() {
+        for chunk in others.chunks(RECORDS_PER_CALL) {
+            if !self.save_chunk(&[], chunk).await {
                 return;
             }
         }
-        self.apply(Event::Saved { save });
+        self.apply(Event::Saved { save: order.save });
     }
 
-    async fn save_chunk(self: &Rc<Self>, chunk: &[(JobKey, Vec<u8>)]) -> bool {
+    async fn save_chunk(self: &Rc<Self>, chunk: &[(JobKey, Vec<u8>)], others: &[Put]) -> bool {
         let make = || {
             let mut write = Write {
                 expected: vec![(Key::Owner, self.revision)],
+                puts: others.to_vec(),
                 ..Write::default()
             };
             for (key, bytes) in chunk {
                 let revision = self.saver.revision(*key);
                 write.expected.push((Key::Progress(*key), revision));
-                write.puts.push(Put {
-                    key: Key::Progress(*key),
-                    value: Value::Own(bytes.clone()),
-                    lease: None,
-                });
+                write
+                    .puts
+                    .push(put((Key::Progress(*key), Value::Own(bytes.clone()))));
             }
             write
         };
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -133,6 +133,8 @@
     Progress(JobKey),
     /// Executors that may run something.
     Fleet,
+    /// What owners have learned of images.
+    Learned,
     /// How far a wave has come.
     WaveState(WaveNumber),
 }
