Take no new jobs while the owner's lease may have ended

An owner now takes jobs only within 1.2 s of its last confirmed renewal and keeps later ones until it is confirmed again; a new owner counts what is accepted in its first 1.6 s as told to the earlier one. Unanswered renewals are repeated after 150 ms.

Tests of jobs, node and adapter pass.

--- a/crates/guavacart_jobs/src/lib.rs
+++ b/crates/guavacart_jobs/src/lib.rs
@@ -25,4 +25,6 @@
 pub use job::{Job, JobError, Schedule, Step};
 pub use learned::{Learned, LearnedImage};
 pub use progress::{JobOutcome, Progress, StepProgress};
-pub use state::{Accepted, Bounds, JobState, Snapshot, State, StateSummary};
+pub use state::{
+    Accepted, Bounds, JobState, Snapshot, State, StateSummary, TAKES_JOBS_UNCONFIRMED,
+};
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -28,6 +28,7 @@
 use holding::Orphan;
 use interference::Interference;
 use ledger::JobEntry;
+pub use ledger::TAKES_JOBS_UNCONFIRMED;
 use saving::Saving;
 use upkeep::Upkeep;
 
--- a/crates/guavacart_jobs/src/state/ledger.rs
+++ b/crates/guavacart_jobs/src/state/ledger.rs
@@ -13,8 +13,12 @@
 
 /// Room for the runs of one owner's epoch in a task's run numbers.
 const RUNS_PER_EPOCH: u64 = 10_000;
-/// Time after a take-over in which other nodes may still tell jobs to the earlier owner.
-const EARLIER_OWNER_HEARS: Span = Span::millis(1_500);
+/// Time after a take-over in which the earlier owner may still take jobs: how long an owner takes them
+/// without its lease confirmed, with a margin for clocks and for an order on its way.
+const EARLIER_OWNER_HEARS: Span = Span(TAKES_JOBS_UNCONFIRMED.0 + 400);
+/// Time since its lease was last confirmed after which an owner takes no new jobs: a little over two
+/// renewals. Another node may own by then, and both would start them.
+pub const TAKES_JOBS_UNCONFIRMED: Span = Span::millis(1_200);
 /// Rest of a lasting task that failed, before it starts again.
 const LASTING_RESTART: Span = Span::millis(200);
 
--- a/crates/guavacart_node/src/election.rs
+++ b/crates/guavacart_node/src/election.rs
@@ -9,7 +9,7 @@
 use crate::{
     Content, Item, Key, LeaseId, Platform, Put, StoreError, Value, Write, clock,
     links::Links,
-    owner::Owner,
+    owner::{Owner, Renewal},
     records::{self, OwnerRecord},
     shared::{Leader, Shared},
     watching,
@@ -19,6 +19,8 @@
 const LEASE: Span = Span::millis(2_000);
 /// How often it is renewed.
 const RENEWAL: Span = Span::millis(500);
+/// Pause after a renewal without an answer.
+const RENEWAL_RETRY: Span = Span::millis(150);
 /// Time without a beat after which the store is asked; three beats and a margin.
 const SILENCE: Span = Span::millis(700);
 /// Least pause between two looks at the owner's key.
@@ -166,11 +168,14 @@
     catch_up(shared, &owner);
     let beats = task::spawn_local(Rc::clone(links).beat(Rc::clone(&owner)));
     let renewing = async {
+        let mut pause = RENEWAL;
         loop {
-            time::sleep(RENEWAL.into()).await;
-            if !owner.renew().await {
-                break;
-            }
+            time::sleep(pause.into()).await;
+            pause = match owner.renew().await {
+                Renewal::Confirmed => RENEWAL,
+                Renewal::Unanswered => RENEWAL_RETRY,
+                Renewal::LeaseEnded => break,
+            };
         }
     };
     tokio::select! {
--- a/crates/guavacart_node/src/links.rs
+++ b/crates/guavacart_node/src/links.rs
@@ -271,7 +271,7 @@
         };
         match question {
             Question::Accepted(key, job) => {
-                owner.apply(Event::Accepted(key, job));
+                owner.take_job(key, job);
                 Reply::Noted
             }
             Question::Cancelled(key) => {
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -8,7 +8,10 @@
     rc::Rc,
 };
 
-use guavacart_jobs::{Effect, Event, ExecutorId, JobKey, JobState, Snapshot, State, Ticket};
+use guavacart_jobs::{
+    Effect, Event, ExecutorId, Job, JobKey, JobState, Snapshot, State, TAKES_JOBS_UNCONFIRMED,
+    Ticket,
+};
 use guavacart_types::{Epoch, Revision, Span, Timestamp};
 use serde::de::DeserializeOwned;
 use tokio::{
@@ -29,6 +32,17 @@
 /// How often the executors' entries are read; each of them is written about once a second.
 const EXECUTORS_INTERVAL: Span = Span::millis(500);
 
+/// What became of a renewal of the lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Renewal {
+    /// The lease goes on.
+    Confirmed,
+    /// It may or may not.
+    Unanswered,
+    /// The store knows it no more.
+    LeaseEnded,
+}
+
 /// One term of owning.
 pub(crate) struct Owner<P> {
     shared: Rc<Shared<P>>,
@@ -40,6 +54,8 @@
     is_alive: Cell<bool>,
     /// When the last renewal that succeeded was sent.
     confirmed: Cell<Timestamp>,
+    /// Jobs that came while another node might have owned already.
+    deferred: RefCell<Vec<(JobKey, Box<Job>)>>,
     ticked: Notify,
     ended: Notify,
     saver: Saver,
@@ -86,6 +102,7 @@
             state: RefCell::new(state),
             is_alive: Cell::new(true),
             confirmed: Cell::new(confirmed),
+            deferred: RefCell::new(Vec::new()),
             ticked: Notify::new(),
             ended: Notify::new(),
             saver: Saver::new(revisions),
@@ -107,18 +124,36 @@
         clock::now().since(self.confirmed.get())
     }
 
-    /// Renews the lease once; false if it has ended.
-    pub(crate) async fn renew(&self) -> bool {
+    /// Takes in a job, or keeps it until the lease is confirmed again: a node that owns since would
+    /// start it too.
+    pub(crate) fn take_job(self: &Rc<Self>, key: JobKey, job: Box<Job>) {
+        let unconfirmed = self.unconfirmed();
+        if unconfirmed < TAKES_JOBS_UNCONFIRMED {
+            self.apply(Event::Accepted(key, job));
+            return;
+        }
+        tracing::info!(event = "job_deferred", job = %key, unconfirmed_ms = unconfirmed.0);
+        self.deferred.borrow_mut().push((key, job));
+    }
+
+    /// Renews the lease once.
+    pub(crate) async fn renew(self: &Rc<Self>) -> Renewal {
         let sent = clock::now();
         let result = self.shared.platform.renew(self.lease).await;
         self.shared.counters.store_renewals.add(1);
         self.shared.health.note(&result);
         match result {
             Ok(()) => self.confirmed.set(sent),
-            Err(StoreError::LeaseGone) => return false,
-            Err(err) => tracing::debug!(event = "renewal_failed", cause = %err),
+            Err(StoreError::LeaseGone) => return Renewal::LeaseEnded,
+            Err(err) => {
+                tracing::debug!(event = "renewal_failed", cause = %err);
+                return Renewal::Unanswered;
+            }
+        }
+        for (key, job) in self.deferred.take() {
+            self.take_job(key, job);
         }
-        true
+        Renewal::Confirmed
     }
 
     /// Ends the term; what runs goes on under the next owner.
@@ -222,7 +257,7 @@
     fn take_inbox(self: &Rc<Self>, item: Item) {
         match item.content {
             Content::Own(Key::Job(key), Some(bytes)) => match records::decode(&bytes) {
-                Some(job) => self.apply(Event::Accepted(key, Box::new(job))),
+                Some(job) => self.take_job(key, Box::new(job)),
                 None => tracing::error!(event = "unreadable_job", job = %key),
             },
             Content::Own(Key::Cancel(key), Some(_)) => self.apply(Event::Cancelled(key)),
