--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -14,9 +14,9 @@
 };
 
 /// Headroom over the target that is left to serving tasks, for what the model does not tell.
-const MARGIN: f32 = 0.15;
+const MARGIN: f32 = 0.08;
 /// The same when a filler is placed, since it is harder to undo.
-const PLACING_MARGIN: f32 = 0.2;
+const PLACING_MARGIN: f32 = 0.1;
 /// Standard deviations of a pair's slope that are added to it, so that little known pairs count more.
 const CAUTION: f32 = 0.3;
 /// Time for which headroom is looked for when a filler is placed; a usual filler's length.
