--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -48,10 +48,10 @@
 
 /// Pause until the next pass while steps wait for headroom of serving tasks.
 const HELD_BACK_RETRY: Span = Span::millis(150);
-/// Units of headroom in which executors are told apart for a filler.
-const HEADROOM_GRAIN: f32 = 10.0;
-/// Headroom, in these units, from which more makes no difference.
-const MOST_HEADROOM: f32 = 100.0;
+/// Headroom from which more makes an executor no better for a filler.
+const COMFORT: f32 = 1.7;
+/// Load in thousandths of an executor that a headroom lower by one counts as.
+const STRAIN_WEIGHT: f32 = 1_000.0;
 
 /// Room that this pass has given away on an executor, for gangs that are tried out.
 pub(super) type Taken = BTreeMap<usize, (Resources, usize)>;
@@ -323,8 +323,8 @@
             let headroom = executor.expected_headroom(&self.interference, image, wish);
             let load = i64::try_from(executor.filler_load(wish)).unwrap_or(i64::MAX);
             let load = load + executor.sought;
-            let strain = (headroom * HEADROOM_GRAIN).min(MOST_HEADROOM) as i64;
-            return (i64::from(is_calm(headroom)), -load, strain);
+            let strain = ((COMFORT - headroom).max(0.0) * STRAIN_WEIGHT) as i64;
+            return (i64::from(is_calm(headroom)), -load - strain, 0);
         }
         let free = i64::try_from(executor.free().processors.0).unwrap_or(i64::MAX);
         if step.tail_target.is_none() {
