--- a/crates/guavacart_node/src/election.rs
+++ b/crates/guavacart_node/src/election.rs
@@ -16,9 +16,9 @@
 };
 
 /// Length of the owner's lease; four renewals.
-const LEASE: Span = Span::millis(2_000);
+const LEASE: Span = Span::millis(1_200);
 /// How often it is renewed.
-const RENEWAL: Span = Span::millis(500);
+const RENEWAL: Span = Span::millis(300);
 /// Pause after a renewal without an answer.
 const RENEWAL_RETRY: Span = Span::millis(150);
 /// Time without a beat after which the store is asked; three beats and a margin.
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -29,6 +29,10 @@
 /// How often the inbox is read for what no node has told; links tell the rest at once.
 const INBOX_INTERVAL: Span = Span::millis(700);
 
+/// Time for which the inbox is watched after a job that no node had told: some node does not reach
+/// this one.
+const WATCHES_INBOX: Span = Span::secs(4);
+
 /// How often the executors' entries are read; each of them is written about once a second.
 const EXECUTORS_INTERVAL: Span = Span::millis(500);
 
@@ -54,6 +58,8 @@
     is_alive: Cell<bool>,
     /// When the last renewal that succeeded was sent.
     confirmed: Cell<Timestamp>,
+    /// When a job was last found in the inbox that no node had told.
+    untold_at: Cell<Timestamp>,
     /// Jobs that came while another node might have owned already.
     deferred: RefCell<Vec<(JobKey, Box<Job>)>>,
     ticked: Notify,
@@ -102,6 +108,8 @@
             state: RefCell::new(state),
             is_alive: Cell::new(true),
             confirmed: Cell::new(confirmed),
+            // Nodes do not know this owner yet.
+            untold_at: Cell::new(clock::now()),
             deferred: RefCell::new(Vec::new()),
             ticked: Notify::new(),
             ended: Notify::new(),
@@ -233,7 +241,7 @@
                 known.extend(listed);
             }
         };
-        let pacing = Pacing::Polled(EXECUTORS_INTERVAL);
+        let pacing = || Pacing::Polled(EXECUTORS_INTERVAL);
         let goes_on = || self.is_alive();
         let from = Some(from);
         watching::follow(&self.shared, Space::Executors, from, pacing, goes_on, take).await;
@@ -241,7 +249,14 @@
 
     async fn follow_inbox(self: Rc<Self>, from: Revision) {
         let take = |items: Vec<Item>, _| items.into_iter().for_each(|item| self.take_inbox(item));
-        let pacing = Pacing::Polled(INBOX_INTERVAL);
+        let pacing = || {
+            let is_untold = clock::now().since(self.untold_at.get()) < WATCHES_INBOX;
+            if is_untold {
+                Pacing::Watched
+            } else {
+                Pacing::Polled(INBOX_INTERVAL)
+            }
+        };
         let goes_on = || self.is_alive();
         watching::follow(
             &self.shared,
@@ -257,7 +272,12 @@
     fn take_inbox(self: &Rc<Self>, item: Item) {
         match item.content {
             Content::Own(Key::Job(key), Some(bytes)) => match records::decode(&bytes) {
-                Some(job) => self.take_job(key, Box::new(job)),
+                Some(job) => {
+                    if self.job_state(key).is_none() {
+                        self.untold_at.set(clock::now());
+                    }
+                    self.take_job(key, Box::new(job));
+                }
                 None => tracing::error!(event = "unreadable_job", job = %key),
             },
             Content::Own(Key::Cancel(key), Some(_)) => self.apply(Event::Cancelled(key)),
--- a/crates/guavacart_node/src/watching.rs
+++ b/crates/guavacart_node/src/watching.rs
@@ -40,17 +40,19 @@
     time::sleep(Span(ms).into()).await;
 }
 
-/// Follows a space for ever: whole at first and after each loss of history, then by its changes.
+/// Follows a space for ever: whole at first and after each loss of history, then by its changes, at the
+/// pace that `pacing` tells before each call.
 pub(crate) async fn follow<P: Platform>(
     shared: &Shared<P>,
     space: Space,
     from: Option<Revision>,
-    pacing: Pacing,
+    mut pacing: impl FnMut() -> Pacing,
     mut goes_on: impl FnMut() -> bool,
     mut take: impl FnMut(Vec<Item>, bool),
 ) {
     let mut after = from;
     while goes_on() {
+        let pacing = pacing();
         let result = match after {
             None => shared.platform.list(space).await,
             Some(after) => shared.platform.watch(space, after, pacing.wait()).await,
@@ -98,7 +100,7 @@
         &shared,
         Space::Operator,
         None,
-        Pacing::Watched,
+        || Pacing::Watched,
         || true,
         take,
     )
