Have the owner store for nodes that the store turns away, and take nodes that are cut off out of rotation

Such a node now asks the owner once to write in its place, over the link, and says not ready to the balancer while neither store nor owner has been heard.

--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     Platform, clock,
+    links::Links,
     shared::Shared,
     submit::{Outcome, Submitter},
 };
@@ -30,6 +31,8 @@
 const RETRY_AFTER_SECONDS: &str = "1";
 /// Pause of the accept loop after an error, such as no free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which the store has not served a node that is cut off.
+const CUT_OFF_AFTER: Span = Span::millis(500);
 /// Least buffer for a head that the HTTP library takes.
 const LEAST_HEAD: usize = 8_192;
 
@@ -51,13 +54,19 @@
 }
 
 /// Serves the balancer's question whether the node takes requests.
-pub(crate) async fn serve_readiness<P: Platform>(shared: Rc<Shared<P>>) -> io::Result<()> {
+pub(crate) async fn serve_readiness<P: Platform>(
+    shared: Rc<Shared<P>>,
+    links: Rc<Links<P>>,
+) -> io::Result<()> {
     let listener = TcpListener::bind(shared.settings.readiness).await?;
     serve_plain(listener, move |path| {
         if path != P::READINESS_PATH {
             return answer(StatusCode::NOT_FOUND, Bytes::new());
         }
-        let is_ready = !shared.is_stopping.get() && shared.configuration().is_some();
+        // A node that reaches neither store nor owner refuses all; others may serve.
+        let is_cut_off = shared.health.failing() >= CUT_OFF_AFTER && links.is_alone();
+        let is_begun = !shared.is_stopping.get() && shared.configuration().is_some();
+        let is_ready = is_begun && !is_cut_off;
         let status = if is_ready {
             StatusCode::OK
         } else {
--- a/crates/guavacart_node/src/links.rs
+++ b/crates/guavacart_node/src/links.rs
@@ -26,8 +26,9 @@
     owner::Owner,
     records,
     shared::{Leader, Shared},
+    submit::{self, Outcome},
 };
-use asking::Connection;
+use asking::{AskError, Connection};
 
 /// How often the owner tells the others that it owns.
 pub(crate) const BEAT_INTERVAL: Span = Span::millis(200);
@@ -39,6 +40,10 @@
 const ACCEPT_PAUSE: Span = Span::millis(100);
 /// Longest frame; a job's body and its record stay below.
 const MAX_FRAME: u32 = 1 << 20;
+/// Answers of one link that wait to be written.
+const MAX_UNWRITTEN: usize = 256;
+/// Time without a beat after which a node is alone; seven beats.
+const ALONE_AFTER: Span = Span::millis(1_400);
 /// Longest datagram.
 const MAX_DATAGRAM: usize = 512;
 
@@ -69,6 +74,17 @@
     State(JobKey),
     /// How many jobs of a queue wait.
     Waiting(QueueName),
+    /// Store a job for a node that the store does not serve.
+    Store(JobKey, Box<Job>),
+    /// Store a cancel for such a node.
+    StoreCancel(JobKey),
+}
+
+impl Question {
+    /// True if the answer waits for the store.
+    fn writes(&self) -> bool {
+        matches!(self, Self::Store(..) | Self::StoreCancel(_))
+    }
 }
 
 /// What the owner answers.
@@ -80,6 +96,8 @@
     State(Option<JobState>),
     /// So many jobs wait.
     Waiting(u64),
+    /// What became of the write.
+    Stored(Outcome),
     /// The node that was asked does not own.
     NotOwner,
 }
@@ -255,13 +273,53 @@
         }
     }
 
-    async fn answer(&self, mut stream: TcpStream) -> io::Result<()> {
+    async fn answer(self: Rc<Self>, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        loop {
-            let Frame { number, body } = read_frame(&mut stream).await?;
-            let body = self.reply(body);
-            write_frame(&mut stream, &Frame { number, body }).await?;
+        let (mut reader, mut writer) = stream.into_split();
+        let (replies, unwritten) = flume::bounded::<Frame<Reply>>(MAX_UNWRITTEN);
+        let writing = task::spawn_local(async move {
+            while let Ok(frame) = unwritten.recv_async().await {
+                write_frame(&mut writer, &frame).await?;
+            }
+            io::Result::Ok(())
+        });
+        while !writing.is_finished() {
+            let Frame { number, body } = read_frame::<Frame<Question>>(&mut reader).await?;
+            let links = Rc::clone(&self);
+            let replies = replies.clone();
+            let replying = async move {
+                let body = if body.writes() {
+                    links.store_for_peer(body).await
+                } else {
+                    links.reply(body)
+                };
+                // The asker may have gone.
+                let _ = replies.send_async(Frame { number, body }).await;
+            };
+            task::spawn_local(replying);
         }
+        Ok(())
+    }
+
+    /// Writes to the store, as the owner, for a node that it does not serve.
+    async fn store_for_peer(&self, question: Question) -> Reply {
+        let Some(owner) = self.shared.owner() else {
+            return Reply::NotOwner;
+        };
+        let shared = &self.shared;
+        let (key, outcome) = match &question {
+            Question::Store(key, job) => (*key, submit::store_job_once(shared, *key, job).await),
+            Question::StoreCancel(key) => (*key, submit::store_cancel_once(shared, *key).await),
+            _ => return Reply::Noted,
+        };
+        tracing::info!(event = "stored_for_peer", job = %key, ?outcome);
+        if outcome == Outcome::Stored {
+            match question {
+                Question::Store(key, job) => owner.take_job(key, job),
+                _ => owner.apply(Event::Cancelled(key)),
+            }
+        }
+        Reply::Stored(outcome)
     }
 
     /// What this node says as the owner.
@@ -282,6 +340,8 @@
             Question::Waiting(queue) => {
                 Reply::Waiting(u64::try_from(owner.waiting(&queue)).unwrap_or(u64::MAX))
             }
+            // Answered elsewhere, since they wait for the store.
+            Question::Store(..) | Question::StoreCancel(_) => Reply::Stored(Outcome::NotStored),
         }
     }
 
@@ -290,22 +350,45 @@
         if self.shared.owner().is_some() {
             return Some(self.reply(question));
         }
+        let reply = self.ask_peer(question).await.ok();
+        reply.filter(|reply| *reply != Reply::NotOwner)
+    }
+
+    /// Has the owner write to the store, if that is another node.
+    pub(crate) async fn ask_to_store(&self, question: Question) -> Outcome {
+        if self.shared.owner().is_some() || self.is_alone() {
+            return Outcome::NotStored;
+        }
+        match self.ask_peer(question).await {
+            Ok(Reply::Stored(outcome)) => outcome,
+            Ok(_) | Err(AskError::NotAsked) => Outcome::NotStored,
+            Err(AskError::NoAnswer) => Outcome::Unknown,
+        }
+    }
+
+    /// True if no owner has been heard for a while.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.shared.owner().is_none() && clock::now().since(self.heard.get().0) >= ALONE_AFTER
+    }
+
+    async fn ask_peer(&self, question: Question) -> Result<Reply, AskError> {
         let leader = self
             .shared
             .leader
             .borrow()
             .as_ref()
-            .map(|leader| leader.links)?;
+            .map(|leader| leader.links);
+        let leader = leader.ok_or(AskError::NotAsked)?;
         let connection = self.connection.borrow_mut().take();
         let connection = connection.filter(|connection| connection.leads_to(leader));
         let connection = match connection {
             Some(connection) => connection,
-            None => Connection::open(leader).await?,
+            None => Connection::open(leader).await.ok_or(AskError::NotAsked)?,
         };
         let kept = connection.clone();
         self.connection.borrow_mut().get_or_insert(kept);
         let reply = connection.ask(question).await;
-        if reply.is_none() {
+        if reply.is_err() {
             let mut current = self.connection.borrow_mut();
             if current
                 .as_ref()
@@ -314,7 +397,7 @@
                 *current = None;
             }
         }
-        reply.filter(|reply| *reply != Reply::NotOwner)
+        reply
     }
 }
 
--- a/crates/guavacart_node/src/links/asking.rs
+++ b/crates/guavacart_node/src/links/asking.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use thiserror::Error;
 use tokio::{
     net::{TcpStream, tcp::OwnedReadHalf},
     sync::oneshot,
@@ -12,6 +13,8 @@
 
 /// Longest time for an answer; the store is asked instead after it.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest time for an answer of the owner that writes to the store for this node.
+const STORED_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest time to open a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Questions that wait to be written; more are not asked.
@@ -19,6 +22,17 @@
 
 type Waiting = Rc<RefCell<HashMap<u32, oneshot::Sender<Reply>>>>;
 
+/// Why a question has no answer.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub(super) enum AskError {
+    /// It was not sent.
+    #[error("no link to the owner; the question was not sent")]
+    NotAsked,
+    /// It may have been taken in.
+    #[error("the owner did not answer in time")]
+    NoAnswer,
+}
+
 /// One open link; clones share it.
 #[derive(Clone)]
 pub(super) struct Connection {
@@ -61,10 +75,19 @@
         self.questions.same_channel(&other.questions)
     }
 
-    pub(super) async fn ask(&self, question: Question) -> Option<Reply> {
+    pub(super) async fn ask(&self, question: Question) -> Result<Reply, AskError> {
+        let timeout = if question.writes() {
+            STORED_TIMEOUT
+        } else {
+            ANSWER_TIMEOUT
+        };
         let (tx, rx) = oneshot::channel();
-        self.questions.try_send((question, tx)).ok()?;
-        time::timeout(ANSWER_TIMEOUT, rx).await.ok()?.ok()
+        let sent = self.questions.try_send((question, tx));
+        sent.map_err(|_| AskError::NotAsked)?;
+        match time::timeout(timeout, rx).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) | Err(_) => Err(AskError::NoAnswer),
+        }
     }
 }
 
--- a/crates/guavacart_node/src/node.rs
+++ b/crates/guavacart_node/src/node.rs
@@ -72,7 +72,7 @@
     let links = Links::bind(Rc::clone(&shared))
         .await
         .map_err(bound("the link between nodes", settings.links))?;
-    front::serve_readiness(Rc::clone(&shared))
+    front::serve_readiness(Rc::clone(&shared), Rc::clone(&links))
         .await
         .map_err(bound("the readiness answer", settings.readiness))?;
     if let Some(at) = settings.metrics {
--- a/crates/guavacart_node/src/submit.rs
+++ b/crates/guavacart_node/src/submit.rs
@@ -4,6 +4,7 @@
 
 use guavacart_jobs::{Job, JobKey, JobState, Progress, QueueName};
 use guavacart_types::{Revision, Span, Timestamp};
+use serde::{Deserialize, Serialize};
 use tokio::{task, time};
 
 use crate::{
@@ -21,7 +22,7 @@
 const MAX_REFUSED: u32 = 2;
 
 /// What a submitter is told.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) enum Outcome {
     /// It stands in the store.
     Stored,
@@ -47,12 +48,8 @@
         job: Job,
         until: Timestamp,
     ) -> Outcome {
-        let write = Write {
-            expected: vec![(Key::Job(key), Revision(0))],
-            puts: vec![own_put(Key::Job(key), records::encode(&job))],
-            removes: Vec::new(),
-        };
-        let outcome = self.store(write, until).await;
+        let for_owner = || Question::Store(key, Box::new(job.clone()));
+        let outcome = self.store(job_write(key, &job), for_owner, until).await;
         if outcome == Outcome::Stored {
             self.shared.counters.accepted.add(1);
             self.tell(Question::Accepted(key, Box::new(job)));
@@ -66,14 +63,11 @@
         let item = match found {
             Ok(Some(item)) => item,
             Ok(None) => return Outcome::NoSuchJob,
-            Err(_) => return Outcome::NotStored,
-        };
-        let write = Write {
-            expected: vec![(Key::Job(key), item.revision)],
-            puts: vec![own_put(Key::Cancel(key), Vec::new())],
-            removes: Vec::new(),
+            Err(_) => return self.links.ask_to_store(Question::StoreCancel(key)).await,
         };
-        let outcome = self.store(write, until).await;
+        let write = cancel_write(key, item.revision);
+        let for_owner = || Question::StoreCancel(key);
+        let outcome = self.store(write, for_owner, until).await;
         if outcome == Outcome::Stored {
             self.shared.counters.cancelled.add(1);
             self.tell(Question::Cancelled(key));
@@ -81,11 +75,26 @@
         outcome
     }
 
-    /// Writes once, whatever happens to the answers; a conflict means that it stands already.
-    async fn store(&self, write: Write, until: Timestamp) -> Outcome {
+    /// Writes once, whatever happens to the answers; a conflict means that it stands already. Where the
+    /// store does not serve this node, the owner is asked once to write in its place.
+    async fn store(
+        &self,
+        write: Write,
+        for_owner: impl Fn() -> Question,
+        until: Timestamp,
+    ) -> Outcome {
         let mut refused = 0;
         let mut is_unknown = false;
+        let mut is_asked = false;
         loop {
+            let is_failing = self.shared.health.failing() > Span::ZERO;
+            if is_failing && !std::mem::replace(&mut is_asked, true) {
+                match self.links.ask_to_store(for_owner()).await {
+                    Outcome::NotStored => {}
+                    Outcome::Unknown => is_unknown = true,
+                    done => return done,
+                }
+            }
             if !is_unknown && !self.shared.health.may_try() {
                 return Outcome::NotStored;
             }
@@ -171,6 +180,54 @@
     }
 }
 
+fn job_write(key: JobKey, job: &Job) -> Write {
+    Write {
+        expected: vec![(Key::Job(key), Revision(0))],
+        puts: vec![own_put(Key::Job(key), records::encode(job))],
+        removes: Vec::new(),
+    }
+}
+
+fn cancel_write(key: JobKey, job: Revision) -> Write {
+    Write {
+        expected: vec![(Key::Job(key), job)],
+        puts: vec![own_put(Key::Cancel(key), Vec::new())],
+        removes: Vec::new(),
+    }
+}
+
+/// Stores a job by one call, for another node.
+pub(crate) async fn store_job_once<P: Platform>(
+    shared: &Shared<P>,
+    key: JobKey,
+    job: &Job,
+) -> Outcome {
+    commit_once(shared, job_write(key, job)).await
+}
+
+/// Stores a cancel by one call, for another node.
+pub(crate) async fn store_cancel_once<P: Platform>(shared: &Shared<P>, key: JobKey) -> Outcome {
+    let found = shared.platform.get(Key::Job(key)).await;
+    shared.counters.store_reads.add(1);
+    shared.health.note(&found);
+    match found {
+        Ok(Some(item)) => commit_once(shared, cancel_write(key, item.revision)).await,
+        Ok(None) => Outcome::NoSuchJob,
+        Err(_) => Outcome::NotStored,
+    }
+}
+
+async fn commit_once<P: Platform>(shared: &Shared<P>, write: Write) -> Outcome {
+    let result = shared.platform.commit(write).await;
+    shared.counters.store_writes.add(1);
+    shared.health.note(&result);
+    match result {
+        Ok(_) | Err(StoreError::Conflict(_)) => Outcome::Stored,
+        Err(err) if err.is_undone() => Outcome::NotStored,
+        Err(_) => Outcome::Unknown,
+    }
+}
+
 fn own_put(key: Key, bytes: Vec<u8>) -> Put {
     Put {
         key,
