--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -149,6 +149,8 @@
     next_tried: usize,
     /// When executors are weighed again by how many fillers seek them.
     weigh_at: Timestamp,
+    /// Room abounds, so that fillers do not wait long for headroom.
+    has_slack: bool,
     /// When steps that wait for headroom are tried again.
     retry_at: Timestamp,
     effects: Vec<Effect>,
@@ -180,6 +182,7 @@
             must_place: false,
             next_tried: 0,
             weigh_at: Timestamp(0),
+            has_slack: false,
             retry_at: Timestamp(0),
             effects: Vec::new(),
         };
--- a/crates/guavacart_jobs/src/state/placing.rs
+++ b/crates/guavacart_jobs/src/state/placing.rs
@@ -5,7 +5,7 @@
 use guavacart_types::{Resources, Span};
 use smol_str::SmolStr;
 
-use super::{State, Timer, interference::ImageId, pacing::is_calm};
+use super::{State, Timer, fleet::Executor, interference::ImageId, pacing::is_calm};
 use crate::{PoolName, RunNumber, Step, StepKey, Ticket};
 
 /// Factor on a step's estimate for which it waits for the rack of its data.
@@ -44,8 +44,13 @@
     image: ImageId,
     /// Executors on which runs failed are taken as well.
     takes_struck: bool,
+    /// So are those whose serving tasks are not expected to bear another filler.
+    takes_strained: bool,
 }
 
+/// Time for which fillers wait for headroom where room abounds; then they start where most headroom is
+/// left, and are slowed there. Under load they wait for as long as it takes.
+const HELD_BACK_AT_MOST: Span = Span::millis(1_500);
 /// Pause until the next pass while steps wait for headroom of serving tasks.
 const HELD_BACK_RETRY: Span = Span::millis(150);
 /// Headroom from which more makes an executor no better for a filler.
@@ -250,7 +255,9 @@
         step: &'a Step,
         rack: Option<SmolStr>,
     ) -> Option<Wanted<'a>> {
-        let rules = self.rules(self.jobs.get(&key.job)?);
+        let entry = self.jobs.get(&key.job)?;
+        let waited = self.now.since(entry.state(key)?.ready_since);
+        let rules = self.rules(entry);
         let is_on = self.configuration.has_pool_on(&rules.pool);
         is_on.then(|| Wanted {
             key,
@@ -261,6 +268,7 @@
             rack,
             image: self.interference.known(step.image.as_ref()),
             takes_struck: false,
+            takes_strained: self.has_slack && waited >= HELD_BACK_AT_MOST,
         })
     }
 
@@ -283,11 +291,7 @@
         let step = wanted.step;
         let spares = step.is_filler
             && (executor.spares_until > self.now
-                || !is_calm(executor.expected_headroom(
-                    &self.interference,
-                    wanted.image,
-                    step.size.processors.0,
-                )));
+                || !(wanted.takes_strained || self.bears_one_more(executor, wanted)));
         let is_struck = executor.struck_until > self.now && !wanted.takes_struck;
         if spares || is_struck || !self.takes_orders(x) {
             return false;
@@ -313,6 +317,12 @@
         !wanted.has_advice || self.ticket(x, wanted.key).is_some()
     }
 
+    /// True if the serving tasks there are expected to bear one more filler of the step.
+    fn bears_one_more(&self, executor: &Executor, wanted: &Wanted<'_>) -> bool {
+        let wish = wanted.step.size.processors.0;
+        is_calm(executor.expected_headroom(&self.interference, wanted.image, wish))
+    }
+
     /// Fillers go where they find most processors unused and tails far from their targets. Serving
     /// tasks keep to executors of their own image, so that fillers that do not disturb it have a place.
     /// The others go where least would stay free.
--- a/crates/guavacart_jobs/src/state/scarcity.rs
+++ b/crates/guavacart_jobs/src/state/scarcity.rs
@@ -12,6 +12,8 @@
 
 /// Slope up to which a serving image bears a filler image; those seen lie well below or well above.
 const BORNE_SLOPE: f32 = 3.0;
+/// Part of the processors in use, in percent, under which room abounds.
+const SLACK_PERCENT: u64 = 60;
 /// How long the weights are kept.
 const KEPT_FOR: Span = Span::millis(250);
 /// Part of the load that seeks an executor that counts as if it were there, in percent.
@@ -24,6 +26,7 @@
             return;
         }
         self.weigh_at = self.now + KEPT_FOR;
+        self.has_slack = self.finds_slack();
         let demands = self.filler_demands();
         let mut sought = vec![0.0_f32; self.fleet.len()];
         for (image, demand) in demands {
@@ -39,6 +42,17 @@
         }
     }
 
+    /// True if a good part of the executors' processors is neither committed nor wished for.
+    fn finds_slack(&self) -> bool {
+        let usable = (0..self.fleet.len()).filter(|x| self.is_usable(*x));
+        let (taken, all) = usable.fold((0, 0), |(taken, all), x| {
+            let executor = &self.fleet[x];
+            let here = executor.used.processors.0 + executor.filler_wish;
+            (taken + here, all + executor.capacity.processors.0)
+        });
+        taken * 100 < all * SLACK_PERCENT
+    }
+
     /// Processors that the fillers of each image wish for, those that wait included.
     fn filler_demands(&self) -> BTreeMap<ImageId, u64> {
         let mut demands = BTreeMap::new();
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -15,10 +15,16 @@
     Accelerators, ByteSize, Epoch, Incarnation, Processors, Resources, Span, Timestamp,
 };
 
+use smol_str::SmolStr;
+
 use site::{bounds, configuration, rules};
 
 /// Time until an order is answered.
 const ANSWER_MS: u64 = 2;
+/// Processors of each executor, in thousandths.
+const CAPACITY: u64 = 8_000;
+/// Headroom of undisturbed serving tasks.
+const UNDISTURBED: f32 = 2.5;
 /// Longest step of the rig's time.
 const MAX_STEP_MS: u64 = 100;
 
@@ -47,6 +53,10 @@
     silent: BTreeSet<ExecutorId>,
     refusing: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
+    /// Shares that runs were told to work at, in percent.
+    paces: BTreeMap<(ExecutorId, TaskKey), u8>,
+    /// Headroom that a serving image loses to a whole executor of a filler image.
+    slopes: BTreeMap<(SmolStr, SmolStr), f32>,
     /// Ends with their executors; none is forgotten.
     ended: Vec<(ExecutorId, RunEnded)>,
     jobs: Vec<(JobKey, Job)>,
@@ -86,18 +96,19 @@
     job(vec![step(1)])
 }
 
-fn registration(index: usize) -> Registration {
+/// An executor's entry; its id is one of its labels.
+fn registration(index: usize, id: &ExecutorId) -> Registration {
     Registration {
         pool: "pool".into(),
         address: ([127, 0, 0, 1], 1_000 + u16::try_from(index).expect("few")).into(),
         is_draining: false,
         drain_left: None,
         capacity: Resources {
-            processors: Processors(8_000),
+            processors: Processors(CAPACITY),
             memory: ByteSize::gib(16),
             accelerators: Accelerators(0),
         },
-        labels: vec!["a".into(), "r1".into()],
+        labels: vec!["a".into(), "r1".into(), id.0.clone()],
         incarnation: Some(Incarnation(7)),
     }
 }
@@ -137,7 +148,7 @@
                 .collect(),
             cancelled: Vec::new(),
             executors: listed
-                .map(|(x, id)| (id.clone(), registration(x)))
+                .map(|(x, id)| (id.clone(), registration(x, id)))
                 .collect(),
             fleet: kept.fleet.clone(),
             waves: Vec::new(),
@@ -156,6 +167,8 @@
             silent: BTreeSet::new(),
             refusing: BTreeMap::new(),
             running,
+            paces: BTreeMap::new(),
+            slopes: BTreeMap::new(),
             ended: Vec::new(),
             jobs,
             kept,
@@ -213,6 +226,39 @@
         self.ended.push((started.executor.clone(), end));
     }
 
+    /// Lets fillers of an image disturb serving tasks of another from now on.
+    pub(crate) fn disturb(&mut self, serving: &str, filler: &str, slope: f32) {
+        self.slopes.insert((serving.into(), filler.into()), slope);
+    }
+
+    /// Response times of a serving task over its target, as its executor reports them.
+    pub(crate) fn tail_over_target(&self, executor: &str, task: TaskKey) -> f32 {
+        let id = ExecutorId::from(executor);
+        let image = self.step_of(task).image.clone().unwrap_or_default();
+        let lost = self.running.keys().filter(|(x, _)| *x == id);
+        let lost = lost.map(|(x, other)| {
+            let step = self.step_of(*other);
+            let filler = step.image.clone().unwrap_or_default();
+            let slope = self.slopes.get(&(image.clone(), filler)).copied();
+            let pace = self.paces.get(&(x.clone(), *other)).copied().unwrap_or(100);
+            let share = step.size.processors.0 as f32 / CAPACITY as f32;
+            slope.unwrap_or_default() * share * f32::from(pace) / 100.0
+        });
+        1.0 / (UNDISTURBED - lost.sum::<f32>()).max(0.1)
+    }
+
+    /// The share that a run was last told to work at, in percent.
+    pub(crate) fn pace(&self, executor: &str, task: TaskKey) -> u8 {
+        let key = (ExecutorId::from(executor), task);
+        self.paces.get(&key).copied().unwrap_or(100)
+    }
+
+    fn step_of(&self, task: TaskKey) -> &Step {
+        let job = self.jobs.iter().find(|(key, _)| *key == task.step.job);
+        let (_, job) = job.expect("a job that was accepted");
+        &job.steps[usize::from(task.step.step)]
+    }
+
     fn failure_of(&self, executor: &ExecutorId) -> Option<OrderFailure> {
         let is_silent = self.silent.contains(executor);
         let silent = is_silent.then_some(OrderFailure::NoAnswer);
@@ -322,6 +368,22 @@
                     },
                 }
             }
+            Effect::Pace {
+                target,
+                task,
+                run,
+                percent,
+                ..
+            } => {
+                self.paces.insert((target.id.clone(), task), percent);
+                Event::Paced {
+                    executor: target.id,
+                    task,
+                    run,
+                    percent,
+                    result: Ok(()),
+                }
+            }
             _ => return None,
         })
     }
@@ -331,12 +393,19 @@
             return Err(OrderFailure::NoAnswer);
         }
         let here = self.running.iter().filter(|((x, _), _)| x == id);
-        let running = here.map(|((_, task), run)| RunListed {
-            task: *task,
-            run: *run,
-            checkpoint: "".into(),
-            percent: 50,
-            usage: Some(2_000),
+        let running = here.map(|((_, task), run)| {
+            let step = self.step_of(*task);
+            let tail = step.tail_target.map(|target| {
+                let tail = self.tail_over_target(&id.0, *task) * target.0 as f32;
+                tail as u64
+            });
+            RunListed {
+                task: *task,
+                run: *run,
+                checkpoint: "".into(),
+                percent: if tail.is_some() { 100 } else { 50 },
+                usage: Some(tail.unwrap_or(2_000)),
+            }
         });
         let ended = self.ended.iter().filter(|(x, _)| x == id);
         let ended = ended.map(|(_, end)| end);
