--- a/crates/guavacart_node/src/node.rs
+++ b/crates/guavacart_node/src/node.rs
@@ -82,6 +82,7 @@
         }
     }
     task::spawn_local(watching::operator(Rc::clone(&shared)));
+    task::spawn_local(watching::probe(Rc::clone(&shared)));
     let submitter = Rc::new(Submitter {
         shared: Rc::clone(&shared),
         links: Rc::clone(&links),
--- a/crates/guavacart_node/src/shared.rs
+++ b/crates/guavacart_node/src/shared.rs
@@ -13,9 +13,6 @@
 
 use crate::{NodeSettings, StoreError, clock, metrics::Counters, owner::Owner, ports::Platform};
 
-/// Time between two trials of a store that does not serve.
-const STORE_TRIAL: Span = Span::millis(200);
-
 /// Who is believed to own.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Leader {
@@ -80,7 +77,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
     failing_since: Cell<Option<Timestamp>>,
-    next_trial: Cell<Timestamp>,
+    lost: Notify,
 }
 
 impl StoreHealth {
@@ -93,9 +90,8 @@
         let since = self.failing_since.get();
         match (is_failing, since) {
             (true, None) => {
-                let now = clock::now();
-                self.failing_since.set(Some(now));
-                self.next_trial.set(now + STORE_TRIAL);
+                self.failing_since.set(Some(clock::now()));
+                self.lost.notify_one();
                 tracing::warn!(event = "store_lost", "the store does not serve this node");
             }
             (false, Some(since)) => {
@@ -107,22 +103,20 @@
         }
     }
 
+    /// Waits until the store no longer serves this node.
+    pub(crate) async fn lost(&self) {
+        self.lost.notified().await;
+    }
+
     /// How long the store has not served this node.
     pub(crate) fn failing(&self) -> Span {
         let since = self.failing_since.get();
         since.map_or(Span::ZERO, |since| clock::now().since(since))
     }
 
-    /// True if a write is worth trying now; while the store fails, one in each interval is.
-    pub(crate) fn may_try(&self) -> bool {
-        if self.failing_since.get().is_none() {
-            return true;
-        }
-        let now = clock::now();
-        if now < self.next_trial.get() {
-            return false;
-        }
-        self.next_trial.set(now + STORE_TRIAL);
-        true
+    /// True unless the store does not serve this node. Nothing of a submitter is sent to it then, since
+    /// its fate would not be known; reads find the store again.
+    pub(crate) fn serves(&self) -> bool {
+        self.failing_since.get().is_none()
     }
 }
--- a/crates/guavacart_node/src/submit.rs
+++ b/crates/guavacart_node/src/submit.rs
@@ -87,15 +87,14 @@
         let mut is_unknown = false;
         let mut is_asked = false;
         loop {
-            let is_failing = self.shared.health.failing() > Span::ZERO;
-            if is_failing && !std::mem::replace(&mut is_asked, true) {
+            if !self.shared.health.serves() && !std::mem::replace(&mut is_asked, true) {
                 match self.links.ask_to_store(for_owner()).await {
                     Outcome::NotStored => {}
                     Outcome::Unknown => is_unknown = true,
                     done => return done,
                 }
             }
-            if !is_unknown && !self.shared.health.may_try() {
+            if !is_unknown && !self.shared.health.serves() {
                 return Outcome::NotStored;
             }
             let left = (until - ANSWER_MARGIN).since(clock::now());
@@ -162,7 +161,7 @@
     async fn read(&self, key: Key, until: Timestamp) -> Result<Option<Item>, StoreError> {
         let mut refused = 0;
         loop {
-            if !self.shared.health.may_try() {
+            if !self.shared.health.serves() {
                 return Err(StoreError::NotSent);
             }
             let result = self.shared.platform.get(key).await;
@@ -218,6 +217,9 @@
 }
 
 async fn commit_once<P: Platform>(shared: &Shared<P>, write: Write) -> Outcome {
+    if !shared.health.serves() {
+        return Outcome::NotStored;
+    }
     let result = shared.platform.commit(write).await;
     shared.counters.store_writes.add(1);
     shared.health.note(&result);
--- a/crates/guavacart_node/src/watching.rs
+++ b/crates/guavacart_node/src/watching.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use tokio::time;
 
-use crate::{Content, Item, Platform, Space, StoreError, shared::Shared};
+use crate::{Content, Item, Key, Platform, Space, StoreError, shared::Shared};
 
 /// Longest wait of a watch; a connection that has gone silent is noticed soon after.
 const WATCH_WAIT: Span = Span::millis(1_500);
@@ -82,6 +82,21 @@
     }
 }
 
+/// Looks for the store while it does not serve this node, by reads that leave nothing in doubt.
+pub(crate) async fn probe<P: Platform>(shared: Rc<Shared<P>>) {
+    loop {
+        shared.health.lost().await;
+        while !shared.health.serves() {
+            let found = shared.platform.get(Key::Owner).await;
+            shared.counters.store_reads.add(1);
+            shared.health.note(&found);
+            if found.is_err() {
+                pause().await;
+            }
+        }
+    }
+}
+
 /// Follows the operator until the node ends.
 pub(crate) async fn operator<P: Platform>(shared: Rc<Shared<P>>) {
     let take = |items: Vec<Item>, _| {
