--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -12,6 +12,7 @@
 mod recalling;
 mod saving;
 mod scarcity;
+mod tails;
 mod upkeep;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -1,17 +1,14 @@
 //! Paces fillers so that serving tasks keep their tails, and finds tasks that stand still.
 
-use guavacart_types::{Span, Timestamp};
+use guavacart_types::Span;
 
 use super::{
     State, Timer,
     fleet::{Executor, Phase, Run},
-    headroom::Estimate,
     interference::{ImageId, Interference, Shares},
     placing::Taken,
 };
-use crate::{
-    Decision, Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, StepKey, TaskKey,
-};
+use crate::{Decision, Effect, ExecutorId, OrderFailure, Refusal, RunListed, RunNumber, TaskKey};
 
 /// Headroom over the target that is left to serving tasks, for what the model does not tell.
 const MARGIN: f32 = 0.08;
@@ -19,22 +16,12 @@
 const PLACING_MARGIN: f32 = 0.1;
 /// Standard deviations of a pair's slope that are added to it, so that little known pairs count more.
 const CAUTION: f32 = 0.3;
-/// Time for which headroom is looked for when a filler is placed; a usual filler's length.
-const PLACING_HORIZON: Span = Span::millis(2_500);
 /// Time after which an unchanged tail is a new one; tails are told each half second.
 const TAIL_PERIOD: Span = Span::millis(450);
-/// Time over which a reported tail is averaged, as the time constant of a mean that fades.
-const FELT_OVER: f32 = 250.0;
 /// Least headroom that is left to share out; keeps the order of fillers defined under overload.
 const LEAST_BUDGET: f32 = 0.05;
 /// Shares at which fillers work are multiples of this, in percent.
 const PACE_STEP: u8 = 10;
-/// Part of a millisecond by which a reported tail may be off, by rounding.
-const ROUNDING_MS: f32 = 0.3;
-/// Part of a reported tail by which it may be off otherwise.
-const ROUGHNESS: f32 = 0.0;
-/// Least tail that is told apart, in milliseconds.
-const LEAST_TAIL_MS: f32 = 0.5;
 /// Part of the time that a tail may be over its target after which all fillers beside it stand still.
 const HARM_PART: u64 = 3;
 /// Time in which an executor takes no more fillers once all of them stand still.
@@ -54,76 +41,7 @@
 /// Time from its start before a task's use is judged.
 const USE_SETTLES: Span = Span::millis(1_200);
 
-/// What the serving tasks of one step on an executor report.
-#[derive(Clone, Copy, Debug)]
-struct Reported {
-    step: StepKey,
-    image: ImageId,
-    /// Mean target over tail.
-    headroom: f32,
-    /// Variance of one of them.
-    variance: f32,
-    count: f32,
-}
-
 impl Executor {
-    /// What its serving tasks report, by step; only what is new if asked for.
-    fn reported(&self, is_new: bool) -> Vec<Reported> {
-        let mut reported: Vec<Reported> = Vec::new();
-        for (task, run) in &self.runs {
-            if is_new && !run.is_tail_new {
-                continue;
-            }
-            let (Some(target), Some(tail)) = (run.tail_target, run.tail_ms) else {
-                continue;
-            };
-            if run.percent < 100 {
-                continue;
-            }
-            let target = target.0 as f32;
-            let headroom = target / (tail as f32).max(LEAST_TAIL_MS);
-            let rounding = headroom * headroom / target.max(1.0) * ROUNDING_MS;
-            let off = rounding + headroom * ROUGHNESS;
-            match reported.iter_mut().find(|known| known.step == task.step) {
-                Some(known) => {
-                    known.count += 1.0;
-                    known.headroom += (headroom - known.headroom) / known.count;
-                }
-                None => reported.push(Reported {
-                    step: task.step,
-                    image: run.image,
-                    headroom,
-                    variance: off * off,
-                    count: 1.0,
-                }),
-            }
-        }
-        reported
-    }
-
-    /// Worst tail over its target, in percent.
-    fn worst_percent(&self) -> u64 {
-        let ratio = |run: &Run| Some(run.tail_ms? * 100 / run.tail_target?.0.max(1));
-        self.runs.values().filter_map(ratio).max().unwrap_or(0)
-    }
-
-    /// Brings the averaged shares up to date; called before fillers change and when tails are read.
-    pub(super) fn feel(&mut self, now: Timestamp) {
-        let span = now.since(self.felt_until).0 as f32;
-        self.felt_until = self.felt_until.max(now);
-        let kept = (-span / FELT_OVER).exp();
-        self.felt_shares
-            .iter_mut()
-            .for_each(|(_, share)| *share *= kept);
-        for (image, share) in &self.filler_shares {
-            let added = share * (1.0 - kept);
-            match self.felt_shares.iter_mut().find(|(felt, _)| felt == image) {
-                Some((_, felt)) => *felt += added,
-                None => self.felt_shares.push((*image, added)),
-            }
-        }
-    }
-
     /// Part of this executor that a filler of that size takes at a pace.
     pub(super) fn share(&self, wish: u64, pace: u8) -> f32 {
         let capacity = self.capacity.processors.0.max(1) as f32;
@@ -290,46 +208,6 @@
         });
     }
 
-    /// Learns from the tails that an executor has just reported.
-    fn learn(&mut self, x: usize) {
-        let now = self.now;
-        if !self.fleet[x].serves() {
-            return;
-        }
-        self.fleet[x].feel(now);
-        let reported = self.fleet[x].reported(true);
-        let felt = &self.fleet[x].felt_shares;
-        for row in &reported {
-            let lost = self.interference.estimate(row.image, felt);
-            let before = self.headrooms.now(now, row.step, row.image);
-            let own = Estimate {
-                mean: row.headroom + lost.mean,
-                variance: lost.variance + row.variance,
-            };
-            self.headrooms.take(now, row.step, row.image, own);
-            let taken = Estimate {
-                mean: before.mean - row.headroom,
-                variance: before.variance + row.variance,
-            };
-            self.interference.learn(row.image, taken, felt);
-        }
-        let runs = self.fleet[x].runs.values_mut();
-        runs.for_each(|run| run.is_tail_new = false);
-        let outlook = |row: Reported| {
-            let outlook = self
-                .headrooms
-                .within(now, row.step, row.image, PLACING_HORIZON);
-            (row.image, outlook)
-        };
-        let reported = self.fleet[x].reported(false).into_iter();
-        let outlooks: Vec<(ImageId, f32)> = reported.map(outlook).collect();
-        for serving in &mut self.fleet[x].serving_images {
-            let mine = outlooks.iter().filter(|(image, _)| *image == serving.image);
-            let least = mine.map(|(_, outlook)| *outlook).min_by(f32::total_cmp);
-            serving.outlook = least.unwrap_or(serving.outlook);
-        }
-    }
-
     /// Shares out the headroom that serving tasks can spare among the images of the fillers; those
     /// that disturb least for what they work come first.
     fn plan_paces(&self, x: usize) -> Vec<(ImageId, u8)> {
