Leave owning to nodes on larger machines for a moment

On the grown sites machines have 0.12 to 0.5 cores and 10 to 200 Mbit/s, and one owner serves 490 executors.

--- a/crates/guavacart_node/src/election.rs
+++ b/crates/guavacart_node/src/election.rs
@@ -7,7 +7,7 @@
 use tokio::{task, time};
 
 use crate::{
-    Content, Item, Key, LeaseId, Platform, Put, StoreError, Value, Write, clock,
+    Content, Item, Key, LeaseId, NodeSize, Platform, Put, StoreError, Value, Write, clock,
     links::Links,
     owner::{Owner, Renewal},
     records::{self, OwnerRecord},
@@ -27,6 +27,12 @@
 const LEAST_LOOK: u64 = 120;
 /// Greatest such pause; jittered so that nodes do not try as one.
 const GREATEST_LOOK: u64 = 320;
+/// Processors, in cores, from which a machine carries an owner of some hundred executors.
+const OWNER_PROCESSORS: f64 = 0.2;
+/// Link, in Mbit/s, from which it does.
+const OWNER_LINK_MBPS: f64 = 50.0;
+/// Time that nodes on smaller machines leave to the others; a look at the owner's key and a take-over.
+const SMALL_NODE_PATIENCE: Span = Span::millis(700);
 /// Trials to read everything before the lease is given back.
 const TRIALS_TO_BEGIN: usize = 3;
 
@@ -37,6 +43,9 @@
         if shared.is_stopping.get() {
             break;
         }
+        if is_small(shared.settings.size) && leaves_it_to_larger(&links).await {
+            continue;
+        }
         let (heard, unconfirmed) = links.heard();
         tracing::info!(
             event = "owner_silent",
@@ -75,6 +84,19 @@
     }
 }
 
+/// True if one owner's work is likely to be too much for the machine.
+fn is_small(size: NodeSize) -> bool {
+    size.processors < OWNER_PROCESSORS || size.link_mbps < OWNER_LINK_MBPS
+}
+
+/// Lets larger nodes try first; true if one of them was heard to own meanwhile.
+async fn leaves_it_to_larger<P: Platform>(links: &Links<P>) -> bool {
+    let (before, _) = links.heard();
+    time::sleep(SMALL_NODE_PATIENCE.into()).await;
+    let (heard, unconfirmed) = links.heard();
+    heard > before && unconfirmed < LEASE
+}
+
 async fn follow_or_replace<P: Platform>(shared: &Rc<Shared<P>>, links: &Rc<Links<P>>, item: Item) {
     let epoch = Epoch(item.revision.0);
     let record: Option<OwnerRecord> = match &item.content {
--- a/crates/guavacart_node/src/lib.rs
+++ b/crates/guavacart_node/src/lib.rs
@@ -20,6 +20,6 @@
 pub use metrics::Counters;
 pub use node::{NodeError, run};
 pub use ports::{
-    BodyError, Content, Item, JobBody, Key, LeaseId, NodeSettings, Platform, Put, Space,
+    BodyError, Content, Item, JobBody, Key, LeaseId, NodeSettings, NodeSize, Platform, Put, Space,
     StoreError, Value, Write,
 };
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -237,6 +237,15 @@
     }
 }
 
+/// What a node's machine has.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeSize {
+    /// Processors, in cores.
+    pub processors: f64,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
 /// What a node is told at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -256,6 +265,8 @@
     pub grace: Span,
     /// Shortest lease of the store.
     pub min_lease: Span,
+    /// What its machine has.
+    pub size: NodeSize,
     /// Bounds that scheduling keeps to.
     pub bounds: guavacart_jobs::Bounds,
 }
