Tell what a pair of images costs, and what a write has come to, in one place each

Found in the last read of the change: the choice of an executor and the plan of paces each built a one-entry list of shares to ask what one filler image costs, on the hot path, and each added the same caution to it; the submitter's loop and the write for a peer mapped the store's results to outcomes twice; the floor of an image was looked up in two ways. No change of behaviour intended; sums differ by rounding only.

--- a/crates/guavacart_jobs/src/state/headroom.rs
+++ b/crates/guavacart_jobs/src/state/headroom.rs
@@ -141,8 +141,8 @@
         self.floors.insert(image, floor);
     }
 
-    pub(super) fn floor(&self, image: ImageId) -> f32 {
-        self.floors.get(&image).copied().unwrap_or(FIRST_FLOOR)
+    fn floor(&self, image: ImageId) -> f32 {
+        self.learned_floor(image).unwrap_or(FIRST_FLOOR)
     }
 
     /// Drops what is known of a job's tasks.
--- a/crates/guavacart_jobs/src/state/interference.rs
+++ b/crates/guavacart_jobs/src/state/interference.rs
@@ -144,14 +144,21 @@
         shares.iter().map(lost).sum()
     }
 
-    /// The same, with how sure that is.
+    /// The headroom that a serving task loses to a share of one filler image, with how sure that is.
+    pub(super) fn lost_to(&self, serving: ImageId, filler: ImageId, share: f32) -> Estimate {
+        let slopes = self.serving.get(&serving);
+        let row = slopes.and_then(|slopes| slopes.covariance.get(filler.at()));
+        let variance = row.map_or(SLOPE_DEVIATION * SLOPE_DEVIATION, |row| row[filler.at()]);
+        Estimate {
+            mean: self.slope(serving, filler) * share,
+            variance: variance * share * share,
+        }
+    }
+
+    /// The headroom that it loses to fillers with these shares, with how sure that is.
     pub(super) fn estimate(&self, serving: ImageId, shares: &Shares) -> Estimate {
-        let variance = |(filler, share): &(ImageId, f32)| {
-            let slopes = self.serving.get(&serving);
-            let row = slopes.and_then(|slopes| slopes.covariance.get(filler.at()));
-            let variance = row.map_or(SLOPE_DEVIATION * SLOPE_DEVIATION, |row| row[filler.at()]);
-            variance * share * share
-        };
+        let variance =
+            |(filler, share): &(ImageId, f32)| self.lost_to(serving, *filler, *share).variance;
         Estimate {
             mean: self.lost(serving, shares),
             variance: shares.iter().map(variance).sum(),
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -5,6 +5,7 @@
 use super::{
     State, Timer,
     fleet::{Executor, Phase, Run},
+    headroom::Estimate,
     interference::{ImageId, Interference, Shares},
     placing::Taken,
 };
@@ -68,11 +69,10 @@
         filler: ImageId,
         wish: u64,
     ) -> f32 {
-        let more: Shares = vec![(filler, self.share(wish, 100))];
+        let share = self.share(wish, 100);
         let expected = self.serving_images.iter().map(|serving| {
             let here = model.lost(serving.image, &self.filler_shares);
-            let added = model.estimate(serving.image, &more);
-            serving.outlook - here - added.mean - CAUTION * added.variance.sqrt()
+            serving.outlook - here - cautious(model.lost_to(serving.image, filler, share))
         });
         expected.fold(f32::INFINITY, f32::min)
     }
@@ -83,6 +83,11 @@
     }
 }
 
+/// The headroom that counts as lost: somewhat more where little is known of the pair.
+fn cautious(lost: Estimate) -> f32 {
+    lost.mean + CAUTION * lost.variance.sqrt()
+}
+
 /// True if serving tasks with that headroom keep their targets.
 pub(super) fn is_calm(headroom: f32) -> bool {
     headroom >= 1.0 + PLACING_MARGIN
@@ -223,9 +228,7 @@
             }
         }
         let slope = |serving: ImageId, filler: ImageId| {
-            let unit: Shares = vec![(filler, 1.0)];
-            let told = self.interference.estimate(serving, &unit);
-            told.mean + CAUTION * told.variance.sqrt()
+            cautious(self.interference.lost_to(serving, filler, 1.0))
         };
         let mut wishes: Vec<(ImageId, f32, f32)> = Vec::new();
         for run in executor.runs.values().filter(|run| run.is_filler) {
--- a/crates/guavacart_node/src/submit.rs
+++ b/crates/guavacart_node/src/submit.rs
@@ -103,10 +103,10 @@
             let result = result.unwrap_or(Err(StoreError::NoAnswer));
             self.shared.counters.store_writes.add(1);
             self.shared.health.note(&result);
-            match result {
-                Ok(_) | Err(StoreError::Conflict(_)) => return Outcome::Stored,
-                Err(err) if err.is_undone() => refused += 1,
-                Err(_) => is_unknown = true,
+            match outcome_of(&result) {
+                Outcome::NotStored => refused += 1,
+                Outcome::Unknown => is_unknown = true,
+                done => return done,
             }
             let is_late = clock::now() + ANSWER_MARGIN + RETRY_PAUSE >= until;
             if !is_unknown && (refused >= MAX_REFUSED || is_late) {
@@ -223,6 +223,11 @@
     let result = shared.platform.commit(write).await;
     shared.counters.store_writes.add(1);
     shared.health.note(&result);
+    outcome_of(&result)
+}
+
+/// What a write has come to; a conflict means that it stands already.
+fn outcome_of(result: &Result<Revision, StoreError>) -> Outcome {
     match result {
         Ok(_) | Err(StoreError::Conflict(_)) => Outcome::Stored,
         Err(err) if err.is_undone() => Outcome::NotStored,
