Bound the work of placement and of lease timers

At 890 executors an owner that ran late fell further behind with each event.

Change: a step compares executors once and then only the one that took a task; a step that needs no less than one that found no room in the pass is skipped; passes are spaced so that at most 200 comparisons a millisecond are made on average; an executor has one lease timer, which sets itself again. Tests play full executors with hundreds of waiting steps and count comparisons.

--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -1,6 +1,7 @@
 //! The reducer: one owner's state of jobs and executors, updated by events.
 
 mod advice;
+mod candidates;
 mod demand;
 mod executors;
 mod headroom;
@@ -25,6 +26,7 @@
     JobProgress, LearnedInterference, MaintenanceWave, QueueName, QueuePolicy, Registration,
     StepKey,
 };
+use candidates::PassWork;
 use executors::Executor;
 use headroom::Headrooms;
 use holds::Orphan;
@@ -105,6 +107,8 @@
     pub usable_executors: usize,
     /// Steps with tasks that wait for resources.
     pub ready_steps: usize,
+    /// Comparisons of an executor with the requirements of a step, since the owner began.
+    pub placement_checks: u64,
 }
 
 /// What to do when a timer expires. A `usize` is the index of an executor in [`State::executors`].
@@ -153,6 +157,7 @@
     interference: Interference,
     headrooms: Headrooms,
     needs_placement: bool,
+    pass_work: PassWork,
     /// Where the next pass starts among the steps that are tried in rotation.
     rotation_offset: usize,
     /// When the best-effort load expected on each executor is computed again.
@@ -188,6 +193,7 @@
             interference: Interference::default(),
             headrooms: Headrooms::default(),
             needs_placement: false,
+            pass_work: PassWork::default(),
             rotation_offset: 0,
             next_demand_update: Timestamp(0),
             has_slack: false,
@@ -258,8 +264,12 @@
             Event::MaintenanceAnswered { machine, result } => self.on_maintenance(&machine, result),
         }
         self.run_timers();
-        if std::mem::take(&mut self.needs_placement) {
+        if self.needs_placement && self.pass_work.next_pass_at <= self.now {
+            self.needs_placement = false;
             self.place();
+        } else if self.needs_placement {
+            self.timers
+                .insert((self.pass_work.next_pass_at, Timer::Place));
         }
         self.flush_if_due();
         std::mem::take(&mut self.effects)
@@ -300,6 +310,7 @@
                 .filter(|x| self.is_usable(*x))
                 .count(),
             ready_steps: self.ready.len(),
+            placement_checks: self.pass_work.checks,
         }
     }
 
--- /dev/null
+++ b/crates/guavacart_jobs/src/state/candidates.rs
@@ -0,0 +1,172 @@
+//! Keeps the work of a placement pass small: executors are compared once per step, steps that need
+//! no less than one that found no room are skipped, and passes are spaced by the work they take.
+
+use std::collections::BinaryHeap;
+
+use guavacart_types::{Resources, Span, Timestamp};
+use smol_str::SmolStr;
+
+use super::{
+    State,
+    interference::ImageId,
+    placement::{Requirements, Reservations, Score},
+};
+use crate::PoolName;
+
+/// Comparisons of an executor with the requirements of a step that passes may make, on average,
+/// per millisecond.
+const CHECKS_PER_MS: u64 = 200;
+
+/// Executors that can run a task of one step, best first.
+#[derive(Debug)]
+pub(super) struct Candidates {
+    by_score: BinaryHeap<(Score, usize)>,
+}
+
+/// What the passes cost, and what the current pass has found.
+#[derive(Debug, Default)]
+pub(super) struct PassWork {
+    /// Requirements that no executor meets in the current pass. A pass only takes room, so that
+    /// they are not met later in the pass either.
+    unmet: Vec<Unmet>,
+    checks_in_pass: u64,
+    /// Comparisons of executors with requirements in all passes.
+    pub(super) checks: u64,
+    /// The next pass starts at this time or later.
+    pub(super) next_pass_at: Timestamp,
+}
+
+/// The part of a step's requirements that decides whether another step needs at least as much.
+#[derive(Debug)]
+struct Unmet {
+    pool: PoolName,
+    size: Resources,
+    /// Image and processor demand of a best-effort step.
+    best_effort: Option<(ImageId, u64)>,
+    label: Option<SmolStr>,
+    rack: Option<SmolStr>,
+    allows_penalized: bool,
+    allows_low_headroom: bool,
+}
+
+impl Unmet {
+    /// The record of unmet requirements; `None` if they depend on more than an executor's room, so
+    /// that they say nothing about other steps.
+    fn of(requirements: &Requirements<'_>) -> Option<Self> {
+        let step = requirements.step;
+        let is_general = step.max_per_executor.is_none() && !requirements.has_advice;
+        is_general.then(|| Self {
+            pool: requirements.pool.clone(),
+            size: requirements.size,
+            best_effort: best_effort_of(requirements),
+            label: step.required_label.clone(),
+            rack: requirements.rack.clone(),
+            allows_penalized: requirements.allows_penalized,
+            allows_low_headroom: requirements.allows_low_headroom,
+        })
+    }
+
+    /// True if a step with these requirements needs at least as much.
+    fn covers(&self, requirements: &Requirements<'_>) -> bool {
+        let is_same_kind = match (self.best_effort, best_effort_of(requirements)) {
+            (None, None) => true,
+            (Some((image, demand)), Some((other_image, other_demand))) => {
+                image == other_image && demand <= other_demand
+            }
+            _ => false,
+        };
+        is_same_kind
+            && self.pool == requirements.pool
+            && self.size.fits_in(&requirements.size)
+            && (self.label.is_none() || self.label == requirements.step.required_label)
+            && (self.rack.is_none() || self.rack == requirements.rack)
+            && (self.allows_penalized || !requirements.allows_penalized)
+            && (self.allows_low_headroom || !requirements.allows_low_headroom)
+    }
+}
+
+fn best_effort_of(requirements: &Requirements<'_>) -> Option<(ImageId, u64)> {
+    let step = requirements.step;
+    step.is_best_effort
+        .then_some((requirements.image, step.resources.processors.0))
+}
+
+impl PassWork {
+    /// Begins a pass.
+    pub(super) fn begin(&mut self) {
+        self.unmet.clear();
+        self.checks_in_pass = 0;
+    }
+
+    /// Ends a pass, and sets the time of the next one by the work of this one.
+    pub(super) fn end(&mut self, now: Timestamp) {
+        self.checks += self.checks_in_pass;
+        self.next_pass_at = now + Span(self.checks_in_pass / CHECKS_PER_MS);
+    }
+
+    pub(super) fn count(&mut self, checks: usize) {
+        self.checks_in_pass += u64::try_from(checks).unwrap_or(u64::MAX);
+    }
+
+    /// True if a step that needs no more has found no executor in this pass.
+    pub(super) fn is_unmet(&self, requirements: &Requirements<'_>) -> bool {
+        self.unmet.iter().any(|unmet| unmet.covers(requirements))
+    }
+
+    /// Records that no executor meets the requirements in this pass.
+    pub(super) fn record_unmet(&mut self, requirements: &Requirements<'_>) {
+        self.unmet.extend(Unmet::of(requirements));
+    }
+}
+
+impl Candidates {
+    /// The best executor, or the best apart from `avoid` if there is another.
+    pub(super) fn best(&mut self, avoid: Option<usize>) -> Option<usize> {
+        let (_, best) = *self.by_score.peek()?;
+        if Some(best) != avoid {
+            return Some(best);
+        }
+        let avoided = self.by_score.pop()?;
+        let other = self.by_score.peek().map(|(_, x)| *x);
+        self.by_score.push(avoided);
+        Some(other.unwrap_or(best))
+    }
+}
+
+impl State {
+    /// Compares all executors with the requirements of a step.
+    pub(super) fn candidates(&mut self, requirements: &Requirements<'_>) -> Candidates {
+        self.pass_work.count(self.executors.len());
+        let nothing_reserved = Reservations::new();
+        let fitting =
+            (0..self.executors.len()).filter(|x| self.fits(*x, requirements, &nothing_reserved));
+        let scored = fitting.map(|x| (self.score(x, requirements.step, requirements.image), x));
+        Candidates {
+            by_score: scored.collect(),
+        }
+    }
+
+    /// Compares executor `x` again after a task was placed there; no other executor has changed.
+    pub(super) fn update_candidate(
+        &mut self,
+        candidates: &mut Candidates,
+        x: usize,
+        requirements: &Requirements<'_>,
+    ) {
+        self.pass_work.count(1);
+        let fits = self.fits(x, requirements, &Reservations::new());
+        let score = self.score(x, requirements.step, requirements.image);
+        let is_best = candidates
+            .by_score
+            .peek()
+            .is_some_and(|(_, best)| *best == x);
+        if is_best {
+            candidates.by_score.pop();
+        } else {
+            candidates.by_score.retain(|(_, other)| *other != x);
+        }
+        if fits {
+            candidates.by_score.push((score, x));
+        }
+    }
+}
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -117,6 +117,8 @@
     pub(super) has_seen_epoch: bool,
     /// Latest deadline that the executor may have been given, on its clock.
     pub(super) lease_end_ms: u64,
+    /// When the lease is checked next; the time of the executor's `LeaseExpiry` timer.
+    pub(super) lease_check_at: Option<Timestamp>,
     /// Number of the last run end that was received.
     pub(super) last_received_end: u64,
     /// Number of the last run end that is stored.
@@ -178,6 +180,7 @@
             clock: None,
             has_seen_epoch: false,
             lease_end_ms: 0,
+            lease_check_at: None,
             last_received_end: 0,
             last_stored_end: 0,
             last_acknowledged_end: 0,
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -118,20 +118,26 @@
         self.set_lease_timer(x);
     }
 
-    /// Sets the timer for the time when the executor's lease has expired by the slowest allowed
-    /// clock.
+    /// Makes sure that the executor's lease is checked when it has expired by the slowest allowed
+    /// clock. A check that is due earlier stays, since it sets the timer again.
     pub(super) fn set_lease_timer(&mut self, x: usize) {
         let at = if self.executors[x].clock.is_none() && self.unreconciled.contains(&x) {
             Some(self.earlier_leases_expire_at())
         } else {
             self.executors[x].lease_expires_at()
         };
-        if let Some(at) = at {
-            self.timers
-                .retain(|(_, timer)| *timer != Timer::LeaseExpiry(x));
-            self.timers
-                .insert((at.max(self.now + Span(1)), Timer::LeaseExpiry(x)));
+        let Some(at) = at.map(|at| at.max(self.now + Span(1))) else {
+            return;
+        };
+        let known = self.executors[x].lease_check_at;
+        if known.is_some_and(|known| known <= at) {
+            return;
+        }
+        if let Some(known) = known {
+            self.timers.remove(&(known, Timer::LeaseExpiry(x)));
         }
+        self.executors[x].lease_check_at = Some(at);
+        self.timers.insert((at, Timer::LeaseExpiry(x)));
     }
 
     /// When every lease that an earlier owner extended has expired.
@@ -141,6 +147,7 @@
 
     /// Marks all runs of the executor lost if its lease has expired.
     pub(super) fn check_lease_expiry(&mut self, x: usize) {
+        self.executors[x].lease_check_at = None;
         let executor = &self.executors[x];
         let is_over = if executor.clock.is_none() {
             self.now >= self.earlier_leases_expire_at()
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -34,21 +34,24 @@
     step: StepKey,
 }
 
+/// How well an executor suits a task; the greatest is the best.
+pub(super) type Score = (i64, i64, i64);
+
 /// What an executor must offer for the tasks of a step.
 pub(super) struct Requirements<'a> {
     key: StepKey,
-    step: &'a Step,
+    pub(super) step: &'a Step,
     /// Resources that one task reserves.
-    size: Resources,
-    pool: PoolName,
-    has_advice: bool,
-    rack: Option<SmolStr>,
-    image: ImageId,
+    pub(super) size: Resources,
+    pub(super) pool: PoolName,
+    pub(super) has_advice: bool,
+    pub(super) rack: Option<SmolStr>,
+    pub(super) image: ImageId,
     /// Executors with a penalty for failed runs are allowed.
-    allows_penalized: bool,
+    pub(super) allows_penalized: bool,
     /// Executors are allowed even if one more best-effort task would take too much headroom from
     /// their service tasks.
-    allows_low_headroom: bool,
+    pub(super) allows_low_headroom: bool,
 }
 
 /// Time for which best-effort tasks wait for headroom while processors are plentiful. After this
@@ -73,6 +76,12 @@
         if self.ready.is_empty() {
             return;
         }
+        self.pass_work.begin();
+        self.place_in_order();
+        self.pass_work.end(self.now);
+    }
+
+    fn place_in_order(&mut self) {
         self.update_expected_loads();
         let mut ranks: Vec<Rank> = self
             .ready
@@ -163,6 +172,10 @@
         let Some(mut requirements) = self.requirements(key, &step, rack) else {
             return;
         };
+        if !step.is_long_running && self.pass_work.is_unmet(&requirements) {
+            return;
+        }
+        let mut candidates = self.candidates(&requirements);
         for index in waiting {
             let task =
                 &self.jobs[&key.job].steps[&(key.occurrence, key.step)].tasks[usize::from(index)];
@@ -170,17 +183,20 @@
                 continue;
             }
             let (avoid, last_run) = (task.avoid, task.last_run);
-            let mut chosen = self.choose_executor(&requirements, avoid, &Reservations::new());
-            if chosen.is_none() && step.is_long_running {
+            let mut chosen = candidates.best(avoid);
+            if chosen.is_none() && step.is_long_running && !requirements.allows_penalized {
                 requirements.allows_penalized = true;
-                chosen = self.choose_executor(&requirements, avoid, &Reservations::new());
+                candidates = self.candidates(&requirements);
+                chosen = candidates.best(avoid);
             }
             let Some(x) = chosen else {
+                self.pass_work.record_unmet(&requirements);
                 break;
             };
             let run = self.next_run(last_run);
             let ticket = self.ticket(x, key);
             self.start_run(x, key.task(index), run, ticket);
+            self.update_candidate(&mut candidates, x, &requirements);
         }
     }
 
@@ -196,10 +212,14 @@
         let Some(requirements) = self.requirements(key, step, rack) else {
             return;
         };
+        if self.pass_work.is_unmet(&requirements) {
+            return;
+        }
         let mut reservations = Reservations::new();
         let mut chosen = Vec::with_capacity(usize::from(step.task_count));
         for index in 0..step.task_count {
-            let Some(x) = self.choose_executor(&requirements, None, &reservations) else {
+            self.pass_work.count(self.executors.len());
+            let Some(x) = self.choose_executor(&requirements, &reservations) else {
                 return;
             };
             let entry = reservations.entry(x).or_default();
@@ -283,21 +303,15 @@
         })
     }
 
-    /// The best executor for one task of the step, if any has room.
+    /// The best executor for one more member of a gang, if any has room.
     fn choose_executor(
         &self,
         requirements: &Requirements<'_>,
-        avoid: Option<usize>,
         reservations: &Reservations,
     ) -> Option<usize> {
         let candidates =
             (0..self.executors.len()).filter(|x| self.fits(*x, requirements, reservations));
-        candidates.max_by_key(|x| {
-            (
-                Some(*x) != avoid,
-                self.score(*x, requirements.step, requirements.image),
-            )
-        })
+        candidates.max_by_key(|x| self.score(*x, requirements.step, requirements.image))
     }
 
     /// True if the executor can run one more task of the step in addition to the reservations.
@@ -367,7 +381,7 @@
     /// targets. Service tasks prefer executors of their own image, so that best-effort tasks that do
     /// not disturb this image have executors to run on. Other tasks go where the least resources
     /// would stay free.
-    fn score(&self, x: usize, step: &Step, image: ImageId) -> (i64, i64, i64) {
+    pub(super) fn score(&self, x: usize, step: &Step, image: ImageId) -> Score {
         let executor = &self.executors[x];
         if step.is_best_effort {
             let demand = step.resources.processors.0;
--- /dev/null
+++ b/crates/guavacart_jobs/tests/pass_work.rs
@@ -0,0 +1,75 @@
+//! Tests of the work that placement takes when more tasks wait than fit.
+
+mod support;
+
+use guavacart_jobs::Step;
+use support::{Harness, job, step};
+
+/// Most comparisons of executors with steps per second, whatever the numbers of executors, waiting
+/// steps and run ends.
+const MAX_CHECKS_PER_S: u64 = 220_000;
+
+fn harness_of(executors: usize) -> Harness {
+    let ids: Vec<String> = (0..executors).map(|x| format!("e{x}")).collect();
+    Harness::new(&ids.iter().map(String::as_str).collect::<Vec<_>>())
+}
+
+/// Load: all executors are full, hundreds of steps wait, and hundreds of runs end each second.
+/// Guards against passes whose work grows with all three, so that an owner falls further behind
+/// the more it is late.
+#[test]
+fn placement_work_is_bounded_while_executors_are_full() {
+    let mut harness = harness_of(200);
+    for key in 1..=400 {
+        harness.accept(key, job(vec![step(4)]));
+    }
+    harness.run_for(1_000);
+    let before = harness.placement_checks();
+    for _ in 0..100 {
+        for _ in 0..8 {
+            let ended = harness.next_start().expect("the executors are full");
+            harness.complete_run(&ended);
+        }
+        harness.run_for(10);
+    }
+    harness.run_for(1_000);
+    let checks = harness.placement_checks() - before;
+    assert!(
+        checks <= 2 * MAX_CHECKS_PER_S,
+        "{checks} comparisons in 2 s"
+    );
+    let started = std::iter::from_fn(|| harness.next_start()).count();
+    assert_eq!(started, 800, "each place that became free is filled again");
+}
+
+/// Load: one wide step with room for all of its tasks. Guards against a comparison of all executors
+/// for each task.
+#[test]
+fn a_wide_step_compares_executors_once() {
+    let mut harness = harness_of(300);
+    let before = harness.placement_checks();
+    harness.accept(1, job(vec![step(200)]));
+    assert!(harness.placement_checks() - before <= 300 + 200);
+    harness.run_for(50);
+    let started = std::iter::from_fn(|| harness.next_start()).count();
+    assert_eq!(started, 200);
+}
+
+/// Load: steps that fit nowhere wait beside one that fits. Guards against a shortage of one kind
+/// that hides room for another.
+#[test]
+fn a_step_that_finds_no_room_hides_no_smaller_step() {
+    let mut harness = harness_of(3);
+    let mut large = step(1);
+    large.resources.processors.0 = 9_000;
+    harness.accept(1, job(vec![large]));
+    let label = Step {
+        required_label: Some("nowhere".into()),
+        ..step(1)
+    };
+    harness.accept(2, job(vec![label]));
+    harness.accept(3, job(vec![step(12)]));
+    harness.run_for(100);
+    let started = std::iter::from_fn(|| harness.next_start()).count();
+    assert_eq!(started, 12);
+}
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -218,15 +218,29 @@
         self.start_failures.insert(executor.into(), failure);
     }
 
+    /// Comparisons of executors with steps that the owner has made.
+    pub(crate) fn placement_checks(&self) -> u64 {
+        self.state.summary().placement_checks
+    }
+
+    /// Ends a run as done.
+    pub(crate) fn complete_run(&mut self, started: &StartedRun) {
+        self.end_run(started, RunOutcome::Done);
+    }
+
     /// Ends a run as failed.
     pub(crate) fn fail_run(&mut self, started: &StartedRun) {
+        self.end_run(started, RunOutcome::Failed);
+    }
+
+    fn end_run(&mut self, started: &StartedRun, outcome: RunOutcome) {
         let key = (started.executor.clone(), started.task);
         self.running.remove(&key);
         let end = EndedRun {
             number: u64::try_from(self.ended.len()).expect("few ends") + 1,
             task: started.task,
             run: started.run,
-            outcome: RunOutcome::Failed,
+            outcome,
             checkpoint: "".into(),
         };
         self.ended.push((started.executor.clone(), end));
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -93,6 +93,10 @@
             text.push_str(&format!("guavacart_open_jobs {}\n", summary.open_jobs));
             text.push_str(&format!("guavacart_runs {}\n", summary.runs));
             text.push_str(&format!("guavacart_ready_steps {}\n", summary.ready_steps));
+            text.push_str(&format!(
+                "guavacart_placement_checks {}\n",
+                summary.placement_checks
+            ));
             let usable = summary.usable_executors;
             text.push_str(&format!("guavacart_usable_executors {usable}\n"));
         }
