Log restarts of executors and the age of the ownership confirmation

The log could not tell the hypotheses apart: it named neither the incarnation of an executor nor how long the store had not confirmed an owner that starts a task or gives one up. placed and lost now carry unconfirmed_ms, and executor_restarted tells a new incarnation with the runs and acknowledged ends of the one before. No decision changes.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects that the reducer returns: orders to executors, writes to the store and log lines.
 
-use guavacart_types::{Epoch, Resources, Span};
+use guavacart_types::{Epoch, Incarnation, Resources, Span};
 use smol_str::SmolStr;
 
 use crate::{
@@ -163,6 +163,17 @@
         /// Evidence that the run is over.
         why: LossReason,
     },
+    /// An executor restarted under the same id; its runs are over and it has seen no epoch.
+    ExecutorRestarted {
+        /// Executor that restarted.
+        executor: ExecutorId,
+        /// Its new incarnation.
+        incarnation: Incarnation,
+        /// Runs of the earlier incarnation, and runs whose start may have reached the new one.
+        runs: usize,
+        /// Number up to which ends of the earlier incarnation were acknowledged.
+        acknowledged: u64,
+    },
     /// A run that this owner did not start was found on an executor and is kept.
     Adopted {
         /// Task of the run.
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -279,6 +279,12 @@
         if is_first {
             return;
         }
+        self.effects.push(Effect::Log(Decision::ExecutorRestarted {
+            executor: executor.id.clone(),
+            incarnation: report.incarnation,
+            runs: executor.runs.len(),
+            acknowledged: executor.last_acknowledged_end,
+        }));
         executor.clock = None;
         executor.lease_end_ms = 0;
         executor.last_received_end = 0;
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -1,11 +1,12 @@
 //! Writes the reducer's decisions as log lines.
 
 use guavacart_jobs::Decision;
-use guavacart_types::Epoch;
+use guavacart_types::{Epoch, Span};
 use tracing::{info, warn};
 
-/// Writes one decision as a log line.
-pub(crate) fn decision(epoch: Epoch, decision: &Decision) {
+/// Writes one decision as a log line; `unconfirmed_for` is the time since the store last confirmed
+/// the ownership lease.
+pub(crate) fn decision(epoch: Epoch, unconfirmed_for: Span, decision: &Decision) {
     let epoch = epoch.0;
     match decision {
         Decision::Placed {
@@ -17,6 +18,7 @@
         } => info!(
             event = "placed", %task, run = run.0, %executor, epoch,
             free_processors = free.processors.0, free_mib = free.memory.0 >> 20, age_ms = age.0,
+            unconfirmed_ms = unconfirmed_for.0,
         ),
         Decision::Ended {
             task,
@@ -29,7 +31,19 @@
             run,
             executor,
             why,
-        } => warn!(event = "lost", %task, run = run.0, %executor, epoch, ?why),
+        } => warn!(
+            event = "lost", %task, run = run.0, %executor, epoch, ?why,
+            unconfirmed_ms = unconfirmed_for.0,
+        ),
+        Decision::ExecutorRestarted {
+            executor,
+            incarnation,
+            runs,
+            acknowledged,
+        } => info!(
+            event = "executor_restarted", %executor, epoch, incarnation = incarnation.0, runs,
+            acknowledged,
+        ),
         Decision::Adopted {
             task,
             run,
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -310,7 +310,9 @@
         let owner = Rc::clone(self);
         let platform = self.shared.platform.clone();
         match effect {
-            Effect::Log(decision) => log::decision(self.epoch, &decision),
+            Effect::Log(decision) => {
+                log::decision(self.epoch, self.unconfirmed_for(), &decision);
+            }
             Effect::StepDown => self.step_down("an executor has seen a greater epoch"),
             Effect::Hold(target, order) => {
                 self.shared.counters.holds.add(1);
