Acknowledge ended runs only to the incarnation that listed every run

What callers saw: a task ran again although its end had been acknowledged (TWICE).

Cause: an executor restarted under its id so soon that the clock in its answer to a start did not give the restart away (tolerance 1 s). The run counted as confirmed, ended in the new incarnation as end 1, and the next hold acknowledged the ends of the old incarnation up to 1. The executor dropped the unread end, its list named neither the run nor the end, and the task was started again. Class: a belief about an executor that rests on an answer which does not say who gave it.

Change: a run counts as confirmed for acknowledgements only once the list of the known incarnation names it, and a number is acknowledged once instead of with every hold, so that few calls carry one. An end costs at most one more hold where a start overlaps it.

Ruled out: a smaller clock tolerance, which answers under load exceed.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -43,6 +43,9 @@
     /// Set for service tasks.
     pub(super) tail_target: Option<Span>,
     pub(super) phase: Phase,
+    /// Incarnation of the executor that has listed the run. An answer to a start does not name the
+    /// incarnation that gave it.
+    pub(super) listed_by: Option<Incarnation>,
     /// Deadline in the start order, on the executor's clock.
     pub(super) deadline_ms: u64,
     /// When the start was ordered, or when the hold that listed an adopted run was sent.
@@ -242,14 +245,23 @@
         }
     }
 
-    /// True if holds may acknowledge run ends: the known incarnation answers, and the start of
-    /// every run is confirmed, so that no unanswered order can have produced an unread run end.
-    pub(super) fn may_acknowledge(&self) -> bool {
-        let is_confirmed = |run: &Run| matches!(run.phase, Phase::Running(_));
-        self.failed_holds == 0
+    /// The last stored run end, if the next hold is to acknowledge it; else 0.
+    ///
+    /// The executor's next incarnation numbers its run ends from 1 again, so that an
+    /// acknowledgement that reaches it would drop ends that were never read. Ends are therefore
+    /// acknowledged only once, and only if the known incarnation answers and has listed every run,
+    /// so that no start has reached a later incarnation.
+    pub(super) fn end_to_acknowledge(&self) -> u64 {
+        let is_listed = |run: &Run| run.listed_by.is_some() && run.listed_by == self.incarnation;
+        let may_acknowledge = self.failed_holds == 0
             && self.has_seen_epoch
             && !self.is_clock_suspect
-            && self.runs.values().all(is_confirmed)
+            && self.runs.values().all(is_listed);
+        if may_acknowledge && self.last_stored_end > self.last_acknowledged_end {
+            self.last_stored_end
+        } else {
+            0
+        }
     }
 
     /// When the executor's lease has expired, even by the slowest allowed clock.
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -96,12 +96,7 @@
             (true, true) => TAIL_HOLD_TIMEOUT,
             (true, false) => HOLD_TIMEOUT,
         };
-        // Another incarnation may answer, and it numbers its run ends from 1 again.
-        let acknowledged = if executor.may_acknowledge() {
-            executor.last_stored_end
-        } else {
-            0
-        };
+        let acknowledged = executor.end_to_acknowledge();
         if must_wait {
             executor.long_poll_hold = Some(acknowledged);
         } else {
@@ -301,6 +296,7 @@
 
     fn apply_listed_run(&mut self, x: usize, sent: Timestamp, listed: &ListedRun) {
         let now = self.now;
+        let incarnation = self.executors[x].incarnation;
         let Some(run) = self.executors[x].runs.get_mut(&listed.task) else {
             self.apply_unknown_run(x, sent, listed);
             return;
@@ -312,6 +308,7 @@
             Phase::Running(since) => since,
             Phase::Sent | Phase::Unanswered => now,
         });
+        run.listed_by = incarnation;
         run.percent = listed.percent;
         if !listed.checkpoint.is_empty() {
             run.checkpoint = Some(listed.checkpoint.clone());
@@ -326,7 +323,7 @@
             return;
         }
         if !self.jobs.contains_key(&listed.task.step.job) {
-            let run = self.run_from_list(listed, sent);
+            let run = self.run_from_list(x, listed, sent);
             // The size of the run is not known yet, so that all free resources are reserved for it.
             let free = self.executors[x].free();
             self.executors[x].add(
@@ -353,7 +350,7 @@
             .jobs
             .get(&listed.task.step.job)
             .is_some_and(|entry| !entry.is_over());
-        let run = self.run_from_list(listed, sent);
+        let run = self.run_from_list(x, listed, sent);
         self.executors[x].add(self.now, listed.task, run);
         if !(is_free && is_open) {
             self.stop_run(x, listed.task, "its task is over or runs elsewhere");
@@ -369,7 +366,7 @@
     }
 
     /// Creates a run that this owner did not start from its list entry.
-    fn run_from_list(&mut self, listed: &ListedRun, sent: Timestamp) -> Run {
+    fn run_from_list(&mut self, x: usize, listed: &ListedRun, sent: Timestamp) -> Run {
         let image = self.spec(listed.task).and_then(|step| step.image.clone());
         let image = self.interference.register_image(image.as_ref());
         let spec = self.spec(listed.task);
@@ -380,6 +377,7 @@
             is_best_effort: spec.is_some_and(|step| step.is_best_effort),
             tail_target: spec.and_then(|step| step.tail_target),
             phase: Phase::Running(sent),
+            listed_by: self.executors[x].incarnation,
             deadline_ms: 0,
             since: sent,
             stop: None,
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -42,6 +42,7 @@
             is_best_effort: step.is_best_effort,
             tail_target: step.tail_target,
             phase: Phase::Sent,
+            listed_by: None,
             deadline_ms,
             since: self.now,
             stop: None,
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -44,6 +44,17 @@
     run_seed(5_057, crashes);
 }
 
+/// Guards against the loss of an ended run where the restarted executor's clock is close to that of
+/// the incarnation before.
+#[test]
+fn an_end_is_not_acknowledged_unread_after_a_restart_that_the_clock_hides() {
+    let crashes = Faults {
+        executor_crashes: 4,
+        ..Faults::default()
+    };
+    run_seed(40_458, crashes);
+}
+
 /// Guards against a job that two owners start. An owner that can reach neither the store nor other
 /// nodes receives a job that its successor starts too.
 #[test]
