Start runs only on executors seen before the ownership was last confirmed

What callers saw: a task ran again although its end had been acknowledged (TWICE).

Cause: an owner that was superseded without noticing, since it reached neither the store nor an executor that knew the newer epoch, got a first report from an executor that had restarted. Such an executor has seen no epoch and accepts any. The owner started a task there that its successor had completed and acknowledged. Class: ownership that is believed as long as nobody contradicts it.

Change: an executor gets runs once the store has confirmed the ownership lease after the executor's current incarnation first reported. Whoever takes over later finds that executor in the record, asks it first and thereby fences the earlier owner. The reducer asks for a renewal when it needs one (at most every 20 ms), so that a take-over and a restart cost one call to the store instead of up to 300 ms.

Ruled out: stopping all starts while the lease is unconfirmed, which would stall everything in each outage of the store.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -58,6 +58,8 @@
     ListMachines,
     /// Take a machine down for maintenance. The answer is [`crate::Event::MaintenanceAnswered`].
     BeginMaintenance(MaintenanceOrder),
+    /// Renew the ownership lease now. The answer is [`crate::Event::OwnershipConfirmed`].
+    ConfirmOwnership,
     /// Stop acting as the owner, because an owner with a greater epoch exists.
     StepDown,
     /// Write a log line about a decision.
--- a/crates/guavacart_jobs/src/event.rs
+++ b/crates/guavacart_jobs/src/event.rs
@@ -13,6 +13,12 @@
 pub enum Event {
     /// Time has passed; due timers are run.
     Tick,
+    /// The store confirmed a renewal of the ownership lease.
+    OwnershipConfirmed {
+        /// When the renewal was sent, on the owner's monotonic clock. No other owner had taken over
+        /// before this time.
+        at: Timestamp,
+    },
     /// The operator's configuration was read.
     ConfigurationRead(Configuration),
     /// An executor's entry in the store was read; `None` if the entry was removed or describes no
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -11,6 +11,7 @@
 mod learned;
 mod maintenance;
 mod orders;
+mod ownership;
 mod pacing;
 mod placement;
 mod saving;
@@ -34,6 +35,7 @@
 use jobs::JobEntry;
 pub use jobs::MAX_UNCONFIRMED_ACCEPT_TIME;
 use maintenance::Maintenance;
+use ownership::Ownership;
 use saving::Saving;
 
 /// Longest time between two holds to an executor that runs nothing; keeps the reading of its clock
@@ -133,6 +135,7 @@
     epoch: Epoch,
     bounds: Bounds,
     owner_since: Timestamp,
+    ownership: Ownership,
     now: Timestamp,
     unix_ms: u64,
     configuration: Configuration,
@@ -176,6 +179,7 @@
             epoch: snapshot.epoch,
             bounds,
             owner_since: at.now,
+            ownership: Ownership::unconfirmed(),
             now: at.now,
             unix_ms: at.unix_ms,
             rules: rules_by_name(&snapshot.configuration),
@@ -228,6 +232,7 @@
         self.unix_ms = at.unix_ms;
         match event {
             Event::Tick => {}
+            Event::OwnershipConfirmed { at } => self.on_ownership_confirmed(at),
             Event::ConfigurationRead(configuration) => self.on_configuration(configuration),
             Event::ExecutorEntryRead(id, registration) => self.on_registration(&id, registration),
             Event::JobAccepted(key, job) => self.add_job(key, *job, JobProgress::default(), false),
@@ -272,6 +277,7 @@
                 .insert((self.pass_work.next_pass_at, Timer::Place));
         }
         self.flush_if_due();
+        self.request_awaited_confirmation();
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -118,6 +118,8 @@
     pub(super) clock: Option<(u64, Timestamp)>,
     /// The current incarnation has seen this owner's epoch.
     pub(super) has_seen_epoch: bool,
+    /// When the current incarnation first showed that it has seen this owner's epoch.
+    pub(super) epoch_seen_at: Timestamp,
     /// Latest deadline that the executor may have been given, on its clock.
     pub(super) lease_end_ms: u64,
     /// When the lease is checked next; the time of the executor's `LeaseExpiry` timer.
@@ -182,6 +184,7 @@
             incarnation: None,
             clock: None,
             has_seen_epoch: false,
+            epoch_seen_at: now,
             lease_end_ms: 0,
             lease_check_at: None,
             last_received_end: 0,
@@ -449,6 +452,7 @@
             return false;
         };
         executor.has_seen_epoch
+            && self.ownership.is_confirmed_since(executor.epoch_seen_at)
             && executor.is_recorded
             && !registration.is_draining
             && !executor.is_machine_draining
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -234,9 +234,14 @@
         }
         executor.last_report_at = self.now;
         executor.is_clock_suspect = false;
-        if std::mem::take(&mut executor.failed_holds) > 0 || !executor.has_seen_epoch {
-            executor.has_seen_epoch = true;
-            self.needs_placement = true;
+        let is_reachable_again = std::mem::take(&mut executor.failed_holds) > 0;
+        let is_new = !std::mem::replace(&mut executor.has_seen_epoch, true);
+        if is_new {
+            executor.epoch_seen_at = self.now;
+        }
+        self.needs_placement |= is_reachable_again || is_new;
+        if is_new {
+            self.await_confirmation();
         }
         for end in &report.ended {
             if end.number > self.executors[x].last_received_end {
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -62,6 +62,13 @@
     run_seed(21_626, all_faults_combined());
 }
 
+/// Guards against a task that a superseded owner starts again on an executor that has restarted and
+/// forgotten the newer epoch.
+#[test]
+fn a_superseded_owner_starts_nothing_on_a_restarted_executor() {
+    run_seed(43_214, all_faults_combined());
+}
+
 fn all_faults_combined() -> Faults {
     Faults {
         owner_crashes: 2,
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -20,6 +20,8 @@
 
 const EXECUTOR_COUNT: usize = 5;
 const JOB_COUNT: u64 = 14;
+/// Time between two renewals of the ownership lease.
+const RENEWAL_INTERVAL_MS: u64 = 300;
 /// Time at which faults and submissions end.
 const FAULTS_END_MS: u64 = 30_000;
 /// Time at which the simulation ends; all jobs must have ended before.
@@ -84,6 +86,8 @@
     CrashExecutor(usize),
     RestartExecutor(usize),
     DisconnectExecutor(usize),
+    /// The store confirms the ownership of the newest owner.
+    ConfirmOwnership,
     /// Executors end their runs if their lease has expired.
     ExpireLeases,
 }
@@ -172,6 +176,7 @@
             simulation.schedule_at_random(SimEvent::DisconnectExecutor(index));
         }
         simulation.schedule(100, SimEvent::ExpireLeases);
+        simulation.schedule(RENEWAL_INTERVAL_MS, SimEvent::ConfirmOwnership);
         simulation
     }
 
@@ -274,6 +279,15 @@
                 self.executors[index].unreachable_until =
                     self.now + self.rng.random_range(500..9_000);
             }
+            SimEvent::ConfirmOwnership => {
+                if self.now >= self.store.unavailable_until {
+                    let at = Timestamp(self.now);
+                    let newest = self.owners.len() - 1;
+                    let confirmed = Event::OwnershipConfirmed { at };
+                    self.schedule(self.now + 4, SimEvent::Deliver(newest, confirmed));
+                }
+                self.schedule(self.now + RENEWAL_INTERVAL_MS, SimEvent::ConfirmOwnership);
+            }
             SimEvent::ExpireLeases => {
                 let now = self.now;
                 self.executors
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -27,6 +27,8 @@
 const CAPACITY_MILLICORES: u64 = 8_000;
 /// Headroom of service tasks without best-effort tasks beside them.
 const UNDISTURBED_HEADROOM: f32 = 2.5;
+/// Time between two confirmations of the ownership lease.
+const RENEWAL_INTERVAL_MS: u64 = 300;
 /// Longest time between two ticks of the owner.
 const MAX_CLOCK_STEP_MS: u64 = 100;
 
@@ -49,6 +51,9 @@
 pub(crate) struct Harness {
     state: State,
     now: u64,
+    /// True while the store does not confirm the ownership lease.
+    is_store_unreachable: bool,
+    next_renewal_at: u64,
     /// Time by which the owner's time of day is behind.
     clock_lag_ms: u64,
     executors: Vec<ExecutorId>,
@@ -168,6 +173,8 @@
         let mut harness = Self {
             state,
             now,
+            is_store_unreachable: false,
+            next_renewal_at: now,
             clock_lag_ms,
             executors,
             unresponsive: BTreeSet::new(),
@@ -214,6 +221,11 @@
         self.unresponsive.insert(executor.clone());
     }
 
+    /// Sets whether renewals of the ownership lease stay without an answer.
+    pub(crate) fn set_store_unreachable(&mut self, is_store_unreachable: bool) {
+        self.is_store_unreachable = is_store_unreachable;
+    }
+
     pub(crate) fn fail_starts_on(&mut self, executor: &str, failure: OrderFailure) {
         self.start_failures.insert(executor.into(), failure);
     }
@@ -320,6 +332,13 @@
                     self.apply(event);
                 }
             }
+            if self.now >= self.next_renewal_at {
+                self.next_renewal_at = self.now + RENEWAL_INTERVAL_MS;
+                self.pending.insert(
+                    (self.now + ANSWER_DELAY_MS, usize::MAX),
+                    (self.now, Effect::ConfirmOwnership),
+                );
+            }
             self.apply(Event::Tick);
         }
     }
@@ -348,6 +367,8 @@
     fn answer(&mut self, sent: u64, effect: Effect) -> Option<Event> {
         let sent = Timestamp(sent);
         Some(match effect {
+            Effect::ConfirmOwnership if self.is_store_unreachable => return None,
+            Effect::ConfirmOwnership => Event::OwnershipConfirmed { at: sent },
             Effect::Save(order) => {
                 if let Some(executors_with_runs) = order.executors_with_runs {
                     self.stored.executors_with_runs = executors_with_runs;
--- a/crates/guavacart_node/src/election.rs
+++ b/crates/guavacart_node/src/election.rs
@@ -19,6 +19,8 @@
 const OWNER_LEASE: Span = Span::millis(1_200);
 /// How often the owner renews its lease.
 const RENEWAL_INTERVAL: Span = Span::millis(300);
+/// Shortest pause between two renewals; limits those that the reducer requests.
+const MIN_RENEWAL_INTERVAL: Span = Span::millis(20);
 /// Pause after a renewal without an answer.
 const RENEWAL_RETRY_PAUSE: Span = Span::millis(150);
 /// Time without a heartbeat after which a node reads the owner's key in the store; three heartbeat
@@ -201,7 +203,11 @@
     let renewals = async {
         let mut pause = RENEWAL_INTERVAL;
         loop {
-            time::sleep(pause.into()).await;
+            time::sleep(MIN_RENEWAL_INTERVAL.into()).await;
+            tokio::select! {
+                () = time::sleep(pause.saturating_sub(MIN_RENEWAL_INTERVAL).into()) => {}
+                () = owner.renewal_requested() => {}
+            }
             pause = match owner.renew().await {
                 Renewal::Confirmed => RENEWAL_INTERVAL,
                 Renewal::Unanswered => RENEWAL_RETRY_PAUSE,
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -66,6 +66,8 @@
     deferred: RefCell<Vec<(JobKey, Box<Job>)>>,
     /// Signalled when the time of the next tick may have changed, or the term has ended.
     reschedule_tick: Notify,
+    /// Signalled when the lease is to be renewed without waiting for the next regular renewal.
+    renew_now: Notify,
     ended: Notify,
     saved_revisions: SavedRevisions,
     advice_lock: Mutex<()>,
@@ -117,11 +119,13 @@
             unreported_job_at: Cell::new(clock::now()),
             deferred: RefCell::new(Vec::new()),
             reschedule_tick: Notify::new(),
+            renew_now: Notify::new(),
             ended: Notify::new(),
             saved_revisions: SavedRevisions::new(revisions),
             advice_lock: Mutex::new(()),
         });
         owner.execute(effects);
+        owner.apply(Event::OwnershipConfirmed { at: confirmed_at });
         task::spawn_local(Rc::clone(&owner).tick());
         task::spawn_local(Rc::clone(&owner).follow_executors(executors.1));
         task::spawn_local(Rc::clone(&owner).follow_inbox(inbox.1));
@@ -156,7 +160,10 @@
         self.shared.counters.store_renewals.add(1);
         self.shared.health.record(&result);
         match result {
-            Ok(()) => self.confirmed_at.set(sent_at),
+            Ok(()) => {
+                self.confirmed_at.set(sent_at);
+                self.apply(Event::OwnershipConfirmed { at: sent_at });
+            }
             Err(StoreError::LeaseNotFound) => return Renewal::LeaseExpired,
             Err(err) => {
                 tracing::debug!(event = "renewal_failed", cause = %err);
@@ -169,6 +176,11 @@
         Renewal::Confirmed
     }
 
+    /// Waits until the reducer needs a confirmation of the lease.
+    pub(crate) async fn renewal_requested(&self) {
+        self.renew_now.notified().await;
+    }
+
     /// Ends the term; runs continue under the next owner.
     pub(crate) fn step_down(&self, why: &'static str) {
         if self.is_active.replace(false) {
@@ -313,6 +325,7 @@
             Effect::Log(decision) => {
                 log::decision(self.epoch, self.unconfirmed_for(), &decision);
             }
+            Effect::ConfirmOwnership => self.renew_now.notify_one(),
             Effect::StepDown => self.step_down("an executor has seen a greater epoch"),
             Effect::Hold(target, order) => {
                 self.shared.counters.holds.add(1);
