Let no owner extend leases past what its successor waits for

Cause: a new owner considers an executor that it cannot reach free 6.4 s after its take-over, but a superseded owner that neither the store nor a fenced executor had told so went on extending that executor's lease for as long as the executor answered. Class: a lapse believed by a bound that nobody kept.

Evidence: the test fails before: the earlier owner's lease lasts until 34,863 ms, its successor starts the task again at 9,019 ms.

Change: leases and starts end a longest lease and 1 s after the store last confirmed the ownership; the successor waits for that time by the slowest clock (7.6 s instead of 6.4 s, only for executors that it cannot reach). An outage of the store of up to 7 s is bridged without a lapsed run; in a longer one the runs end.

Ruled out: extending on the word of other instances that they do not reach the store either; a partition between the store and most instances looks the same to them.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -17,7 +17,7 @@
 /// Part of the longest lease that an order requests, in percent; the rest allows for a slow answer.
 const LEASE_PERCENT: u64 = 75;
 /// Slowest rate of an executor's clock, in percent of true time, with a margin of 1.
-const SLOWEST_CLOCK_PERCENT: u64 = 97;
+pub(super) const SLOWEST_CLOCK_PERCENT: u64 = 97;
 /// Largest difference between the expected and the actual clock reading that slow answers can
 /// explain.
 const CLOCK_TOLERANCE: Span = Span::millis(1_000);
@@ -331,9 +331,14 @@
 
 impl State {
     /// Returns the deadline for an order to the executor and extends the lease assumed for it to
-    /// this deadline. `None` if the executor's clock is not known.
+    /// this deadline. `None` if the executor's clock is not known, or if the ownership has not been
+    /// confirmed for so long that leases may not be extended.
     pub(super) fn extend_lease(&mut self, x: usize) -> Option<u64> {
         let lease = Span(self.bounds.max_lease.0 * LEASE_PERCENT / 100);
+        let lease = lease.min(self.leases_may_last_until().since(self.now));
+        if lease == Span::ZERO {
+            return None;
+        }
         let executor = &mut self.executors[x];
         let deadline = executor.clock_at(self.now)? + lease.0;
         executor.lease_end_ms = executor.lease_end_ms.max(deadline);
@@ -451,7 +456,8 @@
         let Some(registration) = &executor.registration else {
             return false;
         };
-        executor.has_seen_epoch
+        self.may_start_runs()
+            && executor.has_seen_epoch
             && self.ownership.is_confirmed_since(executor.epoch_seen_at)
             && executor.is_recorded
             && !registration.is_draining
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -28,10 +28,6 @@
 /// Time in which the job of a listed run becomes known; the owner reads the inbox of accepted jobs
 /// in the store within this time.
 const UNKNOWN_JOB_TIMEOUT: Span = Span::millis(2_500);
-/// Added to the longest lease when waiting for the leases of an earlier owner to expire, for orders
-/// that were still on their way.
-const EARLIER_LEASE_MARGIN: Span = Span::millis(400);
-
 /// The end of a run whose job is not known yet.
 #[derive(Debug)]
 pub(super) struct Orphan {
@@ -135,11 +131,6 @@
         self.timers.insert((at, Timer::LeaseExpiry(x)));
     }
 
-    /// When every lease that an earlier owner extended has expired.
-    fn earlier_leases_expire_at(&self) -> Timestamp {
-        self.owner_since + self.bounds.max_lease + EARLIER_LEASE_MARGIN
-    }
-
     /// Marks all runs of the executor lost if its lease has expired.
     pub(super) fn check_lease_expiry(&mut self, x: usize) {
         self.executors[x].lease_check_at = None;
--- a/crates/guavacart_jobs/src/state/ownership.rs
+++ b/crates/guavacart_jobs/src/state/ownership.rs
@@ -5,11 +5,19 @@
 //! executor without that memory, therefore waits until the store has confirmed the ownership lease
 //! after the observation.
 
-use guavacart_types::Timestamp;
+use guavacart_types::{Span, Timestamp};
 
-use super::State;
+use super::{State, executors::SLOWEST_CLOCK_PERCENT};
 use crate::Effect;
 
+/// Time by which an owner without confirmation may extend executors' leases past the longest lease;
+/// bridges an outage of the store.
+const MAX_OUTAGE_EXTENSION: Span = Span::millis(1_000);
+/// Added to the time that earlier owners' leases last, for orders that were still on their way.
+const EARLIER_LEASE_MARGIN: Span = Span::millis(400);
+/// Shortest lease with which a run is started.
+const MIN_START_LEASE: Span = Span::millis(1_000);
+
 /// What is known of the ownership lease.
 #[derive(Debug)]
 pub(super) struct Ownership {
@@ -39,6 +47,25 @@
 }
 
 impl State {
+    /// Time until which executors' leases may last. The next owner takes over after the last
+    /// confirmation of this one, and counts on this time for executors that it cannot reach.
+    pub(super) fn leases_may_last_until(&self) -> Timestamp {
+        self.ownership.confirmed_at + self.bounds.max_lease + MAX_OUTAGE_EXTENSION
+    }
+
+    /// When every lease that an earlier owner extended has expired, even by the slowest allowed
+    /// clock.
+    pub(super) fn earlier_leases_expire_at(&self) -> Timestamp {
+        let longest = self.bounds.max_lease + MAX_OUTAGE_EXTENSION;
+        let by_slowest_clock = Span(longest.0 * 100 / SLOWEST_CLOCK_PERCENT);
+        self.owner_since + by_slowest_clock + EARLIER_LEASE_MARGIN
+    }
+
+    /// True if executors' leases can be extended far enough for new runs.
+    pub(super) fn may_start_runs(&self) -> bool {
+        self.now + MIN_START_LEASE <= self.leases_may_last_until()
+    }
+
     /// Records that the store confirmed a renewal of the ownership lease that was sent at `at`.
     pub(super) fn on_ownership_confirmed(&mut self, at: Timestamp) {
         let ownership = &mut self.ownership;
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -80,3 +80,31 @@
     );
     assert!(next.next_start().is_none(), "the task was started again");
 }
+
+/// Guards against a superseded owner that extends an executor's lease past the time at which its
+/// successor, which cannot reach the executor, considers the lease expired.
+#[test]
+fn an_owner_without_confirmation_extends_no_lease_past_what_its_successor_waits_for() {
+    let mut earlier = Harness::new(&["a", "b"]);
+    earlier.accept(1, one_task_job());
+    earlier.run_for(100);
+    let run = earlier.next_start().expect("the task is started");
+    let mut next = earlier.take_over();
+    next.stop_answering(&run.executor);
+    earlier.set_store_unreachable(true);
+    earlier.run_for(30_000);
+    next.run_for(30_000);
+    let deadline = |effect: &Effect| match effect {
+        Effect::Hold(_, order) => order.deadline_ms,
+        Effect::Start(_, order) => Some(order.deadline_ms),
+        _ => None,
+    };
+    let latest = earlier.effects().iter().filter_map(deadline).max();
+    let latest = latest.expect("leases were extended");
+    let again = next.next_start().expect("the task is started again");
+    assert!(
+        latest < again.started_at,
+        "the run's lease lasts until {latest} ms, its task was started again at {} ms",
+        again.started_at
+    );
+}
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -38,6 +38,7 @@
     pub(crate) executor: ExecutorId,
     pub(crate) task: TaskKey,
     pub(crate) run: RunNumber,
+    pub(crate) started_at: u64,
 }
 
 /// State in the store, other than jobs, that the next owner reads.
@@ -393,6 +394,7 @@
                         executor: target.id.clone(),
                         task: order.task,
                         run: order.run,
+                        started_at: self.now,
                     });
                 }
                 Event::StartAnswered {
