Start lost tasks again only once the ownership is confirmed after the loss

What callers saw: a task started again although its end had been acknowledged, or while it ran elsewhere (TWICE).

Cause: an owner that was superseded without noticing loses contact to executors, since they answer its successor, and considers their runs lapsed. The lapse follows from this owner's extensions only; the successor has extended the leases, or has read and acknowledged the ends. Class: a belief that rests on silence, here of executors and of the store together.

Change: a run that is considered over without a report of its end marks its task, which starts again once a renewal sent after that was confirmed. The reducer asks for that renewal at once. A refused start counts as reported.

Result: the new test fails without the condition and passes with it, as do all tests of the crate.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -495,6 +495,14 @@
             why,
         }));
         self.requeue_task(task, run.run, run.checkpoint);
+        // An executor that refuses a start has reported that the run is over.
+        if why != LossReason::NotStarted {
+            let now = self.now;
+            if let Some(task) = self.task_mut(task) {
+                task.lost_at = now;
+            }
+            self.await_confirmation();
+        }
         self.needs_placement = true;
     }
 
--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -75,6 +75,9 @@
     pub(super) avoid: Option<usize>,
     /// Earliest next start.
     pub(super) not_before: Timestamp,
+    /// When the last run was considered over without a report of its end. The next one starts once
+    /// the ownership has been confirmed since.
+    pub(super) lost_at: Timestamp,
 }
 
 impl JobEntry {
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -6,7 +6,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    State, Timer, executors::Executor, interference::ImageId, pacing::has_enough_headroom,
+    State, Timer, executors::Executor, interference::ImageId, jobs::Task,
+    pacing::has_enough_headroom,
 };
 use crate::{PoolName, RunNumber, Step, StepKey, Ticket};
 
@@ -179,7 +180,7 @@
         for index in waiting {
             let task =
                 &self.jobs[&key.job].steps[&(key.occurrence, key.step)].tasks[usize::from(index)];
-            if task.not_before > self.now {
+            if task.not_before > self.now || !self.ownership.is_confirmed_since(task.lost_at) {
                 continue;
             }
             let (avoid, last_run) = (task.avoid, task.last_run);
@@ -203,7 +204,8 @@
     /// Places all members of a gang, or none.
     fn place_gang(&mut self, key: StepKey, step: &Step) {
         let state = &self.jobs[&key.job].steps[&(key.occurrence, key.step)];
-        if state.waiting.len() != state.tasks.len() {
+        let may_start = |task: &Task| self.ownership.is_confirmed_since(task.lost_at);
+        if state.waiting.len() != state.tasks.len() || !state.tasks.iter().all(may_start) {
             return;
         }
         let last_run = state.tasks.iter().map(|task| task.last_run).max();
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -108,3 +108,33 @@
         again.started_at
     );
 }
+
+/// Guards against an owner that is superseded without noticing, loses contact to an executor, and
+/// starts the executor's tasks again although its successor has their ends.
+#[test]
+fn a_lapsed_run_is_not_started_again_before_the_ownership_is_confirmed() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(100);
+    let first = harness.next_start().expect("the task is started");
+    harness.run_for(2_500);
+    harness.stop_answering(&first.executor);
+    harness.run_for(500);
+    harness.set_store_unreachable(true);
+    harness.run_for(5_000);
+    let is_lapse = |effect: &Effect| {
+        let is_lapsed = |why: &LossReason| *why == LossReason::Lapsed;
+        matches!(effect, Effect::Log(Decision::Lost { why, .. }) if is_lapsed(why))
+    };
+    assert!(
+        harness.effects().iter().any(is_lapse),
+        "the lease never expired"
+    );
+    assert!(
+        harness.next_start().is_none(),
+        "started without confirmation"
+    );
+    harness.set_store_unreachable(false);
+    harness.run_for(400);
+    harness.next_start().expect("the task is started again");
+}
