Apply the lists of executors that answer late

Cause: an owner near the limit of its link or processor reads answers later than 350 ms. It dropped them and counted each hold as unanswered. With all answers late for over 4 s it extended no lease, considered the runs lapsed and started tasks again whose ends the executor had listed seconds before. The dropped answer also holds the only copy of a list that the executor counts as read. Class: a belief that rests on silence, where the silence is on our own side.

Change: a hold that is unanswered after 350 ms still counts as failed, so that retries and backoff stay as they were, but its answer is awaited for 4 s more and applied if no newer list has been. New calls to that executor open connections of their own meanwhile.

--- a/crates/guavacart_jobs/src/event.rs
+++ b/crates/guavacart_jobs/src/event.rs
@@ -39,6 +39,15 @@
         /// True if the hold let the executor wait for a run to end before it answered.
         is_long_poll: bool,
     },
+    /// An executor answered a hold that was reported as unanswered before.
+    LateReport {
+        /// Executor that the hold was for.
+        executor: ExecutorId,
+        /// When the hold was sent, on the owner's monotonic clock.
+        sent: Timestamp,
+        /// Report of the executor.
+        report: HoldReport,
+    },
     /// An executor answered a start, or the start failed.
     StartAnswered {
         /// Executor that the order was for.
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -243,6 +243,11 @@
                 report,
                 is_long_poll,
             } => self.on_hold_result(&executor, sent, report, is_long_poll),
+            Event::LateReport {
+                executor,
+                sent,
+                report,
+            } => self.on_late_report(&executor, sent, report),
             Event::StartAnswered {
                 executor,
                 task,
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -144,6 +144,8 @@
     pub(super) failed_holds: u32,
     /// When the last answer to a hold was applied.
     pub(super) last_report_at: Timestamp,
+    /// When the newest of the answered holds was sent.
+    pub(super) last_report_sent: Timestamp,
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Resources that are reserved for runs.
     pub(super) used: Resources,
@@ -196,6 +198,7 @@
             is_clock_suspect: false,
             failed_holds: 0,
             last_report_at: now,
+            last_report_sent: Timestamp(0),
             runs: BTreeMap::new(),
             used: Resources::default(),
             best_effort_shares: Shares::new(),
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -183,6 +183,19 @@
         }
     }
 
+    /// Applies a report that came after its hold was counted as failed, unless the report to a later
+    /// hold has been applied. It may name ends that the executor counts as read.
+    pub(super) fn on_late_report(&mut self, id: &ExecutorId, sent: Timestamp, report: HoldReport) {
+        let Some(&x) = self.by_id.get(id) else {
+            return;
+        };
+        if sent < self.executors[x].last_report_sent {
+            return;
+        }
+        self.apply_report(x, sent, 0, report);
+        self.hold_if_needed(x);
+    }
+
     fn hold_failed(&mut self, x: usize, failure: OrderFailure) {
         if failure == OrderFailure::Refused(RefusalReason::Fenced) {
             self.effects.push(Effect::StepDown);
@@ -224,6 +237,7 @@
             executor.lease_end_ms = report.clock_ms + self.bounds.max_lease.0;
         }
         executor.last_report_at = self.now;
+        executor.last_report_sent = executor.last_report_sent.max(sent);
         executor.is_clock_suspect = false;
         let is_reachable_again = std::mem::take(&mut executor.failed_holds) > 0;
         let is_new = !std::mem::replace(&mut executor.has_seen_epoch, true);
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -1,5 +1,6 @@
 //! The owner: runs the reducer and executes its effects.
 
+mod holds;
 mod saving;
 
 use std::{
@@ -329,18 +330,7 @@
             Effect::StepDown => self.step_down("an executor has seen a greater epoch"),
             Effect::Hold(target, order) => {
                 self.shared.counters.holds.add(1);
-                let is_long_poll = order.wait > Span::ZERO;
-                task::spawn_local(async move {
-                    let executor = target.id.clone();
-                    let sent = clock::now();
-                    let report = platform.hold(target, order).await;
-                    owner.apply(Event::HoldAnswered {
-                        executor,
-                        sent,
-                        report,
-                        is_long_poll,
-                    });
-                });
+                task::spawn_local(owner.hold(target, order));
             }
             Effect::Start(target, order) => {
                 self.shared.counters.starts.add(1);
