Wait for earlier owners' runs of jobs that become known late

What callers saw: two runs of one task at once (TWICE).

Cause: an owner accepts jobs for 1.2 s after its lease was last confirmed, and a stored job reaches the next owner up to an inbox poll later, but the next owner took jobs that it heard of 1.6 s after its take-over for its own. It started their tasks without asking the executors that it had not reached yet. Class: a bound that leaves out a delay of its own side.

Change: jobs that become known within 2.4 s of a take-over wait for all executors of the earlier owner; usually these have reported by then.

--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -13,10 +13,12 @@
 
 /// Run numbers that are reserved for a task in the epoch of one owner.
 const RUNS_PER_EPOCH: u64 = 10_000;
-/// Time after a takeover in which the earlier owner may still accept jobs: the time for which an
-/// owner accepts jobs without a confirmed lease, plus a margin for clocks and for an order on its
-/// way.
-const EARLIER_OWNER_ACCEPTANCE: Span = Span(MAX_UNCONFIRMED_ACCEPT_TIME.0 + 400);
+/// Time after a takeover in which a job may become known that the earlier owner has accepted: the
+/// time for which an owner accepts jobs without a confirmed lease, and the longest time until a
+/// stored job is read.
+const EARLIER_OWNER_ACCEPTANCE: Span = Span(MAX_UNCONFIRMED_ACCEPT_TIME.0 + MAX_JOB_DELAY.0);
+/// Longest time until a stored job is read: an interval of the node's inbox polls and a slow answer.
+const MAX_JOB_DELAY: Span = Span::millis(1_200);
 /// Time since the last confirmation of its lease after which an owner accepts no new jobs: a little
 /// over two renewals. Another node may be the owner after this time, and both would start the jobs.
 pub const MAX_UNCONFIRMED_ACCEPT_TIME: Span = Span::millis(1_200);
