Model executors that flap, partial partitions, frozen owners and store downtimes

The model stopped a superseded owner at its next save, and an executor was reached by all owners or by none, so that an earlier owner rarely acted beside its successor. It also restarted executors rarely.

New faults: executors that restart many times with short lives, executors that a part of the owners reaches, superseded owners that are cut off from the store, owners that are suspended for seconds, and a store that is down for seconds. The store confirms ownership every 300 ms with the new event `OwnershipConfirmed`, which the reducer does not use yet.

The invariants became stricter: a start counts as one after the end also if the end is acknowledged only later, the same holds for failed runs, and no task starts after its job is stored as completed. A search runs all seeds and lists the failing ones; `GUAVACART_TRACE` prints what happened. The simulation is split by concept.

--- a/crates/guavacart_jobs/src/event.rs
+++ b/crates/guavacart_jobs/src/event.rs
@@ -68,6 +68,11 @@
         /// Whether the executor carried out the order.
         result: Result<(), OrderFailure>,
     },
+    /// The store confirmed that this node is still the owner.
+    OwnershipConfirmed {
+        /// When the renewal that was confirmed was sent, on the owner's monotonic clock.
+        at: Timestamp,
+    },
     /// The records of a save are stored.
     Saved {
         /// Number of the save, from its [`crate::SaveOrder`].
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -227,7 +227,7 @@
         self.now = at.now;
         self.unix_ms = at.unix_ms;
         match event {
-            Event::Tick => {}
+            Event::Tick | Event::OwnershipConfirmed { .. } => {}
             Event::ConfigurationRead(configuration) => self.on_configuration(configuration),
             Event::ExecutorEntryRead(id, registration) => self.on_registration(&id, registration),
             Event::JobAccepted(key, job) => self.add_job(key, *job, JobProgress::default(), false),
--- a/crates/guavacart_jobs/tests/model/executor.rs
+++ b/crates/guavacart_jobs/tests/model/executor.rs
@@ -19,6 +19,15 @@
     pub(crate) fails: bool,
 }
 
+/// An ended run that is not acknowledged.
+pub(crate) struct Ended {
+    pub(crate) end: EndedRun,
+    /// When the run ended, on the simulation's clock.
+    pub(crate) at: u64,
+    /// True if the lease has expired since the end.
+    pub(crate) is_expired: bool,
+}
+
 /// One incarnation of an executor.
 pub(crate) struct Executor {
     /// Start on the simulation's clock, which also identifies the incarnation.
@@ -31,8 +40,7 @@
     /// End of the lease, on the executor's clock.
     lease_end_ms: u64,
     pub(crate) running: BTreeMap<TaskKey, Running>,
-    /// Ended runs that are not acknowledged, and whether the lease has expired since their end.
-    pub(crate) ended: Vec<(EndedRun, bool)>,
+    ended: Vec<Ended>,
     last_end_number: u64,
     /// Greatest number of a run that was stopped or ended here, by task.
     max_ended_run: BTreeMap<TaskKey, RunNumber>,
@@ -71,7 +79,7 @@
         self.lease_end_ms = self.lease_end_ms.max(deadline.min(max_end));
     }
 
-    pub(crate) fn end_run(&mut self, task: TaskKey, outcome: RunOutcome) {
+    pub(crate) fn end_run(&mut self, now: u64, task: TaskKey, outcome: RunOutcome) {
         let Some(running) = self.running.remove(&task) else {
             return;
         };
@@ -85,24 +93,29 @@
             outcome,
             checkpoint: "".into(),
         };
-        self.ended.push((end, false));
+        self.ended.push(Ended {
+            end,
+            at: now,
+            is_expired: false,
+        });
+    }
+
+    pub(crate) fn is_lease_expired(&self, now: u64) -> bool {
+        self.clock(now) > self.lease_end_ms
     }
 
     /// Ends all runs if the lease has expired.
     pub(crate) fn expire_lease(&mut self, now: u64) {
-        if self.clock(now) <= self.lease_end_ms {
+        if !self.is_lease_expired(now) {
             return;
         }
-        self.ended
-            .iter_mut()
-            .for_each(|(_, is_expired)| *is_expired = true);
         let tasks: Vec<TaskKey> = self.running.keys().copied().collect();
         for task in tasks {
-            self.end_run(task, RunOutcome::Lapsed);
+            self.end_run(now, task, RunOutcome::Lapsed);
         }
         self.ended
             .iter_mut()
-            .for_each(|(_, is_expired)| *is_expired = true);
+            .for_each(|ended| ended.is_expired = true);
     }
 
     /// Carries out a hold. Returns the report and the ended runs that the hold acknowledged.
@@ -110,13 +123,13 @@
         &mut self,
         now: u64,
         order: &HoldOrder,
-    ) -> Result<(HoldReport, Vec<(EndedRun, bool)>), OrderFailure> {
+    ) -> Result<(HoldReport, Vec<Ended>), OrderFailure> {
         self.expire_lease(now);
         self.check_epoch(order.epoch)?;
         if let Some(deadline) = order.deadline_ms {
             self.extend_lease(now, deadline);
         }
-        let is_acknowledged = |end: &mut (EndedRun, bool)| end.0.number <= order.acknowledged;
+        let is_acknowledged = |ended: &mut Ended| ended.end.number <= order.acknowledged;
         let acknowledged = self.ended.extract_if(.., is_acknowledged).collect();
         let running = self.running.iter().map(|(task, running)| ListedRun {
             task: *task,
@@ -129,7 +142,7 @@
             incarnation: Incarnation(self.started_at),
             clock_ms: self.clock(now),
             running: running.collect(),
-            ended: self.ended.iter().map(|(end, _)| end.clone()).collect(),
+            ended: self.ended.iter().map(|ended| ended.end.clone()).collect(),
             has_more_ends: false,
         };
         Ok((report, acknowledged))
@@ -182,7 +195,7 @@
             .get(&task)
             .is_some_and(|existing| existing.run <= run)
         {
-            self.end_run(task, RunOutcome::Stopped);
+            self.end_run(now, task, RunOutcome::Stopped);
         }
         Ok(())
     }
--- a/crates/guavacart_jobs/tests/model/invariants.rs
+++ b/crates/guavacart_jobs/tests/model/invariants.rs
@@ -2,20 +2,24 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use guavacart_jobs::{EndedRun, Job, JobKey, RunNumber, TaskKey};
+use guavacart_jobs::{Job, JobKey, RunOutcome, TaskKey};
 use guavacart_types::Resources;
 
-use crate::executor::Executor;
+use crate::executor::{Ended, Executor};
 
 /// Record of what all executors have done, independent of what owners know.
 #[derive(Default)]
 pub(crate) struct Observer {
     pub(crate) jobs: BTreeMap<JobKey, Job>,
-    /// Tasks with a run that ended as done and was acknowledged before the lease expired.
-    acknowledged_done: BTreeSet<TaskKey>,
+    /// When each task was last started.
+    last_starts: BTreeMap<TaskKey, u64>,
     /// Tasks with a run that ended as done.
     done: BTreeSet<TaskKey>,
-    failed: BTreeMap<TaskKey, BTreeSet<RunNumber>>,
+    /// When the first run ended as done whose end was acknowledged, by task. Here and in `failed`,
+    /// an end is not counted if the lease expired before the acknowledgement.
+    acknowledged_done: BTreeMap<TaskKey, u64>,
+    /// When runs ended as failed whose ends were acknowledged, by task.
+    failed: BTreeMap<TaskKey, Vec<u64>>,
 }
 
 impl Observer {
@@ -23,47 +27,59 @@
         self.done.insert(task);
     }
 
-    /// Records ended runs that an owner acknowledged, and checks that no task fails more often than
-    /// the queue's rules allow.
-    pub(crate) fn record_acknowledged(&mut self, ends: &[(EndedRun, bool)], seed: u64) {
-        for (end, is_expired) in ends {
+    /// Records ended runs that an owner acknowledged.
+    pub(crate) fn record_acknowledged(&mut self, ends: &[Ended], seed: u64) {
+        for Ended { end, at, .. } in ends.iter().filter(|ended| !ended.is_expired) {
             match end.outcome {
-                guavacart_jobs::RunOutcome::Done if !is_expired => {
-                    self.acknowledged_done.insert(end.task);
+                RunOutcome::Done => {
+                    let first = self.acknowledged_done.entry(end.task).or_insert(*at);
+                    *first = (*first).min(*at);
                 }
-                // An end is not counted if the lease expired before the acknowledgement.
-                guavacart_jobs::RunOutcome::Failed if !is_expired => {
-                    let failed = self.failed.entry(end.task).or_default();
-                    failed.insert(end.run);
-                    let max_failures = self.jobs[&end.task.step.job].rules.max_attempts as usize;
-                    assert!(
-                        failed.len() <= max_failures,
-                        "seed {seed}: {} failed too often",
-                        end.task
-                    );
-                }
-                _ => {}
+                RunOutcome::Failed => self.failed.entry(end.task).or_default().push(*at),
+                _ => continue,
             }
+            self.check_ends(end.task, seed);
         }
     }
 
+    /// Checks that a task was not started after it was done, or after it had failed as often as the
+    /// queue's rules allow. Only acknowledged ends count, whether the acknowledgement came before or
+    /// after the start.
+    fn check_ends(&self, task: TaskKey, seed: u64) {
+        let Some(last_start) = self.last_starts.get(&task) else {
+            return;
+        };
+        let done = self.acknowledged_done.get(&task);
+        assert!(
+            done.is_none_or(|at| last_start < at),
+            "seed {seed}: {task} was started at {last_start} after its acknowledged end at {done:?}"
+        );
+        let failed = self.failed.get(&task).into_iter().flatten();
+        let failed_before = failed.filter(|at| *at <= last_start).count();
+        let max_failures = self.jobs[&task.step.job].rules.max_attempts as usize;
+        assert!(
+            failed_before < max_failures,
+            "seed {seed}: {task} was started at {last_start} after {failed_before} failed runs"
+        );
+    }
+
     /// Checks a run that an executor has just started: the task is not done and does not run
     /// elsewhere, the steps that it depends on are done, and the executor has room.
     pub(crate) fn check_start(
-        &self,
+        &mut self,
+        now: u64,
         task: TaskKey,
         executor_index: usize,
         executors: &[Executor],
         capacity: Resources,
         seed: u64,
     ) {
-        assert!(
-            !self.acknowledged_done.contains(&task),
-            "seed {seed}: {task} started again after its end was acknowledged"
-        );
+        self.last_starts.insert(task, now);
+        self.check_ends(task, seed);
         for (other, executor) in executors.iter().enumerate() {
+            let is_up = executor.is_up && !executor.is_lease_expired(now);
             let runs_elsewhere =
-                other != executor_index && executor.is_up && executor.running.contains_key(&task);
+                other != executor_index && is_up && executor.running.contains_key(&task);
             assert!(
                 !runs_elsewhere,
                 "seed {seed}: {task} runs on {executor_index} and on {other} at once"
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -1,16 +1,22 @@
 //! Tests of the reducer in a simulation of executors, store and owners, with random faults.
 //!
-//! `GUAVACART_CASES` sets the number of seeds to run and `GUAVACART_SEED` the first one.
+//! `GUAVACART_CASES` sets the number of seeds to run and `GUAVACART_SEED` the first one. With
+//! `GUAVACART_TRACE`, orders, their effects and faults are printed.
 
 mod executor;
+mod faults;
 mod invariants;
+mod network;
+mod owner;
 mod simulation;
 #[path = "../support/site.rs"]
 mod site;
+mod store;
 
-use std::env;
+use std::{env, panic};
 
-use simulation::{Faults, Simulation};
+use faults::Faults;
+use simulation::Simulation;
 
 /// Number of seeds for each kind of fault if `GUAVACART_CASES` is not set.
 const DEFAULT_CASES: u64 = 12;
@@ -21,9 +27,14 @@
 
 fn run_seeds(faults: Faults) {
     let first = env_number("GUAVACART_SEED", 1);
-    for seed in first..first + env_number("GUAVACART_CASES", DEFAULT_CASES) {
-        run_seed(seed, faults);
-    }
+    let count = env_number("GUAVACART_CASES", DEFAULT_CASES);
+    let is_failed = |seed: &u64| panic::catch_unwind(|| run_seed(*seed, faults)).is_err();
+    let failed: Vec<u64> = (first..first + count).filter(is_failed).collect();
+    assert!(
+        failed.is_empty(),
+        "{} of {count} seeds failed: {failed:?}",
+        failed.len()
+    );
 }
 
 fn run_seed(seed: u64, faults: Faults) {
@@ -61,6 +72,18 @@
         executor_disconnects: 2,
         store_outages: 1,
         missing_entries: true,
+        ..Faults::default()
+    }
+}
+
+fn all_faults_and_partitions() -> Faults {
+    Faults {
+        owner_freezes: 2,
+        cuts_superseded_owners: true,
+        executor_flaps: 1,
+        partial_partitions: 3,
+        store_downtimes: 1,
+        ..all_faults_combined()
     }
 }
 
@@ -91,4 +114,45 @@
     };
     invariants_hold_when_the_store_is_unavailable: Faults { store_outages: 2, ..Faults::default() };
     invariants_hold_with_all_faults_combined: all_faults_combined();
+    invariants_hold_when_executors_flap: Faults { executor_flaps: 5, ..Faults::default() };
+    invariants_hold_when_executors_flap_and_owners_overlap: Faults {
+        executor_flaps: 4,
+        owner_overlaps: 3,
+        ..Faults::default()
+    };
+    invariants_hold_when_executors_are_partitioned_from_some_owners: Faults {
+        partial_partitions: 8,
+        owner_overlaps: 3,
+        ..Faults::default()
+    };
+    invariants_hold_when_superseded_owners_are_cut_from_the_store: Faults {
+        cuts_superseded_owners: true,
+        owner_overlaps: 4,
+        ..Faults::default()
+    };
+    invariants_hold_when_cut_owners_reach_other_executors: Faults {
+        cuts_superseded_owners: true,
+        partial_partitions: 8,
+        owner_overlaps: 3,
+        ..Faults::default()
+    };
+    invariants_hold_when_owners_freeze: Faults { owner_freezes: 4, ..Faults::default() };
+    invariants_hold_when_owners_freeze_and_executors_are_partitioned: Faults {
+        owner_freezes: 4,
+        partial_partitions: 6,
+        cuts_superseded_owners: true,
+        ..Faults::default()
+    };
+    invariants_hold_when_the_store_is_down: Faults {
+        store_downtimes: 3,
+        owner_overlaps: 1,
+        ..Faults::default()
+    };
+    invariants_hold_when_the_store_is_down_and_executors_are_partitioned: Faults {
+        store_downtimes: 3,
+        partial_partitions: 6,
+        executor_crashes: 2,
+        ..Faults::default()
+    };
+    invariants_hold_with_all_faults_and_partitions: all_faults_and_partitions();
 }
--- /dev/null
+++ b/crates/guavacart_jobs/tests/model/network.rs
@@ -0,0 +1,218 @@
+//! The network between owners and executors: delays, losses and partitions of orders.
+
+use guavacart_jobs::{
+    Effect, Event, ExecutorAddress, OrderFailure, RunNumber, RunOutcome, TaskKey,
+};
+use guavacart_types::{Span, Timestamp};
+use rand::Rng;
+
+use crate::{
+    executor::Running,
+    simulation::{CAPACITY, FAULTS_END_MS, SimEvent, Simulation, executor_id, index_of},
+};
+
+/// Owners that reach an executor while others do not.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Reach {
+    Newest,
+    Superseded,
+    /// Owners with an even or an odd index.
+    EveryOther(usize),
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Partition {
+    pub(crate) until: u64,
+    pub(crate) reach: Reach,
+}
+
+impl Simulation {
+    fn is_reachable(&self, owner: usize, index: usize) -> bool {
+        let executor = &self.executors[index];
+        if !executor.is_up || executor.unreachable_until > self.now {
+            return false;
+        }
+        let partition = self.partitions[index].filter(|partition| partition.until > self.now);
+        partition.is_none_or(|partition| match partition.reach {
+            Reach::Newest => self.owners[owner].superseded_at.is_none(),
+            Reach::Superseded => self.owners[owner].superseded_at.is_some(),
+            Reach::EveryOther(remainder) => owner % 2 == remainder,
+        })
+    }
+
+    pub(crate) fn send(&mut self, owner: usize, order: Effect) {
+        let sent = self.now;
+        let are_faults_over = self.now > FAULTS_END_MS;
+        let is_delayed = !are_faults_over && self.rng.random_bool(self.faults.delayed_orders);
+        let is_lost = !are_faults_over && self.rng.random_bool(self.faults.lost_answers);
+        let delay = if is_delayed {
+            self.rng.random_range(2_000..12_000)
+        } else {
+            self.rng.random_range(1..8)
+        };
+        let is_save = matches!(order, Effect::Save(_));
+        let answered = is_save || !(is_delayed || is_lost);
+        if !answered {
+            let event = failure_event(&order, sent, OrderFailure::NoAnswer);
+            if let Some(event) = event {
+                self.schedule(self.now + 350, SimEvent::Deliver(owner, event));
+            }
+        }
+        let delay = if is_save { 5 } else { delay };
+        let index = target_of(&order).map(|target| index_of(&target.id));
+        let queued_in = index
+            .filter(|_| is_delayed)
+            .map(|index| self.executors[index].started_at);
+        let order = SimEvent::Order {
+            owner,
+            order,
+            sent,
+            answered,
+            queued_in,
+        };
+        self.schedule(self.now + delay, order);
+    }
+
+    pub(crate) fn receive_order(&mut self, owner: usize, order: Effect, sent: u64, answered: bool) {
+        if let Effect::Save(_) = order {
+            self.save(owner, order);
+            return;
+        }
+        let Some(index) = target_of(&order).map(|target| index_of(&target.id)) else {
+            return;
+        };
+        if !self.is_reachable(owner, index) {
+            if answered && let Some(event) = failure_event(&order, sent, OrderFailure::NoAnswer) {
+                self.schedule(self.now + 350, SimEvent::Deliver(owner, event));
+            }
+            return;
+        }
+        let event = self.execute(index, &order, sent);
+        if let Some(event) = event.filter(|_| answered) {
+            let wait = match &order {
+                Effect::Hold(_, order) => order.wait.0 / 4,
+                _ => 0,
+            };
+            let delay = self.rng.random_range(1..8) + wait;
+            self.schedule(self.now + delay, SimEvent::Deliver(owner, event));
+        }
+    }
+
+    fn execute(&mut self, index: usize, order: &Effect, sent: u64) -> Option<Event> {
+        let executor = executor_id(index);
+        let now = self.now;
+        self.trace(|| format!("x{index} carries out {order:?}, sent at {sent}"));
+        Some(match order {
+            Effect::Hold(_, order) => {
+                let result = self.executors[index].hold(now, order);
+                let report = result.map(|(report, acknowledged)| {
+                    self.observer.record_acknowledged(&acknowledged, self.seed);
+                    report
+                });
+                Event::HoldAnswered {
+                    executor,
+                    sent: Timestamp(sent),
+                    report,
+                    is_long_poll: order.wait > Span::ZERO,
+                }
+            }
+            Effect::Start(_, order) => {
+                let duration = self.rng.random_range(100..2_500);
+                let running = Running {
+                    run: order.run,
+                    done_at: Some(now + duration),
+                    fails: self.rng.random_bool(0.08),
+                };
+                let result = self.executors[index].start(now, order, running);
+                if result == Ok(true) {
+                    let is_completed = self.store.is_completed(order.task.step.job);
+                    assert!(
+                        !is_completed,
+                        "seed {}: {} started after its job was completed",
+                        self.seed, order.task
+                    );
+                    let executors = &self.executors;
+                    self.observer
+                        .check_start(now, order.task, index, executors, CAPACITY, self.seed);
+                    let started_at = self.executors[index].started_at;
+                    let finish = SimEvent::Finish(index, started_at, order.task, order.run);
+                    self.schedule(now + duration, finish);
+                }
+                Event::StartAnswered {
+                    executor,
+                    task: order.task,
+                    run: order.run,
+                    result: result.map(|_| self.executors[index].clock(now)),
+                }
+            }
+            Effect::Stop {
+                task, run, epoch, ..
+            } => Event::StopAnswered {
+                executor,
+                task: *task,
+                run: *run,
+                result: self.executors[index].stop(now, *epoch, *task, *run),
+            },
+            _ => return None,
+        })
+    }
+
+    pub(crate) fn finish(&mut self, index: usize, started_at: u64, task: TaskKey, run: RunNumber) {
+        let now = self.now;
+        let executor = &mut self.executors[index];
+        executor.expire_lease(now);
+        let running = executor.running.get(&task);
+        let Some(running) =
+            running.filter(|running| running.run == run && executor.started_at == started_at)
+        else {
+            return;
+        };
+        if !executor.is_up || running.done_at.is_none() {
+            return;
+        }
+        let outcome = if running.fails {
+            RunOutcome::Failed
+        } else {
+            RunOutcome::Done
+        };
+        executor.end_run(now, task, outcome);
+        self.trace(|| format!("x{index} ends {task} as {outcome:?}"));
+        if outcome == RunOutcome::Done {
+            self.observer.record_done(task);
+        }
+    }
+}
+
+pub(crate) fn target_of(order: &Effect) -> Option<&ExecutorAddress> {
+    match order {
+        Effect::Hold(target, _) | Effect::Start(target, _) => Some(target),
+        Effect::Stop { target, .. } | Effect::Pace { target, .. } => Some(target),
+        _ => None,
+    }
+}
+
+/// Returns the event that reports the failure of an order to its owner.
+fn failure_event(order: &Effect, sent: u64, failure: OrderFailure) -> Option<Event> {
+    let executor = target_of(order)?.id.clone();
+    Some(match order {
+        Effect::Hold(_, order) => Event::HoldAnswered {
+            executor,
+            sent: Timestamp(sent),
+            report: Err(failure),
+            is_long_poll: order.wait > Span::ZERO,
+        },
+        Effect::Start(_, order) => Event::StartAnswered {
+            executor,
+            task: order.task,
+            run: order.run,
+            result: Err(failure),
+        },
+        Effect::Stop { task, run, .. } => Event::StopAnswered {
+            executor,
+            task: *task,
+            run: *run,
+            result: Err(failure),
+        },
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/crates/guavacart_jobs/tests/model/store.rs
@@ -0,0 +1,176 @@
+//! The store: jobs, progress and the record of executors, and what owners learn from it.
+
+use std::collections::BTreeMap;
+
+use guavacart_jobs::{
+    Effect, Event, ExecutorAddress, Job, JobKey, JobOutcome, JobProgress, Registration, Step,
+};
+use guavacart_types::{
+    Accelerators, ByteSize, Incarnation, Processors, Resources, Span, Timestamp,
+};
+use rand::{Rng, rngs::StdRng};
+
+use crate::{
+    simulation::{CAPACITY, SimEvent, Simulation, executor_id},
+    site::rules,
+};
+
+/// Interval at which an owner renews its ownership.
+const RENEWAL_INTERVAL_MS: u64 = 300;
+
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) epoch: u64,
+    pub(crate) jobs: BTreeMap<JobKey, Job>,
+    pub(crate) cancelled: Vec<JobKey>,
+    pub(crate) progress: BTreeMap<JobKey, JobProgress>,
+    pub(crate) executors_with_runs: Vec<ExecutorAddress>,
+    /// Until when the store accepts no saves and confirms no ownership.
+    pub(crate) unavailable_until: u64,
+    /// Until when the store accepts nothing at all.
+    pub(crate) down_until: u64,
+}
+
+impl Store {
+    pub(crate) fn is_completed(&self, job: JobKey) -> bool {
+        let progress = self.progress.get(&job);
+        progress.and_then(|progress| progress.outcome) == Some(JobOutcome::Completed)
+    }
+}
+
+impl Simulation {
+    pub(crate) fn submit_job(&mut self, key: JobKey) {
+        if self.now < self.store.down_until {
+            self.schedule(self.store.down_until + 10, SimEvent::SubmitJob(key));
+            return;
+        }
+        let steps = self.rng.random_range(1..=3_u16);
+        let step = |index: u16, rng: &mut StdRng| Step {
+            task_count: rng.random_range(1..=6),
+            resources: Resources {
+                processors: Processors(rng.random_range(500..4_000)),
+                memory: ByteSize::mib(rng.random_range(100..6_000)),
+                accelerators: Accelerators(0),
+            },
+            estimate: Span(800),
+            dependencies: if index > 0 {
+                vec![index - 1]
+            } else {
+                Vec::new()
+            },
+            ..Step::default()
+        };
+        let job = Job {
+            queue: "q".into(),
+            rules: rules(),
+            accepted_unix_ms: 1_000_000 + self.now,
+            payload: "p".into(),
+            steps: (0..steps).map(|index| step(index, &mut self.rng)).collect(),
+            schedule: None,
+        };
+        self.store.jobs.insert(key, job.clone());
+        self.observer.jobs.insert(key, job.clone());
+        self.broadcast(|| Event::JobAccepted(key, Box::new(job.clone())));
+    }
+
+    pub(crate) fn cancel_job(&mut self, key: JobKey) {
+        if self.now < self.store.down_until {
+            self.schedule(self.store.down_until + 10, SimEvent::CancelJob(key));
+        } else if self.store.jobs.contains_key(&key) {
+            self.store.cancelled.push(key);
+            self.broadcast(|| Event::JobCancelled(key));
+        }
+    }
+
+    /// Delivers an event to every owner, each after a random delay.
+    fn broadcast(&mut self, event: impl Fn() -> Event) {
+        for owner in 0..self.owners.len() {
+            let delay = self.rng.random_range(1..700);
+            self.schedule(self.now + delay, SimEvent::Deliver(owner, event()));
+        }
+    }
+
+    /// Lets every owner read the entry that a restarted executor writes, each after a random delay.
+    pub(crate) fn broadcast_entry(&mut self, index: usize) {
+        self.broadcast(|| Event::Tick);
+        let written_at = self.now.max(self.store.down_until);
+        for owner in 0..self.owners.len() {
+            let at = written_at + self.rng.random_range(1..700);
+            let registration = self.registration(index);
+            self.schedule(at, SimEvent::ReadEntry(owner, index, registration));
+        }
+    }
+
+    /// Delivers an entry unless the owner has read a newer one.
+    pub(crate) fn read_entry(&mut self, owner: usize, index: usize, registration: Registration) {
+        let newest = &mut self.owners[owner].read_incarnations[index];
+        if registration.incarnation < *newest {
+            return;
+        }
+        *newest = registration.incarnation;
+        self.deliver(
+            owner,
+            Event::ExecutorEntryRead(executor_id(index), Some(registration)),
+        );
+    }
+
+    pub(crate) fn registration(&self, index: usize) -> Registration {
+        Registration {
+            pool: "pool".into(),
+            address: (
+                [127, 0, 0, 1],
+                1_000 + u16::try_from(index).expect("few executors"),
+            )
+                .into(),
+            is_draining: false,
+            drain_left: None,
+            capacity: CAPACITY,
+            labels: vec!["a".into(), "r1".into()],
+            incarnation: Some(Incarnation(self.executors[index].started_at)),
+        }
+    }
+
+    /// Renews an owner's ownership, at an interval until another owner takes over.
+    pub(crate) fn confirm_ownership(&mut self, owner: usize) {
+        let renewing = &self.owners[owner];
+        if !renewing.is_active || renewing.superseded_at.is_some() {
+            return;
+        }
+        let unavailable_until = self.store.unavailable_until.max(self.store.down_until);
+        if self.now >= unavailable_until.max(renewing.frozen_until) {
+            let at = Timestamp(self.now);
+            let confirmed = Event::OwnershipConfirmed { at };
+            self.schedule(self.now + 4, SimEvent::Deliver(owner, confirmed));
+        }
+        let next = SimEvent::ConfirmOwnership(owner);
+        self.schedule(self.now + RENEWAL_INTERVAL_MS, next);
+    }
+
+    pub(crate) fn save(&mut self, owner: usize, order: Effect) {
+        let unavailable_until = self.store.unavailable_until.max(self.store.down_until);
+        if self.now < unavailable_until.max(self.owners[owner].cut_until) {
+            let retry = SimEvent::Order {
+                owner,
+                order,
+                sent: self.now,
+                answered: true,
+                queued_in: None,
+            };
+            self.schedule(self.now + 100, retry);
+            return;
+        }
+        if self.owners[owner].epoch.0 != self.store.epoch {
+            self.stop_owner(owner);
+            return;
+        }
+        let Effect::Save(order) = order else {
+            return;
+        };
+        self.store.progress.extend(order.progress);
+        if let Some(executors_with_runs) = order.executors_with_runs {
+            self.store.executors_with_runs = executors_with_runs;
+        }
+        let saved = Event::Saved { save: order.number };
+        self.schedule(self.now + 4, SimEvent::Deliver(owner, saved));
+    }
+}
