--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects that the reducer returns: orders to executors, writes to the store and log lines.
 
-use guavacart_types::{Epoch, Resources, Span};
+use guavacart_types::{Epoch, Incarnation, Resources, Span};
 use smol_str::SmolStr;
 
 use crate::{
@@ -58,6 +58,8 @@
     ListMachines,
     /// Take a machine down for maintenance. The answer is [`crate::Event::MaintenanceAnswered`].
     BeginMaintenance(MaintenanceOrder),
+    /// Renew the ownership lease now. The answer is [`crate::Event::OwnershipConfirmed`].
+    ConfirmOwnership,
     /// Stop acting as the owner, because an owner with a greater epoch exists.
     StepDown,
     /// Write a log line about a decision.
@@ -163,6 +165,17 @@
         /// Evidence that the run is over.
         why: LossReason,
     },
+    /// An executor restarted under the same id; its runs are over and it has seen no epoch.
+    ExecutorRestarted {
+        /// Executor that restarted.
+        executor: ExecutorId,
+        /// Its new incarnation.
+        incarnation: Incarnation,
+        /// Runs of the earlier incarnation, and runs whose start may have reached the new one.
+        runs: usize,
+        /// Number up to which ends of the earlier incarnation were acknowledged.
+        acknowledged: u64,
+    },
     /// A run that this owner did not start was found on an executor and is kept.
     Adopted {
         /// Task of the run.
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -96,12 +96,7 @@
             (true, true) => TAIL_HOLD_TIMEOUT,
             (true, false) => HOLD_TIMEOUT,
         };
-        // Another incarnation may answer, and it numbers its run ends from 1 again.
-        let acknowledged = if executor.may_acknowledge() {
-            executor.last_stored_end
-        } else {
-            0
-        };
+        let acknowledged = executor.end_to_acknowledge();
         if must_wait {
             executor.long_poll_hold = Some(acknowledged);
         } else {
@@ -239,9 +234,14 @@
         }
         executor.last_report_at = self.now;
         executor.is_clock_suspect = false;
-        if std::mem::take(&mut executor.failed_holds) > 0 || !executor.has_seen_epoch {
-            executor.has_seen_epoch = true;
-            self.needs_placement = true;
+        let is_reachable_again = std::mem::take(&mut executor.failed_holds) > 0;
+        let is_new = !std::mem::replace(&mut executor.has_seen_epoch, true);
+        if is_new {
+            executor.epoch_seen_at = self.now;
+        }
+        self.needs_placement |= is_reachable_again || is_new;
+        if is_new {
+            self.await_confirmation();
         }
         for end in &report.ended {
             if end.number > self.executors[x].last_received_end {
@@ -279,6 +279,12 @@
         if is_first {
             return;
         }
+        self.effects.push(Effect::Log(Decision::ExecutorRestarted {
+            executor: executor.id.clone(),
+            incarnation: report.incarnation,
+            runs: executor.runs.len(),
+            acknowledged: executor.last_acknowledged_end,
+        }));
         executor.clock = None;
         executor.lease_end_ms = 0;
         executor.last_received_end = 0;
@@ -295,6 +301,7 @@
 
     fn apply_listed_run(&mut self, x: usize, sent: Timestamp, listed: &ListedRun) {
         let now = self.now;
+        let incarnation = self.executors[x].incarnation;
         let Some(run) = self.executors[x].runs.get_mut(&listed.task) else {
             self.apply_unknown_run(x, sent, listed);
             return;
@@ -306,6 +313,7 @@
             Phase::Running(since) => since,
             Phase::Sent | Phase::Unanswered => now,
         });
+        run.listed_by = incarnation;
         run.percent = listed.percent;
         if !listed.checkpoint.is_empty() {
             run.checkpoint = Some(listed.checkpoint.clone());
@@ -320,7 +328,7 @@
             return;
         }
         if !self.jobs.contains_key(&listed.task.step.job) {
-            let run = self.run_from_list(listed, sent);
+            let run = self.run_from_list(x, listed, sent);
             // The size of the run is not known yet, so that all free resources are reserved for it.
             let free = self.executors[x].free();
             self.executors[x].add(
@@ -347,7 +355,7 @@
             .jobs
             .get(&listed.task.step.job)
             .is_some_and(|entry| !entry.is_over());
-        let run = self.run_from_list(listed, sent);
+        let run = self.run_from_list(x, listed, sent);
         self.executors[x].add(self.now, listed.task, run);
         if !(is_free && is_open) {
             self.stop_run(x, listed.task, "its task is over or runs elsewhere");
@@ -363,7 +371,7 @@
     }
 
     /// Creates a run that this owner did not start from its list entry.
-    fn run_from_list(&mut self, listed: &ListedRun, sent: Timestamp) -> Run {
+    fn run_from_list(&mut self, x: usize, listed: &ListedRun, sent: Timestamp) -> Run {
         let image = self.spec(listed.task).and_then(|step| step.image.clone());
         let image = self.interference.register_image(image.as_ref());
         let spec = self.spec(listed.task);
@@ -374,6 +382,7 @@
             is_best_effort: spec.is_some_and(|step| step.is_best_effort),
             tail_target: spec.and_then(|step| step.tail_target),
             phase: Phase::Running(sent),
+            listed_by: self.executors[x].incarnation,
             deadline_ms: 0,
             since: sent,
             stop: None,
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -55,6 +55,17 @@
     run_seed(5_057, crashes);
 }
 
+/// Guards against the loss of an ended run where the restarted executor's clock is close to that of
+/// the incarnation before.
+#[test]
+fn an_end_is_not_acknowledged_unread_after_a_restart_that_the_clock_hides() {
+    let crashes = Faults {
+        executor_crashes: 4,
+        ..Faults::default()
+    };
+    run_seed(40_458, crashes);
+}
+
 /// Guards against a job that two owners start. An owner that can reach neither the store nor other
 /// nodes receives a job that its successor starts too.
 #[test]
@@ -62,6 +73,13 @@
     run_seed(21_626, all_faults_combined());
 }
 
+/// Guards against a task that a superseded owner starts again on an executor that has restarted and
+/// forgotten the newer epoch.
+#[test]
+fn a_superseded_owner_starts_nothing_on_a_restarted_executor() {
+    run_seed(43_214, all_faults_combined());
+}
+
 fn all_faults_combined() -> Faults {
     Faults {
         owner_crashes: 2,
--- a/crates/guavacart_jobs/tests/model/owner.rs
+++ b/crates/guavacart_jobs/tests/model/owner.rs
@@ -78,7 +78,7 @@
             next_tick: None,
         });
         self.trace(|| format!("o{owner} takes over"));
-        self.confirm_ownership(owner);
+        self.renew_regularly(owner);
         self.carry_out(owner, effects);
         for index in listed_executors..EXECUTOR_COUNT {
             let entry = SimEvent::ReadEntry(owner, index, self.registration(index));
@@ -142,6 +142,7 @@
         for effect in effects {
             self.trace(|| format!("o{owner}: {effect:?}"));
             match effect {
+                Effect::ConfirmOwnership => self.renew(owner),
                 Effect::StepDown => self.stop_owner(owner),
                 Effect::Save(_)
                 | Effect::Hold(..)
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -52,7 +52,10 @@
     CancelJob(JobKey),
     /// An owner reads an executor's entry.
     ReadEntry(usize, usize, Registration),
-    ConfirmOwnership(usize),
+    /// An owner renews its ownership, as it does at an interval.
+    RenewRegularly(usize),
+    /// A renewal that an owner sent at that time reaches the store.
+    Renewal(usize, Timestamp),
     /// An owner learns that the store or an executor refuses its epoch.
     StopOwner(usize),
     Fault(Fault),
@@ -188,7 +191,8 @@
             SimEvent::SubmitJob(key) => self.submit_job(key),
             SimEvent::CancelJob(key) => self.cancel_job(key),
             SimEvent::ReadEntry(owner, index, entry) => self.read_entry(owner, index, entry),
-            SimEvent::ConfirmOwnership(owner) => self.confirm_ownership(owner),
+            SimEvent::RenewRegularly(owner) => self.renew_regularly(owner),
+            SimEvent::Renewal(owner, sent) => self.confirm_ownership(owner, sent),
             SimEvent::StopOwner(owner) => self.stop_owner(owner),
             SimEvent::Fault(fault) => self.begin_fault(fault),
             SimEvent::RestartExecutor(index) => self.restart_executor(index),
--- a/crates/guavacart_jobs/tests/model/store.rs
+++ b/crates/guavacart_jobs/tests/model/store.rs
@@ -130,22 +130,34 @@
         }
     }
 
-    /// Renews an owner's ownership, at an interval until another owner takes over.
-    pub(crate) fn confirm_ownership(&mut self, owner: usize) {
+    /// Renews an owner's ownership at an interval until another owner has taken over.
+    pub(crate) fn renew_regularly(&mut self, owner: usize) {
         let renewing = &self.owners[owner];
         if !renewing.is_active || renewing.superseded_at.is_some() {
             return;
         }
-        let unavailable_until = self.store.unavailable_until.max(self.store.down_until);
-        if self.now >= unavailable_until.max(renewing.frozen_until) {
-            let at = Timestamp(self.now);
-            let confirmed = Event::OwnershipConfirmed { at };
-            self.schedule(self.now + 4, SimEvent::Deliver(owner, confirmed));
+        if self.now >= renewing.frozen_until {
+            self.renew(owner);
         }
-        let next = SimEvent::ConfirmOwnership(owner);
+        let next = SimEvent::RenewRegularly(owner);
         self.schedule(self.now + RENEWAL_INTERVAL_MS, next);
     }
 
+    pub(crate) fn renew(&mut self, owner: usize) {
+        let renewal = SimEvent::Renewal(owner, Timestamp(self.now));
+        self.schedule(self.now + 2, renewal);
+    }
+
+    /// Confirms an owner's ownership, for a renewal that was sent at that time. The renewals of
+    /// superseded owners get no answer.
+    pub(crate) fn confirm_ownership(&mut self, owner: usize, sent: Timestamp) {
+        let is_superseded = self.owners[owner].superseded_at.is_some();
+        if !is_superseded && self.now >= self.store.unavailable_until.max(self.store.down_until) {
+            let confirmed = Event::OwnershipConfirmed { at: sent };
+            self.schedule(self.now + 2, SimEvent::Deliver(owner, confirmed));
+        }
+    }
+
     pub(crate) fn save(&mut self, owner: usize, order: Effect) {
         let unavailable_until = self.store.unavailable_until.max(self.store.down_until);
         if self.now < unavailable_until.max(self.owners[owner].cut_until) {
