Adopt a run that has replaced the known run of its task

What callers saw: two runs of one task at once (TWICE).

Cause: an executor that restarted was given an older run of a task by a superseded owner. The owner that knew a newer run there ignored the listed one because of its number, took its own for lost and started the task elsewhere beside it. Class: evidence dropped since it does not fit the belief.

Change: a run that a list names in the place of a confirmed one is adopted, and the known one is over.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -312,6 +312,11 @@
             return;
         };
         if run.run != listed.run {
+            // An executor has one run of a task at most: another owner's has replaced this one.
+            if matches!(run.phase, Phase::Running(confirmed) if confirmed < sent) {
+                self.mark_lost(x, listed.task, LossReason::Unlisted);
+                self.adopt_or_stop(x, sent, listed);
+            }
             return;
         }
         run.phase = Phase::Running(match run.phase {
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -80,6 +80,20 @@
     run_seed(43_214, all_faults_combined());
 }
 
+/// Guards against two runs at once, where a listed run has replaced the one that the owner knows.
+#[test]
+fn a_run_that_replaced_the_known_one_is_adopted() {
+    run_seed(214, flaps_and_overlaps());
+}
+
+fn flaps_and_overlaps() -> Faults {
+    Faults {
+        executor_flaps: 4,
+        owner_overlaps: 3,
+        ..Faults::default()
+    }
+}
+
 fn all_faults_combined() -> Faults {
     Faults {
         owner_crashes: 2,
@@ -133,11 +147,7 @@
     invariants_hold_when_the_store_is_unavailable: Faults { store_outages: 2, ..Faults::default() };
     invariants_hold_with_all_faults_combined: all_faults_combined();
     invariants_hold_when_executors_flap: Faults { executor_flaps: 5, ..Faults::default() };
-    invariants_hold_when_executors_flap_and_owners_overlap: Faults {
-        executor_flaps: 4,
-        owner_overlaps: 3,
-        ..Faults::default()
-    };
+    invariants_hold_when_executors_flap_and_owners_overlap: flaps_and_overlaps();
     invariants_hold_when_executors_are_partitioned_from_some_owners: Faults {
         partial_partitions: 8,
         owner_overlaps: 3,
