Let earlier leases expire only for an owner that is confirmed since

What callers saw: a task was started again after its end had been acknowledged (TWICE).

Cause: an owner that was superseded soon after its take-over took the runs of its predecessor for over once their leases had expired by its clock. Its successor had extended them and acknowledged their ends meanwhile. Class: a belief that rests on silence and time.

Change: that conclusion, like those about single lost runs, needs a confirmation of the ownership after the time it speaks of.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -113,7 +113,7 @@
     /// clock. A check that is due earlier stays, since it sets the timer again.
     pub(super) fn set_lease_timer(&mut self, x: usize) {
         let at = if self.executors[x].clock.is_none() && self.unreconciled.contains(&x) {
-            Some(self.earlier_leases_expire_at())
+            Some(self.next_check_of_earlier_leases())
         } else {
             self.executors[x].lease_expires_at()
         };
@@ -136,7 +136,7 @@
         self.executors[x].lease_check_at = None;
         let executor = &self.executors[x];
         let is_over = if executor.clock.is_none() {
-            self.now >= self.earlier_leases_expire_at()
+            self.have_earlier_leases_expired()
         } else {
             executor.lease_expires_at().is_some_and(|at| self.now >= at)
         };
--- a/crates/guavacart_jobs/src/state/ownership.rs
+++ b/crates/guavacart_jobs/src/state/ownership.rs
@@ -15,6 +15,8 @@
 const MAX_OUTAGE_EXTENSION: Span = Span::millis(1_000);
 /// Added to the time that earlier owners' leases last, for orders that were still on their way.
 const EARLIER_LEASE_MARGIN: Span = Span::millis(400);
+/// Delay before a conclusion that lacks a confirmation is tried again.
+const CONFIRMATION_RETRY_DELAY: Span = Span::millis(50);
 /// Shortest lease with which a run is started.
 const MIN_START_LEASE: Span = Span::millis(1_000);
 
@@ -53,9 +55,33 @@
         self.ownership.confirmed_at + self.bounds.max_lease + MAX_OUTAGE_EXTENSION
     }
 
+    /// True if every lease that an earlier owner extended has expired. A successor may have extended
+    /// them again, unless the ownership has been confirmed since.
+    pub(super) fn have_earlier_leases_expired(&mut self) -> bool {
+        let expire_at = self.earlier_leases_expire_at();
+        if self.now < expire_at {
+            return false;
+        }
+        let is_confirmed = self.ownership.is_confirmed_since(expire_at);
+        if !is_confirmed {
+            self.await_confirmation();
+        }
+        is_confirmed
+    }
+
+    /// When to check next whether the leases of earlier owners have expired.
+    pub(super) fn next_check_of_earlier_leases(&self) -> Timestamp {
+        let expire_at = self.earlier_leases_expire_at();
+        if expire_at > self.now {
+            expire_at
+        } else {
+            self.now + CONFIRMATION_RETRY_DELAY
+        }
+    }
+
     /// When every lease that an earlier owner extended has expired, even by the slowest allowed
     /// clock.
-    pub(super) fn earlier_leases_expire_at(&self) -> Timestamp {
+    fn earlier_leases_expire_at(&self) -> Timestamp {
         let longest = self.bounds.max_lease + MAX_OUTAGE_EXTENSION;
         let by_slowest_clock = Span(longest.0 * 100 / SLOWEST_CLOCK_PERCENT);
         self.owner_since + by_slowest_clock + EARLIER_LEASE_MARGIN
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -86,6 +86,21 @@
     run_seed(214, flaps_and_overlaps());
 }
 
+/// Guards against a superseded owner that, by time alone, considers the runs of its predecessor over.
+#[test]
+fn earlier_leases_do_not_expire_for_a_superseded_owner() {
+    run_seed(744, cut_owners_that_reach_other_executors());
+}
+
+fn cut_owners_that_reach_other_executors() -> Faults {
+    Faults {
+        cuts_superseded_owners: true,
+        partial_partitions: 8,
+        owner_overlaps: 3,
+        ..Faults::default()
+    }
+}
+
 fn flaps_and_overlaps() -> Faults {
     Faults {
         executor_flaps: 4,
@@ -158,12 +173,7 @@
         owner_overlaps: 4,
         ..Faults::default()
     };
-    invariants_hold_when_cut_owners_reach_other_executors: Faults {
-        cuts_superseded_owners: true,
-        partial_partitions: 8,
-        owner_overlaps: 3,
-        ..Faults::default()
-    };
+    invariants_hold_when_cut_owners_reach_other_executors: cut_owners_that_reach_other_executors();
     invariants_hold_when_owners_freeze: Faults { owner_freezes: 4, ..Faults::default() };
     invariants_hold_when_owners_freeze_and_executors_are_partitioned: Faults {
         owner_freezes: 4,
