Offer nothing on an executor that runs a task of unknown size

Callers saw nothing yet: found by reading for the capacity rule. After a takeover an executor may list runs whose jobs the owner has not read. The first such run reserved all that was free, the next one nothing. When the first job became known, or the capacity had grown meanwhile, the room of the other run was offered although it was in use.

An executor now counts its runs of unknown size and has nothing free while there is one, whatever its capacity does.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -142,6 +142,8 @@
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Resources that are reserved for runs.
     pub(super) used: Resources,
+    /// Runs whose size is not known, since their jobs are not known yet.
+    runs_of_unknown_size: usize,
     /// Shares of the executor that its best-effort tasks use, by image.
     pub(super) best_effort_shares: Shares,
     /// The best-effort shares averaged over the same time as a reported tail latency, computed up
@@ -192,6 +194,7 @@
             last_report_at: now,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            runs_of_unknown_size: 0,
             best_effort_shares: Shares::new(),
             averaged_shares: Shares::new(),
             averaged_until: now,
@@ -211,8 +214,12 @@
         !self.service_images.is_empty()
     }
 
-    /// Resources that are not reserved.
+    /// Resources that are not reserved; none while the size of a run is not known, or while the runs
+    /// reserve more of any resource than the executor has.
     pub(super) fn free(&self) -> Resources {
+        if self.runs_of_unknown_size > 0 {
+            return Resources::default();
+        }
         self.capacity.minus(&self.used).unwrap_or_default()
     }
 
@@ -269,6 +276,7 @@
     pub(super) fn add(&mut self, now: Timestamp, task: TaskKey, run: Run) {
         self.update_averaged_shares(now);
         self.used = self.used.plus(&run.size);
+        self.runs_of_unknown_size += usize::from(run.is_job_unknown);
         let is_best_effort = run.is_best_effort;
         if is_best_effort {
             self.best_effort_demand += run.processor_demand;
@@ -294,6 +302,7 @@
         self.update_averaged_shares(now);
         let run = self.runs.remove(&task)?;
         self.used = self.used.minus(&run.size).unwrap_or_default();
+        self.runs_of_unknown_size -= usize::from(run.is_job_unknown);
         if run.is_best_effort {
             self.best_effort_demand -= run.processor_demand;
             self.update_best_effort_shares();
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -321,17 +321,11 @@
         }
         if !self.jobs.contains_key(&listed.task.step.job) {
             let run = self.run_from_list(listed, sent);
-            // The size of the run is not known yet, so that all free resources are reserved for it.
-            let free = self.executors[x].free();
-            self.executors[x].add(
-                self.now,
-                listed.task,
-                Run {
-                    size: free,
-                    is_job_unknown: true,
-                    ..run
-                },
-            );
+            let run = Run {
+                is_job_unknown: true,
+                ..run
+            };
+            self.executors[x].add(self.now, listed.task, run);
             self.set_timer(UNKNOWN_JOB_TIMEOUT, Timer::UnknownJobs(x));
             return;
         }
--- /dev/null
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -0,0 +1,73 @@
+//! Changes of executors' entries and incarnations, and takeovers before all jobs are read.
+
+use guavacart_jobs::{Event, ExecutorId, JobKey, Registration};
+use guavacart_types::{ByteSize, Incarnation, Processors, Resources};
+
+use super::{Harness, registration};
+
+/// Incarnation of executors that have not restarted.
+const FIRST_INCARNATION: Incarnation = Incarnation(7);
+
+impl Harness {
+    /// Returns the entry that the executor writes.
+    pub(crate) fn entry(&self, executor: &str) -> Registration {
+        let id = ExecutorId::from(executor);
+        let index = self.executors.iter().position(|known| *known == id);
+        Registration {
+            incarnation: Some(self.incarnation(&id)),
+            ..registration(index.expect("an executor of the harness"), &id)
+        }
+    }
+
+    /// Lets the owner read an entry.
+    pub(crate) fn read_entry(&mut self, executor: &str, entry: Registration) {
+        self.apply(Event::ExecutorEntryRead(executor.into(), Some(entry)));
+    }
+
+    /// Lets the owner read an entry with this capacity, in thousandths of processors and GiB.
+    pub(crate) fn set_capacity(&mut self, executor: &str, millicores: u64, memory_gib: u64) {
+        let mut entry = self.entry(executor);
+        entry.capacity = Resources {
+            processors: Processors(millicores),
+            memory: ByteSize::gib(memory_gib),
+            ..entry.capacity
+        };
+        self.read_entry(executor, entry);
+    }
+
+    /// Restarts an executor without its runs and ends; its entry is not read yet.
+    pub(crate) fn restart(&mut self, executor: &str) {
+        let id = ExecutorId::from(executor);
+        let next = Incarnation(self.incarnation(&id).0 + 1);
+        self.running.retain(|(other, _), _| *other != id);
+        self.ended.retain(|(other, _)| *other != id);
+        self.incarnations.insert(id, next);
+    }
+
+    pub(super) fn incarnation(&self, id: &ExecutorId) -> Incarnation {
+        let restarted = self.incarnations.get(id).copied();
+        restarted.unwrap_or(FIRST_INCARNATION)
+    }
+
+    /// Returns a harness with the next owner, which has not read the job records yet.
+    pub(crate) fn take_over_before_jobs_are_read(&self) -> Self {
+        let mut next = Self::new_owner(
+            2,
+            self.now + 1_000,
+            0,
+            self.executors.clone(),
+            Vec::new(),
+            self.stored.clone(),
+            self.running.clone(),
+        );
+        next.jobs.clone_from(&self.jobs);
+        next
+    }
+
+    /// Lets the owner read the record of a job that was accepted earlier.
+    pub(crate) fn read_job(&mut self, key: u64) {
+        let known = self.jobs.iter().find(|(known, _)| *known == JobKey(key));
+        let (key, job) = known.expect("a job that was accepted").clone();
+        self.apply(Event::JobAccepted(key, Box::new(job)));
+    }
+}
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+mod entries;
 mod site;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -53,6 +54,8 @@
     clock_lag_ms: u64,
     executors: Vec<ExecutorId>,
     unresponsive: BTreeSet<ExecutorId>,
+    /// Incarnations of executors that restarted.
+    incarnations: BTreeMap<ExecutorId, Incarnation>,
     start_failures: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
     /// Paces that were ordered, in percent of full speed.
@@ -171,6 +174,7 @@
             clock_lag_ms,
             executors,
             unresponsive: BTreeSet::new(),
+            incarnations: BTreeMap::new(),
             start_failures: BTreeMap::new(),
             running,
             paces: BTreeMap::new(),
@@ -444,7 +448,7 @@
         let ended = self.ended.iter().filter(|(executor, _)| executor == id);
         let ended = ended.map(|(_, end)| end);
         Ok(HoldReport {
-            incarnation: Incarnation(7),
+            incarnation: self.incarnation(id),
             clock_ms: self.now,
             running: running.collect(),
             ended: ended.cloned().collect(),
