Give a restarted executor no work by its former entry

A hold can show an executor's new incarnation before its new entry is read, by up to a heartbeat and a poll, or longer while the store is down. It then got tasks by the capacity, labels and pool of its former incarnation, although a new one may be of another kind. Found by reading; no run has shown it.

An executor is used only while the incarnation of its entry is the one that answers holds.

The test failed before: a task was started by an entry of the earlier incarnation.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -439,6 +439,17 @@
         self.executors[x].penalty_until <= self.now && self.accepts_work(x)
     }
 
+    /// True unless the entry describes another incarnation than the one that answers holds, which may
+    /// have another capacity and other labels.
+    fn has_current_entry(&self, x: usize) -> bool {
+        let executor = &self.executors[x];
+        let registered = executor.registration.as_ref().and_then(|r| r.incarnation);
+        match (registered, executor.incarnation) {
+            (Some(registered), Some(known)) => registered == known,
+            _ => true,
+        }
+    }
+
     /// True if the executor can be given work, possibly only as a last choice.
     pub(super) fn accepts_work(&self, x: usize) -> bool {
         let executor = &self.executors[x];
@@ -447,6 +458,7 @@
         };
         executor.has_seen_epoch
             && executor.is_recorded
+            && self.has_current_entry(x)
             && !registration.is_draining
             && !executor.is_machine_draining
             && executor.failed_holds == 0
--- a/crates/guavacart_jobs/tests/capacity.rs
+++ b/crates/guavacart_jobs/tests/capacity.rs
@@ -62,3 +62,21 @@
     harness.run_for(500);
     assert!(harness.next_start().is_some(), "2 cores are free");
 }
+
+/// Guards against starts by the capacity and labels of an executor's earlier incarnation.
+#[test]
+fn a_restarted_executor_gets_no_work_before_its_new_entry_is_read() {
+    let mut harness = harness_with_runs(&[2_000]);
+    harness.restart("a");
+    harness.run_for(2_000);
+    assert!(
+        harness.next_start().is_none(),
+        "a task was started by an entry of the earlier incarnation"
+    );
+    harness.set_capacity("a", 1_000, 16);
+    harness.run_for(500);
+    assert!(harness.next_start().is_none(), "2 cores do not fit in 1");
+    harness.set_capacity("a", 2_000, 16);
+    harness.run_for(500);
+    assert!(harness.next_start().is_some(), "the lost task fits again");
+}
