Log changes of an executor's capacity and apply them to best-effort shares

A change of capacity left no trace in the logs, and the shares that best-effort tasks use of an executor, which placement and pacing plan with, stayed those of the former capacity until a run or a pace changed next.

A change is applied in one place (state/capacity.rs): it recomputes the shares and writes one line with the former capacity, the new one and what is reserved. Runs that no longer fit go on.

Tests: a shrunk executor gets no work, also none that needs only what it has left, until all that runs there fits; placement resumes when it grows; a run that is being stopped keeps its room; a gang waits for shrunk executors; one line for each change. The shares have no test of their own.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -192,6 +192,17 @@
         /// Kind of failure.
         failure: OrderFailure,
     },
+    /// An executor's entry shows another capacity than before.
+    CapacityChanged {
+        /// Executor whose capacity changed.
+        executor: ExecutorId,
+        /// Former capacity.
+        before: Resources,
+        /// New capacity.
+        after: Resources,
+        /// Resources that its runs reserve.
+        reserved: Resources,
+    },
     /// An executor got a penalty for failed runs and gets no more work, except as a last choice for
     /// long-running tasks, or gets work again.
     Trusted {
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod candidates;
+mod capacity;
 mod demand;
 mod executors;
 mod headroom;
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -381,9 +381,9 @@
             self.hold_if_needed(x);
             return;
         }
+        self.apply_capacity(x, registration.capacity);
         let executor = &mut self.executors[x];
         executor.target.address = registration.address;
-        executor.capacity = registration.capacity;
         let must_record = !executor.is_recorded;
         let is_restarted = match (registration.incarnation, executor.incarnation) {
             (Some(registered), Some(known)) => registered > known,
--- a/crates/guavacart_jobs/tests/capacity.rs
+++ b/crates/guavacart_jobs/tests/capacity.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use guavacart_jobs::Step;
+use guavacart_jobs::{Decision, Effect, Event, JobKey, Step};
 use guavacart_types::Processors;
 use support::{Harness, job, step};
 
@@ -80,3 +80,93 @@
     harness.run_for(500);
     assert!(harness.next_start().is_some(), "the lost task fits again");
 }
+
+fn started(harness: &mut Harness) -> usize {
+    std::iter::from_fn(|| harness.next_start()).count()
+}
+
+/// Guards against starts on an executor that has shrunk, including starts that need only what it
+/// has left of one resource, and against places that stay empty when it grows again.
+#[test]
+fn a_shrunk_executor_gets_work_again_once_all_that_runs_there_fits() {
+    let mut harness = Harness::new(&["a"]);
+    harness.accept(1, job(vec![step_of(2_000), step_of(4_000)]));
+    harness.run_for(100);
+    let ending = harness.next_start().expect("the first task fits");
+    harness.next_start().expect("the second task fits");
+    harness.set_capacity("a", 5_000, 16);
+    harness.accept(2, job(vec![step_of(1_000)]));
+    harness.accept(
+        3,
+        job(vec![Step {
+            is_best_effort: true,
+            ..step_of(100)
+        }]),
+    );
+    harness.run_for(3_000);
+    assert_eq!(started(&mut harness), 0, "6 of 5 cores are in use");
+    harness.complete_run(&ending);
+    harness.run_for(1_500);
+    assert_eq!(started(&mut harness), 2, "4 of 5 cores are in use");
+    harness.accept(4, job(vec![step_of(3_000)]));
+    harness.run_for(100);
+    assert_eq!(started(&mut harness), 0, "5 of 5 cores are in use");
+    harness.set_capacity("a", 8_000, 16);
+    harness.run_for(100);
+    assert_eq!(started(&mut harness), 1, "3 cores are free again");
+    let is_stop = |effect: &Effect| matches!(effect, Effect::Stop { .. });
+    assert!(!harness.effects().iter().any(is_stop), "runs go on");
+}
+
+/// Guards against room that is offered while the run that has it is only being stopped.
+#[test]
+fn a_run_that_is_being_stopped_keeps_its_room() {
+    let mut harness = harness_with_runs(&[6_000]);
+    harness.stop_answering(&"a".into());
+    harness.apply(Event::JobCancelled(JobKey(1)));
+    harness.run_for(1_000);
+    harness.set_capacity("a", 4_000, 16);
+    harness.set_capacity("a", 8_000, 16);
+    harness.accept(2, job(vec![step_of(4_000)]));
+    harness.run_for(1_000);
+    let is_start = |effect: &&Effect| matches!(effect, Effect::Start(..));
+    let starts = harness.effects().iter().filter(is_start).count();
+    assert_eq!(starts, 1, "the stop was not answered");
+}
+
+/// Guards against a gang that is counted against the capacity before the executor shrank.
+#[test]
+fn a_gang_waits_until_all_members_fit_on_shrunk_executors() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.set_capacity("a", 2_000, 16);
+    let gang = Step {
+        is_gang: true,
+        ..step(6)
+    };
+    harness.accept(1, job(vec![gang]));
+    harness.run_for(1_000);
+    assert_eq!(started(&mut harness), 0, "5 members fit");
+    harness.set_capacity("a", 4_000, 16);
+    harness.run_for(200);
+    assert_eq!(started(&mut harness), 6);
+}
+
+/// Guards against a log line with each entry, and against none when capacity changes.
+#[test]
+fn each_change_of_capacity_is_logged_once() {
+    let mut harness = harness_with_runs(&[2_000]);
+    for _ in 0..3 {
+        harness.set_capacity("a", 4_000, 16);
+        harness.run_for(1_000);
+    }
+    let changes = harness.effects().iter().filter_map(|effect| match effect {
+        Effect::Log(Decision::CapacityChanged {
+            before,
+            after,
+            reserved,
+            ..
+        }) => Some([before, after, reserved].map(|amount| amount.processors.0)),
+        _ => None,
+    });
+    assert_eq!(changes.collect::<Vec<_>>(), [[8_000, 4_000, 2_000]]);
+}
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -51,6 +51,12 @@
             task: None,
             failure,
         } => warn!(event = "hold_failed", %executor, epoch, ?failure),
+        Decision::CapacityChanged {
+            executor,
+            before,
+            after,
+            reserved,
+        } => info!(event = "capacity_changed", %executor, epoch, %before, %after, %reserved),
         Decision::Trusted {
             executor,
             is_trusted,
