Suspend starts while executors' entries may be too old

While the store did not answer, the owner went on starting tasks by the capacity that it had read last, for as long as the outage lasted, and by entries from before it until each executor had written again. An executor that shrank meanwhile was filled past its capacity, which counts from contact-ms and one heartbeat after the shrink on.

A start now relies on a read of all entries that was sent at most contact-ms less the time of an order ago. After a gap between reads, or where the node saw the store fail before it became owner, a read counts once executors have had one heartbeat to write. Suspension is logged when it begins and ends. Runs, their leases, their ends and stops go on.

Weighed: going on by the last entries.

The model plays changes of capacity with crashes of owners and executors, and checks each start against the largest capacity that an owner may still rely on.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -192,6 +192,14 @@
         /// Kind of failure.
         failure: OrderFailure,
     },
+    /// No more tasks start, since the executors' entries could not be read for too long, or tasks
+    /// start again.
+    PlacementSuspended {
+        /// True if no more tasks start.
+        is_suspended: bool,
+        /// Time since the entries were read.
+        age: Span,
+    },
     /// An executor's entry shows another capacity than before.
     CapacityChanged {
         /// Executor whose capacity changed.
--- a/crates/guavacart_jobs/src/event.rs
+++ b/crates/guavacart_jobs/src/event.rs
@@ -18,6 +18,11 @@
     /// An executor's entry in the store was read; `None` if the entry was removed or describes no
     /// usable executor.
     ExecutorEntryRead(ExecutorId, Option<Registration>),
+    /// All changes of executors' entries up to a time have been delivered.
+    ExecutorEntriesConfirmed {
+        /// When the read that showed them was sent.
+        as_of: Timestamp,
+    },
     /// A job was accepted and is stored.
     JobAccepted(JobKey, Box<Job>),
     /// The cancellation of a job is stored.
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -28,6 +28,7 @@
     StepKey,
 };
 use candidates::PassWork;
+use capacity::EntryAge;
 use executors::Executor;
 use headroom::Headrooms;
 use holds::Orphan;
@@ -54,6 +55,10 @@
     pub max_time_over_target: Span,
     /// How long the maintenance of a machine takes.
     pub maintenance: Span,
+    /// How long after the executors' entries were last read orders may rely on them.
+    pub max_entry_age: Span,
+    /// Longest time between two writes of an executor's entry while the store is available.
+    pub entry_interval: Span,
 }
 
 /// Everything that an owner reads before it acts.
@@ -69,6 +74,8 @@
     pub cancelled: Vec<JobKey>,
     /// Executors with an entry in the platform's store.
     pub executors: Vec<(ExecutorId, Registration)>,
+    /// Since when the store has been available, so that executors could write their entries.
+    pub store_available_since: Timestamp,
     /// Executors that may run tasks of an earlier owner, from that owner's record.
     pub executors_with_runs: Vec<ExecutorAddress>,
     /// Maintenance waves.
@@ -147,6 +154,9 @@
     executors: Vec<Executor>,
     /// Indexes in `executors`.
     by_id: HashMap<ExecutorId, usize>,
+    entry_age: EntryAge,
+    /// No tasks start, since the executors' entries are outdated.
+    is_suspended: bool,
     /// Ends of runs whose job is not known yet. Run ends are not acknowledged until their job is
     /// known.
     orphans: Vec<Orphan>,
@@ -186,6 +196,12 @@
             ready: BTreeSet::new(),
             executors: Vec::new(),
             by_id: HashMap::new(),
+            entry_age: EntryAge::new(
+                bounds.entry_interval,
+                snapshot.store_available_since,
+                at.now,
+            ),
+            is_suspended: false,
             orphans: Vec::new(),
             unreconciled: BTreeSet::new(),
             timers: BTreeSet::new(),
@@ -231,6 +247,7 @@
             Event::Tick => {}
             Event::ConfigurationRead(configuration) => self.on_configuration(configuration),
             Event::ExecutorEntryRead(id, registration) => self.on_registration(&id, registration),
+            Event::ExecutorEntriesConfirmed { as_of } => self.on_entries_confirmed(as_of),
             Event::JobAccepted(key, job) => self.add_job(key, *job, JobProgress::default(), false),
             Event::JobCancelled(key) => self.cancel(key),
             Event::HoldAnswered {
--- a/crates/guavacart_jobs/src/state/capacity.rs
+++ b/crates/guavacart_jobs/src/state/capacity.rs
@@ -1,10 +1,49 @@
 //! Executors whose capacity changes while they run.
 
-use guavacart_types::Resources;
+use guavacart_types::{Resources, Span, Timestamp};
 
 use super::State;
 use crate::{Decision, Effect};
 
+/// Longest time that a start order travels; see [`super::Bounds::max_entry_age`].
+const MAX_ORDER_TIME: Span = Span::millis(400);
+
+/// Time without a read after which the store may have been unavailable to executors too.
+const MAX_READ_GAP: Span = Span::millis(1_500);
+
+/// How old the executors' entries may be.
+#[derive(Debug)]
+pub(super) struct EntryAge {
+    /// When the newest read was sent that shows what executors had written shortly before.
+    as_of: Timestamp,
+    last_read: Timestamp,
+    /// Since when the store has answered without a gap. Entries that are read before each executor
+    /// could write its own again may be as old as the gap.
+    available_since: Timestamp,
+}
+
+impl EntryAge {
+    pub(super) fn new(interval: Span, available_since: Timestamp, read: Timestamp) -> Self {
+        let mut age = Self {
+            as_of: Timestamp(0),
+            last_read: read,
+            available_since,
+        };
+        age.record_read(interval, read);
+        age
+    }
+
+    fn record_read(&mut self, interval: Span, sent: Timestamp) {
+        if sent.since(self.last_read) > MAX_READ_GAP {
+            self.available_since = sent;
+        }
+        self.last_read = sent;
+        if sent.since(self.available_since) >= interval {
+            self.as_of = sent;
+        }
+    }
+}
+
 impl State {
     /// Applies the capacity of an executor's entry. Runs that no longer fit go on, and nothing else
     /// starts on the executor until all that runs there fits.
@@ -30,4 +69,35 @@
             self.effects.push(Effect::Log(decision));
         }
     }
+
+    /// Records that the known entries include all changes up to a read that was sent at `sent`.
+    pub(super) fn on_entries_confirmed(&mut self, sent: Timestamp) {
+        self.entry_age.record_read(self.bounds.entry_interval, sent);
+        if self.is_suspended && !self.are_entries_outdated() {
+            self.set_suspended(false);
+            self.needs_placement = true;
+        }
+    }
+
+    /// True if an executor may have shrunk so long ago that a start by its entry could exceed its
+    /// capacity.
+    pub(super) fn are_entries_outdated(&self) -> bool {
+        self.now.since(self.entry_age.as_of) + MAX_ORDER_TIME > self.bounds.max_entry_age
+    }
+
+    /// True while the executors' entries are outdated. Placement resumes when they are read.
+    pub(super) fn is_placement_suspended(&mut self) -> bool {
+        let is_suspended = self.are_entries_outdated();
+        if is_suspended && !self.is_suspended {
+            self.set_suspended(true);
+        }
+        is_suspended
+    }
+
+    fn set_suspended(&mut self, is_suspended: bool) {
+        self.is_suspended = is_suspended;
+        let age = self.now.since(self.entry_age.as_of);
+        let decision = Decision::PlacementSuspended { is_suspended, age };
+        self.effects.push(Effect::Log(decision));
+    }
 }
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -456,7 +456,8 @@
         let Some(registration) = &executor.registration else {
             return false;
         };
-        executor.has_seen_epoch
+        !self.are_entries_outdated()
+            && executor.has_seen_epoch
             && executor.is_recorded
             && self.has_current_entry(x)
             && !registration.is_draining
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -73,7 +73,7 @@
 impl State {
     /// Starts the tasks that fit, in order of rank.
     pub(super) fn place(&mut self) {
-        if self.ready.is_empty() {
+        if self.ready.is_empty() || self.is_placement_suspended() {
             return;
         }
         self.pass_work.begin();
--- a/crates/guavacart_jobs/tests/capacity.rs
+++ b/crates/guavacart_jobs/tests/capacity.rs
@@ -81,6 +81,31 @@
     assert!(harness.next_start().is_some(), "the lost task fits again");
 }
 
+/// Guards against starts by a capacity that the executor may no longer have, since the store does
+/// not show it.
+#[test]
+fn nothing_starts_while_entries_cannot_be_read_for_too_long() {
+    let mut harness = Harness::new(&["a"]);
+    harness.set_store_down(true);
+    harness.run_for(2_000);
+    harness.accept(1, job(vec![step_of(2_000)]));
+    harness.run_for(200);
+    assert_eq!(started(&mut harness), 1, "the entry is 2 s old");
+    harness.run_for(1_000);
+    harness.accept(2, job(vec![step_of(2_000)]));
+    harness.run_for(3_000);
+    assert_eq!(started(&mut harness), 0, "the entry is 6 s old");
+    harness.set_store_down(false);
+    harness.run_for(1_000);
+    assert_eq!(started(&mut harness), 0, "the entry may be from before");
+    harness.run_for(500);
+    assert_eq!(
+        started(&mut harness),
+        1,
+        "the executor has written it again"
+    );
+}
+
 fn started(harness: &mut Harness) -> usize {
     std::iter::from_fn(|| harness.next_start()).count()
 }
--- a/crates/guavacart_jobs/tests/model/executor.rs
+++ b/crates/guavacart_jobs/tests/model/executor.rs
@@ -8,7 +8,7 @@
 };
 use guavacart_types::{Epoch, Incarnation};
 
-use crate::site::MAX_LEASE_MS;
+use crate::{capacity::Capacity, site::MAX_LEASE_MS};
 
 /// A run on an executor.
 pub(crate) struct Running {
@@ -26,6 +26,7 @@
     pub(crate) is_up: bool,
     /// Time until which owners cannot reach the executor.
     pub(crate) unreachable_until: u64,
+    pub(crate) capacity: Capacity,
     /// Greatest epoch seen; orders of a smaller one are refused.
     max_epoch: Epoch,
     /// End of the lease, on the executor's clock.
@@ -39,11 +40,12 @@
 }
 
 impl Executor {
-    pub(crate) fn new(started_at: u64) -> Self {
+    pub(crate) fn new(started_at: u64, capacity: Capacity) -> Self {
         Self {
             started_at,
             is_up: true,
             unreachable_until: 0,
+            capacity,
             max_epoch: Epoch(0),
             lease_end_ms: 0,
             running: BTreeMap::new(),
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `GUAVACART_CASES` sets the number of seeds to run and `GUAVACART_SEED` the first one.
 
+mod capacity;
 mod executor;
 mod invariants;
 mod simulation;
@@ -61,6 +62,7 @@
         executor_disconnects: 2,
         store_outages: 1,
         missing_entries: true,
+        ..Faults::default()
     }
 }
 
@@ -91,4 +93,21 @@
     };
     invariants_hold_when_the_store_is_unavailable: Faults { store_outages: 2, ..Faults::default() };
     invariants_hold_with_all_faults_combined: all_faults_combined();
+    invariants_hold_when_capacity_changes: Faults {
+        capacity_changes: 20,
+        ..Faults::default()
+    };
+    invariants_hold_when_capacity_changes_and_owners_crash: Faults {
+        capacity_changes: 20,
+        owner_crashes: 3,
+        executor_crashes: 2,
+        ..Faults::default()
+    };
+    invariants_hold_when_capacity_changes_and_the_store_is_unavailable: Faults {
+        capacity_changes: 20,
+        owner_crashes: 3,
+        store_outages: 1,
+        lost_answers: 0.05,
+        ..Faults::default()
+    };
 }
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -13,23 +13,18 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
+    capacity::Capacity,
     executor::{Executor, Running},
     invariants::Observer,
-    site::{bounds, configuration, rules},
+    site::{configuration, rules},
 };
 
-const EXECUTOR_COUNT: usize = 5;
+pub(crate) const EXECUTOR_COUNT: usize = 5;
 const JOB_COUNT: u64 = 14;
 /// Time at which faults and submissions end.
-const FAULTS_END_MS: u64 = 30_000;
+pub(crate) const FAULTS_END_MS: u64 = 30_000;
 /// Time at which the simulation ends; all jobs must have ended before.
 const END_MS: u64 = 120_000;
-const CAPACITY: Resources = Resources {
-    processors: Processors(8_000),
-    memory: ByteSize::gib(16),
-    accelerators: Accelerators(0),
-};
-
 /// Numbers and probabilities of faults.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Faults {
@@ -49,11 +44,13 @@
     pub(crate) store_outages: usize,
     /// True if a new owner at first sees the entry of one executor only.
     pub(crate) missing_entries: bool,
+    /// Number of times that the capacity of an executor changes.
+    pub(crate) capacity_changes: usize,
 }
 
 /// An event of the simulation, in contrast to [`Event`] of the reducer. Executors and owners are
 /// named by index.
-enum SimEvent {
+pub(crate) enum SimEvent {
     /// An order reaches its executor, or a save reaches the store. The owner gets the answer if
     /// `answered` is set.
     Order {
@@ -84,6 +81,11 @@
     CrashExecutor(usize),
     RestartExecutor(usize),
     DisconnectExecutor(usize),
+    ChangeCapacity(usize),
+    /// An executor writes its entry.
+    WriteEntry(usize),
+    /// An owner reads all entries.
+    PollEntries(usize),
     /// Executors end their runs if their lease has expired.
     ExpireLeases,
 }
@@ -99,30 +101,30 @@
 }
 
 #[derive(Default)]
-struct Store {
+pub(crate) struct Store {
     epoch: u64,
     jobs: BTreeMap<JobKey, Job>,
     cancelled: Vec<JobKey>,
     progress: BTreeMap<JobKey, JobProgress>,
     executors_with_runs: Vec<ExecutorAddress>,
-    unavailable_until: u64,
+    pub(crate) unavailable_until: u64,
 }
 
 pub(crate) struct Simulation {
     seed: u64,
-    rng: StdRng,
-    now: u64,
-    faults: Faults,
+    pub(crate) rng: StdRng,
+    pub(crate) now: u64,
+    pub(crate) faults: Faults,
     /// Events by time and sequence number, so that events of the same time keep their order.
     queue: BTreeMap<(u64, u64), SimEvent>,
     next_sequence: u64,
-    executors: Vec<Executor>,
+    pub(crate) executors: Vec<Executor>,
     owners: Vec<Owner>,
-    store: Store,
+    pub(crate) store: Store,
     observer: Observer,
 }
 
-fn executor_id(index: usize) -> ExecutorId {
+pub(crate) fn executor_id(index: usize) -> ExecutorId {
     format!("x{index}").as_str().into()
 }
 
@@ -139,7 +141,9 @@
             faults,
             queue: BTreeMap::new(),
             next_sequence: 0,
-            executors: (0..EXECUTOR_COUNT).map(|_| Executor::new(1)).collect(),
+            executors: (0..EXECUTOR_COUNT)
+                .map(|_| Executor::new(1, Capacity::default()))
+                .collect(),
             owners: Vec::new(),
             store: Store::default(),
             observer: Observer::default(),
@@ -171,16 +175,17 @@
             let index = simulation.rng.random_range(0..EXECUTOR_COUNT);
             simulation.schedule_at_random(SimEvent::DisconnectExecutor(index));
         }
+        simulation.schedule_capacity_changes();
         simulation.schedule(100, SimEvent::ExpireLeases);
         simulation
     }
 
-    fn schedule(&mut self, at: u64, sim_event: SimEvent) {
+    pub(crate) fn schedule(&mut self, at: u64, sim_event: SimEvent) {
         self.next_sequence += 1;
         self.queue.insert((at, self.next_sequence), sim_event);
     }
 
-    fn schedule_at_random(&mut self, sim_event: SimEvent) {
+    pub(crate) fn schedule_at_random(&mut self, sim_event: SimEvent) {
         let at = self.rng.random_range(1_000..FAULTS_END_MS);
         self.schedule(at, sim_event);
     }
@@ -262,7 +267,8 @@
             }
             SimEvent::RestartExecutor(index) => {
                 let unreachable_until = self.executors[index].unreachable_until;
-                self.executors[index] = Executor::new(self.now);
+                let capacity = self.executors[index].capacity.clone();
+                self.executors[index] = Executor::new(self.now, capacity);
                 self.executors[index].unreachable_until = unreachable_until;
                 self.broadcast(|| Event::Tick);
                 let registration = self.registration(index);
@@ -274,6 +280,9 @@
                 self.executors[index].unreachable_until =
                     self.now + self.rng.random_range(500..9_000);
             }
+            SimEvent::ChangeCapacity(index) => self.change_capacity(index),
+            SimEvent::WriteEntry(index) => self.write_entry(index),
+            SimEvent::PollEntries(owner) => self.poll_entries(owner),
             SimEvent::ExpireLeases => {
                 let now = self.now;
                 self.executors
@@ -322,7 +331,7 @@
         }
     }
 
-    fn registration(&self, index: usize) -> Registration {
+    pub(crate) fn registration(&self, index: usize) -> Registration {
         Registration {
             pool: "pool".into(),
             address: (
@@ -332,7 +341,7 @@
                 .into(),
             is_draining: false,
             drain_left: None,
-            capacity: CAPACITY,
+            capacity: self.executors[index].capacity.written,
             labels: vec!["a".into(), "r1".into()],
             incarnation: Some(Incarnation(self.executors[index].started_at)),
         }
@@ -364,11 +373,12 @@
             executors: (0..listed_executors)
                 .map(|index| (executor_id(index), self.registration(index)))
                 .collect(),
+            store_available_since: Timestamp(self.store.unavailable_until.min(self.now)),
             executors_with_runs: self.store.executors_with_runs.clone(),
             waves: Vec::new(),
             learned: LearnedInterference::default(),
         };
-        let (state, effects) = State::new(bounds(), snapshot, self.clocks());
+        let (state, effects) = State::new(self.bounds(), snapshot, self.clocks());
         let owner = self.owners.len();
         self.owners.push(Owner {
             state,
@@ -378,6 +388,9 @@
             next_tick: None,
         });
         self.carry_out(owner, effects);
+        if self.faults.capacity_changes > 0 {
+            self.schedule(self.now, SimEvent::PollEntries(owner));
+        }
         for index in listed_executors..EXECUTOR_COUNT {
             let event =
                 Event::ExecutorEntryRead(executor_id(index), Some(self.registration(index)));
@@ -515,8 +528,9 @@
                 let result = self.executors[index].start(now, order, running);
                 if result == Ok(true) {
                     let executors = &self.executors;
+                    let capacity = executors[index].capacity.known_by(now);
                     self.observer
-                        .check_start(order.task, index, executors, CAPACITY, self.seed);
+                        .check_start(order.task, index, executors, capacity, self.seed);
                     let started_at = self.executors[index].started_at;
                     let finish = SimEvent::Finish(index, started_at, order.task, order.run);
                     self.schedule(now + duration, finish);
--- a/crates/guavacart_jobs/tests/support/entries.rs
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -1,7 +1,7 @@
 //! Changes of executors' entries and incarnations, and takeovers before all jobs are read.
 
 use guavacart_jobs::{Event, ExecutorId, JobKey, Registration};
-use guavacart_types::{ByteSize, Incarnation, Processors, Resources};
+use guavacart_types::{ByteSize, Incarnation, Processors, Resources, Timestamp};
 
 use super::{Harness, registration};
 
@@ -19,6 +19,21 @@
         }
     }
 
+    /// Sets whether the store answers reads of the executors' entries.
+    pub(crate) fn set_store_down(&mut self, is_down: bool) {
+        self.is_store_down = is_down;
+    }
+
+    /// Lets the owner read all changes of entries, unless the store is down.
+    pub(super) fn poll_entries(&mut self) {
+        let as_of = Timestamp(self.now);
+        self.apply(if self.is_store_down {
+            Event::Tick
+        } else {
+            Event::ExecutorEntriesConfirmed { as_of }
+        });
+    }
+
     /// Lets the owner read an entry.
     pub(crate) fn read_entry(&mut self, executor: &str, entry: Registration) {
         self.apply(Event::ExecutorEntryRead(executor.into(), Some(entry)));
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -54,6 +54,8 @@
     clock_lag_ms: u64,
     executors: Vec<ExecutorId>,
     unresponsive: BTreeSet<ExecutorId>,
+    /// The owner cannot read the executors' entries.
+    is_store_down: bool,
     /// Incarnations of executors that restarted.
     incarnations: BTreeMap<ExecutorId, Incarnation>,
     start_failures: BTreeMap<ExecutorId, OrderFailure>,
@@ -159,6 +161,7 @@
             executors: listed
                 .map(|(index, id)| (id.clone(), registration(index, id)))
                 .collect(),
+            store_available_since: Timestamp(0),
             executors_with_runs: stored.executors_with_runs.clone(),
             waves: Vec::new(),
             learned: stored.learned.clone(),
@@ -174,6 +177,7 @@
             clock_lag_ms,
             executors,
             unresponsive: BTreeSet::new(),
+            is_store_down: false,
             incarnations: BTreeMap::new(),
             start_failures: BTreeMap::new(),
             running,
@@ -324,7 +328,7 @@
                     self.apply(event);
                 }
             }
-            self.apply(Event::Tick);
+            self.poll_entries();
         }
     }
 
--- a/crates/guavacart_jobs/tests/support/site.rs
+++ b/crates/guavacart_jobs/tests/support/site.rs
@@ -6,6 +6,11 @@
 /// Longest lease that the executors grant.
 pub(crate) const MAX_LEASE_MS: u64 = 6_000;
 
+/// Longest time between two writes of an executor's entry.
+pub(crate) const ENTRY_INTERVAL: Span = Span::millis(1_100);
+/// How long after the executors' entries were last read orders may rely on them.
+pub(crate) const MAX_ENTRY_AGE: Span = Span::secs(3);
+
 pub(crate) fn rules() -> QueuePolicy {
     QueuePolicy {
         pool: "pool".into(),
@@ -46,5 +51,7 @@
         retention: Span::secs(600),
         max_time_over_target: Span::secs(4),
         maintenance: Span::secs(2),
+        max_entry_age: MAX_ENTRY_AGE,
+        entry_interval: ENTRY_INTERVAL,
     }
 }
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -51,6 +51,14 @@
             task: None,
             failure,
         } => warn!(event = "hold_failed", %executor, epoch, ?failure),
+        Decision::PlacementSuspended { is_suspended, age } => {
+            warn!(
+                event = "placement_suspended",
+                epoch,
+                is_suspended,
+                age_ms = age.0
+            );
+        }
         Decision::CapacityChanged {
             executor,
             before,
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -22,7 +22,7 @@
 use crate::{
     Content, Item, Key, LeaseId, Platform, Space, StoreError, clock, log, records,
     shared::Shared,
-    watching::{self, FollowMode},
+    watching::{self, FollowMode, Read},
 };
 use saving::SavedRevisions;
 
@@ -95,6 +95,7 @@
         snapshot.executors_with_runs = executors_with_runs
             .and_then(decode_record)
             .unwrap_or_default();
+        snapshot.store_available_since = shared.health.available_since();
         snapshot.learned = learned.and_then(decode_record).unwrap_or_default();
         tracing::info!(
             event = "owner_begins",
@@ -229,7 +230,7 @@
 
     async fn follow_executors(self: Rc<Self>, from: Revision) {
         let mut known: Vec<ExecutorId> = Vec::new();
-        let apply_items = |items: Vec<Item>, is_whole: bool| {
+        let apply_items = |items: Vec<Item>, read: Read| {
             let mut listed = Vec::new();
             for item in items {
                 if let Content::Executor(id, registration) = item.content {
@@ -237,7 +238,7 @@
                     self.apply(Event::ExecutorEntryRead(id, registration));
                 }
             }
-            if is_whole {
+            if read.is_whole {
                 for removed in known.iter().filter(|id| !listed.contains(id)) {
                     self.apply(Event::ExecutorEntryRead(removed.clone(), None));
                 }
@@ -245,6 +246,7 @@
             } else {
                 known.extend(listed);
             }
+            self.apply(Event::ExecutorEntriesConfirmed { as_of: read.sent });
         };
         let mode = || FollowMode::Poll(EXECUTORS_POLL_INTERVAL);
         let keep_following = || self.is_active();
@@ -491,6 +493,7 @@
         jobs,
         cancelled,
         executors: executors.collect(),
+        store_available_since: Timestamp(0),
         executors_with_runs: Vec::new(),
         waves,
         learned: guavacart_jobs::LearnedInterference::default(),
--- a/crates/guavacart_node/src/shared.rs
+++ b/crates/guavacart_node/src/shared.rs
@@ -13,6 +13,9 @@
 
 use crate::{NodeSettings, StoreError, clock, metrics::Counters, owner::Owner, ports::Platform};
 
+/// Time for which calls fail before this counts as an outage, in which executors may miss writes.
+const SHORTEST_OUTAGE: Span = Span::millis(1_000);
+
 /// The owner that this node knows of, which may be the node itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct KnownOwner {
@@ -79,6 +82,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
     failing_since: Cell<Option<Timestamp>>,
+    /// When the store served this node again after the last outage.
+    available_since: Cell<Timestamp>,
     /// Signalled when calls begin to fail.
     began_failing: Notify,
 }
@@ -99,13 +104,25 @@
             }
             (false, Some(since)) => {
                 self.failing_since.set(None);
-                let lost_ms = clock::now().since(since).0;
-                tracing::info!(event = "store_regained", lost_ms, "the store serves again");
+                let lost = clock::now().since(since);
+                if lost >= SHORTEST_OUTAGE {
+                    self.available_since.set(clock::now());
+                }
+                tracing::info!(
+                    event = "store_regained",
+                    lost_ms = lost.0,
+                    "the store serves again"
+                );
             }
             _ => {}
         }
     }
 
+    /// When the last outage ended; 0 if the node has seen none.
+    pub(crate) fn available_since(&self) -> Timestamp {
+        self.available_since.get()
+    }
+
     /// Waits until the store no longer serves this node.
     pub(crate) async fn wait_until_failing(&self) {
         self.began_failing.notified().await;
--- a/crates/guavacart_node/src/watching.rs
+++ b/crates/guavacart_node/src/watching.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 
 use guavacart_jobs::{Configuration, Event, MaintenanceWave};
-use guavacart_types::{Revision, Span};
+use guavacart_types::{Revision, Span, Timestamp};
 use rand::Rng;
 use tokio::time;
 
-use crate::{Content, Item, Key, Platform, Space, StoreError, shared::Shared};
+use crate::{Content, Item, Key, Platform, Space, StoreError, clock, shared::Shared};
 
 /// Longest wait of one watch; bounds the time until a connection that has gone silent is noticed.
 const WATCH_WAIT: Span = Span::millis(1_500);
@@ -27,6 +27,15 @@
     Poll(Span),
 }
 
+/// A successful call that read a space or its changes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Read {
+    /// True if the items are all items of the space.
+    pub(crate) is_whole: bool,
+    /// When the call was sent.
+    pub(crate) sent: Timestamp,
+}
+
 impl FollowMode {
     fn wait(self) -> Span {
         match self {
@@ -44,18 +53,19 @@
 
 /// Follows a space until `keep_following` returns false: reads the whole space if `from` is `None`
 /// and after each loss of history, then its changes, in the mode that `mode` returns before each
-/// call.
+/// call. `apply_items` gets the items of each successful call, which may be none.
 pub(crate) async fn follow<P: Platform>(
     shared: &Shared<P>,
     space: Space,
     from: Option<Revision>,
     mut mode: impl FnMut() -> FollowMode,
     mut keep_following: impl FnMut() -> bool,
-    mut apply_items: impl FnMut(Vec<Item>, bool),
+    mut apply_items: impl FnMut(Vec<Item>, Read),
 ) {
     let mut after = from;
     while keep_following() {
         let mode = mode();
+        let sent = clock::now();
         let result = match after {
             None => shared.platform.list(space).await,
             Some(after) => shared.platform.watch(space, after, mode.wait()).await,
@@ -66,8 +76,8 @@
         match result {
             Ok((items, at)) => {
                 after = Some(at);
-                if keep_following() && (is_whole || !items.is_empty()) {
-                    apply_items(items, is_whole);
+                if keep_following() {
+                    apply_items(items, Read { is_whole, sent });
                 }
                 if let FollowMode::Poll(interval) = mode {
                     time::sleep(interval.into()).await;
