Keep each listed executor once, and notice when one of the first list is gone

The owner kept the ids of all entries it read, once for each read, so that its memory grew by an id for each heartbeat of each executor. Executors of the first list were not among them: one that was removed before its entry changed, and whose removal fell into a lost history, stayed registered with its capacity. Both found by reading.

--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -1,5 +1,6 @@
 //! The owner: runs the reducer and executes its effects.
 
+mod listed_executors;
 mod saving;
 
 use std::{
@@ -24,6 +25,7 @@
     shared::Shared,
     watching::{self, FollowMode, Read},
 };
+use listed_executors::ListedExecutors;
 use saving::SavedRevisions;
 
 /// How often the inbox is polled for jobs and cancels that no node reported; nodes report the
@@ -105,6 +107,8 @@
             fleet = snapshot.executors_with_runs.len(),
             version = snapshot.configuration.version,
         );
+        let listed = snapshot.executors.iter().map(|(id, _)| id.clone());
+        let listed = listed.collect();
         let (state, effects) = State::new(shared.settings.bounds, snapshot, clock::current_times());
         let owner = Rc::new(Self {
             shared: Rc::clone(shared),
@@ -124,7 +128,7 @@
         });
         owner.execute(effects);
         task::spawn_local(Rc::clone(&owner).tick());
-        task::spawn_local(Rc::clone(&owner).follow_executors(executors.1));
+        task::spawn_local(Rc::clone(&owner).follow_executors(listed, executors.1));
         task::spawn_local(Rc::clone(&owner).follow_inbox(inbox.1));
         Ok(owner)
     }
@@ -228,23 +232,24 @@
         }
     }
 
-    async fn follow_executors(self: Rc<Self>, from: Revision) {
-        let mut known: Vec<ExecutorId> = Vec::new();
+    async fn follow_executors(self: Rc<Self>, listed: Vec<ExecutorId>, from: Revision) {
+        let mut known = ListedExecutors::new(listed);
         let apply_items = |items: Vec<Item>, read: Read| {
             let mut listed = Vec::new();
             for item in items {
                 if let Content::Executor(id, registration) = item.content {
-                    listed.push(id.clone());
+                    listed.push((id.clone(), registration.is_some()));
                     self.apply(Event::ExecutorEntryRead(id, registration));
                 }
             }
             if read.is_whole {
-                for removed in known.iter().filter(|id| !listed.contains(id)) {
-                    self.apply(Event::ExecutorEntryRead(removed.clone(), None));
+                for removed in known.replace(listed.into_iter().map(|(id, _)| id)) {
+                    self.apply(Event::ExecutorEntryRead(removed, None));
                 }
-                known = listed;
             } else {
-                known.extend(listed);
+                for (id, exists) in listed {
+                    known.change(id, exists);
+                }
             }
             self.apply(Event::ExecutorEntriesConfirmed { as_of: read.sent });
         };
