--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -205,6 +205,25 @@
         /// Kind of failure.
         failure: OrderFailure,
     },
+    /// No more tasks start, since the executors' entries could not be read for too long, or tasks
+    /// start again.
+    PlacementSuspended {
+        /// True if no more tasks start.
+        is_suspended: bool,
+        /// Time since the entries were read.
+        age: Span,
+    },
+    /// An executor's entry shows another capacity than before.
+    CapacityChanged {
+        /// Executor whose capacity changed.
+        executor: ExecutorId,
+        /// Former capacity.
+        before: Resources,
+        /// New capacity.
+        after: Resources,
+        /// Resources that its runs reserve.
+        reserved: Resources,
+    },
     /// An executor got a penalty for failed runs and gets no more work, except as a last choice for
     /// long-running tasks, or gets work again.
     Trusted {
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -3,6 +3,7 @@
 //! `GUAVACART_CASES` sets the number of seeds to run and `GUAVACART_SEED` the first one. With
 //! `GUAVACART_TRACE`, orders, their effects and faults are printed.
 
+mod capacity;
 mod executor;
 mod faults;
 mod invariants;
@@ -193,4 +194,21 @@
         ..Faults::default()
     };
     invariants_hold_with_all_faults_and_partitions: all_faults_and_partitions();
+    invariants_hold_when_capacity_changes: Faults {
+        capacity_changes: 20,
+        ..Faults::default()
+    };
+    invariants_hold_when_capacity_changes_and_owners_crash: Faults {
+        capacity_changes: 20,
+        owner_crashes: 3,
+        executor_crashes: 2,
+        ..Faults::default()
+    };
+    invariants_hold_when_capacity_changes_and_the_store_is_unavailable: Faults {
+        capacity_changes: 20,
+        owner_crashes: 3,
+        store_outages: 1,
+        lost_answers: 0.05,
+        ..Faults::default()
+    };
 }
--- a/crates/guavacart_jobs/tests/model/network.rs
+++ b/crates/guavacart_jobs/tests/model/network.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     executor::Running,
-    simulation::{CAPACITY, FAULTS_END_MS, SimEvent, Simulation, executor_id, index_of},
+    simulation::{FAULTS_END_MS, SimEvent, Simulation, executor_id, index_of},
 };
 
 /// Time after the completion of a job in which an owner that does not know of it may start tasks.
@@ -130,8 +130,9 @@
                 if result == Ok(true) {
                     self.check_job_is_open(order.task, sent);
                     let executors = &self.executors;
+                    let capacity = executors[index].capacity.known_by(now);
                     self.observer
-                        .check_start(now, order.task, index, executors, CAPACITY, self.seed);
+                        .check_start(now, order.task, index, executors, capacity, self.seed);
                     let started_at = self.executors[index].started_at;
                     let finish = SimEvent::Finish(index, started_at, order.task, order.run);
                     self.schedule(now + duration, finish);
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -5,10 +5,11 @@
 use guavacart_jobs::{
     ClockReadings, Effect, Event, ExecutorId, JobKey, JobOutcome, Registration, RunNumber, TaskKey,
 };
-use guavacart_types::{Accelerators, ByteSize, Processors, Resources, Timestamp};
+use guavacart_types::Timestamp;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
+    capacity::Capacity,
     executor::Executor,
     faults::{Fault, Faults},
     invariants::Observer,
@@ -23,12 +24,6 @@
 pub(crate) const FAULTS_END_MS: u64 = 30_000;
 /// Time at which the simulation ends; all jobs must have ended before.
 const END_MS: u64 = 120_000;
-pub(crate) const CAPACITY: Resources = Resources {
-    processors: Processors(8_000),
-    memory: ByteSize::gib(16),
-    accelerators: Accelerators(0),
-};
-
 /// An event of the simulation, in contrast to [`Event`] of the reducer. Executors and owners are
 /// named by index.
 pub(crate) enum SimEvent {
@@ -60,6 +55,11 @@
     StopOwner(usize),
     Fault(Fault),
     RestartExecutor(usize),
+    ChangeCapacity(usize),
+    /// An executor writes its entry.
+    WriteEntry(usize),
+    /// An owner reads all entries.
+    PollEntries(usize),
     /// Executors end their runs if their lease has expired.
     ExpireLeases,
 }
@@ -98,7 +98,9 @@
             is_traced: env::var_os("GUAVACART_TRACE").is_some(),
             queue: BTreeMap::new(),
             next_sequence: 0,
-            executors: (0..EXECUTOR_COUNT).map(|_| Executor::new(1)).collect(),
+            executors: (0..EXECUTOR_COUNT)
+                .map(|_| Executor::new(1, Capacity::default()))
+                .collect(),
             partitions: [None; EXECUTOR_COUNT],
             owners: Vec::new(),
             store: Store::default(),
@@ -114,6 +116,7 @@
             }
         }
         simulation.schedule_faults();
+        simulation.schedule_capacity_changes();
         simulation.schedule(100, SimEvent::ExpireLeases);
         simulation
     }
@@ -196,6 +199,9 @@
             SimEvent::StopOwner(owner) => self.stop_owner(owner),
             SimEvent::Fault(fault) => self.begin_fault(fault),
             SimEvent::RestartExecutor(index) => self.restart_executor(index),
+            SimEvent::ChangeCapacity(index) => self.change_capacity(index),
+            SimEvent::WriteEntry(index) => self.write_entry(index),
+            SimEvent::PollEntries(owner) => self.poll_entries(owner),
             SimEvent::ExpireLeases => {
                 let now = self.now;
                 self.executors
--- a/crates/guavacart_jobs/tests/model/store.rs
+++ b/crates/guavacart_jobs/tests/model/store.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, rngs::StdRng};
 
 use crate::{
-    simulation::{CAPACITY, SimEvent, Simulation, executor_id},
+    simulation::{SimEvent, Simulation, executor_id},
     site::rules,
 };
 
@@ -126,7 +126,7 @@
                 .into(),
             is_draining: false,
             drain_left: None,
-            capacity: CAPACITY,
+            capacity: self.executors[index].capacity.written,
             labels: vec!["a".into(), "r1".into()],
             incarnation: Some(Incarnation(self.executors[index].started_at)),
         }
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+mod entries;
 mod site;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -59,6 +60,10 @@
     clock_lag_ms: u64,
     executors: Vec<ExecutorId>,
     unresponsive: BTreeSet<ExecutorId>,
+    /// The owner cannot read the executors' entries.
+    is_store_down: bool,
+    /// Incarnations of executors that restarted.
+    incarnations: BTreeMap<ExecutorId, Incarnation>,
     start_failures: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
     /// Paces that were ordered, in percent of full speed.
@@ -162,6 +167,7 @@
             executors: listed
                 .map(|(index, id)| (id.clone(), registration(index, id)))
                 .collect(),
+            store_available_since: Timestamp(0),
             executors_with_runs: stored.executors_with_runs.clone(),
             waves: Vec::new(),
             learned: stored.learned.clone(),
@@ -179,6 +185,8 @@
             clock_lag_ms,
             executors,
             unresponsive: BTreeSet::new(),
+            is_store_down: false,
+            incarnations: BTreeMap::new(),
             start_failures: BTreeMap::new(),
             running,
             paces: BTreeMap::new(),
@@ -340,6 +348,7 @@
                     (self.now, Effect::ConfirmOwnership),
                 );
             }
+            self.poll_entries();
             self.apply(Event::Tick);
         }
     }
@@ -467,7 +476,7 @@
         let ended = self.ended.iter().filter(|(executor, _)| executor == id);
         let ended = ended.map(|(_, end)| end);
         Ok(HoldReport {
-            incarnation: Incarnation(7),
+            incarnation: self.incarnation(id),
             clock_ms: self.now,
             running: running.collect(),
             ended: ended.cloned().collect(),
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -1,6 +1,7 @@
 //! The owner: runs the reducer and executes its effects.
 
 mod holds;
+mod listed_executors;
 mod saving;
 
 use std::{
@@ -23,8 +24,9 @@
 use crate::{
     Content, Item, Key, LeaseId, Platform, Space, StoreError, clock, log, records,
     shared::Shared,
-    watching::{self, FollowMode},
+    watching::{self, FollowMode, Read},
 };
+use listed_executors::ListedExecutors;
 use saving::SavedRevisions;
 
 /// How often the inbox is polled for jobs and cancels that no node reported; nodes report the
@@ -98,6 +100,7 @@
         snapshot.executors_with_runs = executors_with_runs
             .and_then(decode_record)
             .unwrap_or_default();
+        snapshot.store_available_since = shared.health.available_since();
         snapshot.learned = learned.and_then(decode_record).unwrap_or_default();
         tracing::info!(
             event = "owner_begins",
@@ -107,6 +110,8 @@
             fleet = snapshot.executors_with_runs.len(),
             version = snapshot.configuration.version,
         );
+        let listed = snapshot.executors.iter().map(|(id, _)| id.clone());
+        let listed = listed.collect();
         let (state, effects) = State::new(shared.settings.bounds, snapshot, clock::current_times());
         let owner = Rc::new(Self {
             shared: Rc::clone(shared),
@@ -128,7 +133,7 @@
         owner.execute(effects);
         owner.apply(Event::OwnershipConfirmed { at: confirmed_at });
         task::spawn_local(Rc::clone(&owner).tick());
-        task::spawn_local(Rc::clone(&owner).follow_executors(executors.1));
+        task::spawn_local(Rc::clone(&owner).follow_executors(listed, executors.1));
         task::spawn_local(Rc::clone(&owner).follow_inbox(inbox.1));
         Ok(owner)
     }
@@ -240,24 +245,26 @@
         }
     }
 
-    async fn follow_executors(self: Rc<Self>, from: Revision) {
-        let mut known: Vec<ExecutorId> = Vec::new();
-        let apply_items = |items: Vec<Item>, is_whole: bool| {
+    async fn follow_executors(self: Rc<Self>, listed: Vec<ExecutorId>, from: Revision) {
+        let mut known = ListedExecutors::new(listed);
+        let apply_items = |items: Vec<Item>, read: Read| {
             let mut listed = Vec::new();
             for item in items {
                 if let Content::Executor(id, registration) = item.content {
-                    listed.push(id.clone());
+                    listed.push((id.clone(), registration.is_some()));
                     self.apply(Event::ExecutorEntryRead(id, registration));
                 }
             }
-            if is_whole {
-                for removed in known.iter().filter(|id| !listed.contains(id)) {
-                    self.apply(Event::ExecutorEntryRead(removed.clone(), None));
+            if read.is_whole {
+                for removed in known.replace(listed.into_iter().map(|(id, _)| id)) {
+                    self.apply(Event::ExecutorEntryRead(removed, None));
                 }
-                known = listed;
             } else {
-                known.extend(listed);
+                for (id, exists) in listed {
+                    known.change(id, exists);
+                }
             }
+            self.apply(Event::ExecutorEntriesConfirmed { as_of: read.sent });
         };
         let mode = || FollowMode::Poll(EXECUTORS_POLL_INTERVAL);
         let keep_following = || self.is_active();
@@ -496,6 +503,7 @@
         jobs,
         cancelled,
         executors: executors.collect(),
+        store_available_since: Timestamp(0),
         executors_with_runs: Vec::new(),
         waves,
         learned: guavacart_jobs::LearnedInterference::default(),
