Give up tasks that crash the executors that start them

Cause: only runs that end `failed` counted. A run that was lost with its executor was queued again without a trace, so that its task went round for ever.

A crash does not show which run caused it. It now counts against each run that was not yet reported at work for 1 s, unless the executor said that it leaves. A task with a crash starts on no executor with another such task; from the second crash on no other job starts beside it until it has worked for 1 s, and such starts are spaced by 1 s. The third crash ends its job as failed if no other job and no common failure of executors explains it, the fourth in any case. A task that works for 1 s is cleared. The runs are part of the job's progress, written as an optional last field, so that older records stay readable and unchanged; starts of tasks with crashes are written as presumed crashes and withdrawn when the run ends, so that the count outlives the owner. A crash that is found after the lease ended still counts.

New log lines: executor_crashed (lost, blamed), suspected (crashes, is_given_up), cleared.

Weighed: giving up at two crashes (an innocent task whose executor crashes twice for other reasons would fail); counting every lost run (a rack that fails would condemn all it ran); no count where several executors fail together (tasks that are queued again together crash together, and would never be found); writing each start first (a write for every task).

The test harness hands the progress that was saved to the next owner, which it did not.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -213,6 +213,33 @@
         /// Highest tail latency on the executor, in percent of its target.
         worst_percent: u64,
     },
+    /// An executor crashed: it restarted or was replaced without having said that it leaves.
+    ExecutorCrashed {
+        /// Executor that crashed.
+        executor: ExecutorId,
+        /// Number of runs that were lost.
+        lost: usize,
+        /// Number of runs that may have caused the crash.
+        blamed: usize,
+    },
+    /// A crash was counted against a task.
+    Suspected {
+        /// Task that may have caused the crash.
+        task: TaskKey,
+        /// Number of its run.
+        run: RunNumber,
+        /// Executor that crashed.
+        executor: ExecutorId,
+        /// Number of crashes that count against the task.
+        crashes: usize,
+        /// The task is not started again, and its job fails.
+        is_given_up: bool,
+    },
+    /// A task with crashes has worked long enough that they no longer count against it.
+    Cleared {
+        /// Task that worked.
+        task: TaskKey,
+    },
     /// A job ended.
     JobEnded {
         /// Job that ended.
--- a/crates/guavacart_jobs/src/lib.rs
+++ b/crates/guavacart_jobs/src/lib.rs
@@ -31,7 +31,7 @@
 };
 pub use job::{Job, JobError, Schedule, Step};
 pub use learned::{LearnedInterference, ServiceInterference};
-pub use progress::{JobOutcome, JobProgress, StepProgress};
+pub use progress::{CrashedRuns, JobOutcome, JobProgress, StepProgress};
 pub use state::{
     Bounds, ClockReadings, JobState, MAX_UNCONFIRMED_ACCEPT_TIME, Snapshot, State, StateSummary,
 };
--- a/crates/guavacart_jobs/src/progress.rs
+++ b/crates/guavacart_jobs/src/progress.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use smol_str::SmolStr;
 
 use crate::RunNumber;
@@ -13,7 +13,7 @@
 pub enum JobOutcome {
     /// All tasks are done.
     Completed,
-    /// A task failed as often as the queue's rules allow.
+    /// A task failed as often as the queue's rules allow, or crashed the executors that started it.
     Failed,
     /// The submitter cancelled the job.
     Cancelled,
@@ -31,6 +31,22 @@
     /// Records by occurrence and step index. A step without done tasks, failed runs or checkpoints
     /// may have no record.
     pub steps: BTreeMap<(u32, u16), StepProgress>,
+    /// Runs under which an executor crashed, or may have crashed, before they proved harmless.
+    /// Records without such runs end before this field.
+    #[serde(
+        default,
+        skip_serializing_if = "BTreeMap::is_empty",
+        deserialize_with = "crashed_if_present"
+    )]
+    pub crashed: CrashedRuns,
+}
+
+/// Runs under which an executor crashed, by occurrence, step index and task index.
+pub type CrashedRuns = BTreeMap<(u32, u16, u16), BTreeSet<RunNumber>>;
+
+/// Reads the last field of [`JobProgress`], which is absent from records without crashes.
+fn crashed_if_present<'de, D: Deserializer<'de>>(deserializer: D) -> Result<CrashedRuns, D::Error> {
+    Ok(CrashedRuns::deserialize(deserializer).unwrap_or_default())
 }
 
 /// Durable record of one step in one occurrence.
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod candidates;
+mod crash_blame;
 mod demand;
 mod executors;
 mod headroom;
@@ -27,6 +28,7 @@
     StepKey,
 };
 use candidates::PassWork;
+use crash_blame::Suspects;
 use executors::Executor;
 use headroom::Headrooms;
 use holds::Orphan;
@@ -156,6 +158,7 @@
     maintenance: Maintenance,
     interference: Interference,
     headrooms: Headrooms,
+    suspects: Suspects,
     needs_placement: bool,
     pass_work: PassWork,
     /// Where the next pass starts among the steps that are tried in rotation.
@@ -192,6 +195,7 @@
             maintenance: Maintenance::default(),
             interference: Interference::default(),
             headrooms: Headrooms::default(),
+            suspects: Suspects::new(),
             needs_placement: false,
             pass_work: PassWork::default(),
             rotation_offset: 0,
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -7,6 +7,7 @@
 
 use super::{
     State, Timer,
+    crash_blame::CrashWatch,
     headroom::DEFAULT_FORECAST,
     interference::{ImageId, Shares},
 };
@@ -166,6 +167,7 @@
     pub(super) penalty_until: Timestamp,
     /// The machine is drained before its maintenance.
     pub(super) is_machine_draining: bool,
+    pub(super) crash_watch: CrashWatch,
 }
 
 impl Executor {
@@ -203,6 +205,7 @@
             backoff_until: Timestamp(0),
             penalty_until: Timestamp(0),
             is_machine_draining: false,
+            crash_watch: CrashWatch::default(),
         }
     }
 
@@ -381,6 +384,7 @@
             _ => false,
         };
         let is_draining = registration.is_draining;
+        executor.crash_watch.is_leaving = is_draining;
         executor.registration = Some(registration);
         if is_restarted {
             executor.has_seen_epoch = false;
@@ -406,7 +410,10 @@
         let replaced: Vec<usize> = (0..self.executors.len()).filter(has_same_address).collect();
         for other in replaced {
             self.executors[other].registration = None;
+            let unproven = self.unproven_runs(other);
+            let lost = self.executors[other].runs.len();
             self.mark_all_lost(other, LossReason::Reborn);
+            self.executor_replaced(other, x, unproven, lost);
             self.mark_reconciled(other);
         }
     }
@@ -472,6 +479,9 @@
             executor,
             why,
         }));
+        if matches!(why, LossReason::NotStarted | LossReason::StoppedBefore) {
+            self.withdraw_crash(task, run.run);
+        }
         self.requeue_task(task, run.run, run.checkpoint);
         self.needs_placement = true;
     }
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -158,6 +158,7 @@
             self.set_lease_timer(x);
             return;
         }
+        self.keep_lapsed_runs(x);
         self.mark_all_lost(x, LossReason::Lapsed);
         self.mark_reconciled(x);
         if self.executors[x].registration.is_none() && self.executors[x].is_recorded {
@@ -209,6 +210,7 @@
         let is_first = executor.failed_holds == 1;
         let executor = executor.id.clone();
         if is_first {
+            self.watch_failure(x);
             self.effects.push(Effect::Log(Decision::OrderFailed {
                 executor,
                 task: None,
@@ -261,6 +263,7 @@
             self.resolve_unlisted_runs(x, sent, &report);
             self.mark_reconciled(x);
         }
+        self.clear_proven(x);
         let executor = &mut self.executors[x];
         executor.last_acknowledged_end = executor
             .last_acknowledged_end
@@ -279,6 +282,8 @@
         if is_first {
             return;
         }
+        self.executor_restarted(x, report);
+        let executor = &mut self.executors[x];
         executor.clock = None;
         executor.lease_end_ms = 0;
         executor.last_received_end = 0;
--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -164,6 +164,7 @@
             progress,
         };
         self.jobs.insert(key, entry);
+        self.restore_suspects(key);
         if self.cancelled.contains(&key) {
             self.cancel(key);
         }
@@ -279,7 +280,7 @@
         }
     }
 
-    fn end_job(&mut self, key: JobKey, outcome: JobOutcome) {
+    pub(super) fn end_job(&mut self, key: JobKey, outcome: JobOutcome) {
         let Some(entry) = self.jobs.get_mut(&key) else {
             return;
         };
@@ -290,6 +291,7 @@
         }
         self.ready.retain(|step| step.job != key);
         self.headrooms.remove_job(key);
+        self.forget_suspects(key);
         self.effects
             .push(Effect::Log(Decision::JobEnded { job: key, outcome }));
         self.stop_job(key);
@@ -320,6 +322,7 @@
             return;
         }
         self.begin_occurrence_of(end.task);
+        self.withdraw_crash(end.task, end.run);
         match end.outcome {
             RunOutcome::Done if !self.is_long_running(end.task) => {
                 self.clear_failures(x);
@@ -368,6 +371,7 @@
         if std::mem::replace(&mut task.is_done, true) {
             return;
         }
+        self.suspects.remove(key);
         let placed = task.placement.take();
         state.done += 1;
         state.waiting.remove(&key.index);
@@ -377,6 +381,8 @@
         let record = entry.progress.steps.entry(at).or_default();
         record.done.insert(key.index);
         record.checkpoints.remove(&key.index);
+        let crashed = &mut entry.progress.crashed;
+        crashed.remove(&(key.step.occurrence, key.step.step, key.index));
         if let Some((x, _)) = placed {
             self.stop_run(x, key, "the task is done elsewhere");
         }
@@ -416,7 +422,7 @@
         }
     }
 
-    fn delay(&mut self, key: TaskKey, delay: Span) {
+    pub(super) fn delay(&mut self, key: TaskKey, delay: Span) {
         let not_before = self.now + delay;
         if let Some(task) = self.task_mut(key) {
             task.not_before = not_before;
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -183,7 +183,15 @@
                 continue;
             }
             let (avoid, last_run) = (task.avoid, task.last_run);
-            let mut chosen = candidates.best(avoid);
+            let is_suspect = self.crashes(key.task(index)) > 0;
+            let mut chosen = if is_suspect {
+                self.executor_for_suspect(key.task(index), &requirements)
+            } else {
+                candidates.best(avoid)
+            };
+            if is_suspect && chosen.is_none() {
+                continue;
+            }
             if chosen.is_none() && step.is_long_running && !requirements.allows_penalized {
                 requirements.allows_penalized = true;
                 candidates = self.candidates(&requirements);
@@ -196,6 +204,9 @@
             let run = self.next_run(last_run);
             let ticket = self.ticket(x, key);
             self.start_run(x, key.task(index), run, ticket);
+            if is_suspect {
+                self.presume_crash(key.task(index), run);
+            }
             self.update_candidate(&mut candidates, x, &requirements);
         }
     }
@@ -229,7 +240,11 @@
         }
         for (index, x) in chosen {
             let ticket = self.ticket(x, key);
+            let is_suspect = self.crashes(key.task(index)) > 0;
             self.start_run(x, key.task(index), run, ticket);
+            if is_suspect {
+                self.presume_crash(key.task(index), run);
+            }
         }
     }
 
@@ -309,8 +324,12 @@
         requirements: &Requirements<'_>,
         reservations: &Reservations,
     ) -> Option<usize> {
-        let candidates =
-            (0..self.executors.len()).filter(|x| self.fits(*x, requirements, reservations));
+        let job = requirements.key.job;
+        let is_suspect = self.has_suspects(requirements.key);
+        let candidates = (0..self.executors.len()).filter(|x| {
+            self.fits(*x, requirements, reservations)
+                && (!is_suspect || self.has_no_other_suspect(*x, job))
+        });
         candidates.max_by_key(|x| self.score(*x, requirements.step, requirements.image))
     }
 
@@ -339,6 +358,9 @@
         if is_blocked || is_penalized || !self.accepts_work(x) {
             return false;
         }
+        if self.is_isolated_from(x, requirements.key.job) {
+            return false;
+        }
         let has = |label: &SmolStr| registration.labels.contains(label);
         if step
             .required_label
--- a/crates/guavacart_jobs/tests/model/invariants.rs
+++ b/crates/guavacart_jobs/tests/model/invariants.rs
@@ -16,8 +16,18 @@
     /// Tasks with a run that ended as done.
     done: BTreeSet<TaskKey>,
     failed: BTreeMap<TaskKey, BTreeSet<RunNumber>>,
+    /// Starts of tasks that crash their executors.
+    crashing_starts: BTreeMap<TaskKey, usize>,
+    /// Crashes of executors under runs of each task.
+    crashes: BTreeMap<TaskKey, usize>,
 }
 
+/// Most starts of a task that crashes its executors: three, and two more after the third crash.
+const MAX_CRASHING_STARTS: usize = 5;
+
+/// Executors that must have crashed under a task before its job may fail for that.
+const MIN_CRASHES_TO_GIVE_UP: usize = 2;
+
 impl Observer {
     pub(crate) fn record_done(&mut self, task: TaskKey) {
         self.done.insert(task);
@@ -47,6 +57,29 @@
         }
     }
 
+    /// Counts the crash of an executor against the runs that it had.
+    pub(crate) fn record_crash(&mut self, executor: &Executor) {
+        for task in executor.running.keys() {
+            *self.crashes.entry(*task).or_default() += 1;
+        }
+    }
+
+    /// True if enough executors crashed under a task of the job that the job may fail.
+    pub(crate) fn may_be_given_up(&self, job: JobKey) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|(task, crashes)| task.step.job == job && *crashes >= MIN_CRASHES_TO_GIVE_UP)
+    }
+
+    /// Counts a start of a task that crashes its executor, and checks that there are not too many.
+    pub(crate) fn check_crashing_start(&mut self, task: TaskKey, seed: u64) {
+        let starts = self.crashing_starts.entry(task).or_default();
+        *starts += 1;
+        assert!(
+            *starts <= MAX_CRASHING_STARTS,
+            "seed {seed}: {task} was started {starts} times although it crashes executors"
+        );
+    }
+
     /// Checks a run that an executor has just started: the task is not done and does not run
     /// elsewhere, the steps that it depends on are done, and the executor has room.
     pub(crate) fn check_start(
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -61,6 +61,7 @@
         executor_disconnects: 2,
         store_outages: 1,
         missing_entries: true,
+        crashing_jobs: 0,
     }
 }
 
@@ -90,5 +91,17 @@
         ..Faults::default()
     };
     invariants_hold_when_the_store_is_unavailable: Faults { store_outages: 2, ..Faults::default() };
+    invariants_hold_when_tasks_crash_executors: Faults { crashing_jobs: 2, ..Faults::default() };
+    invariants_hold_when_tasks_crash_executors_and_owners_crash: Faults {
+        crashing_jobs: 2,
+        owner_crashes: 2,
+        ..Faults::default()
+    };
+    invariants_hold_when_tasks_and_other_causes_crash_executors: Faults {
+        crashing_jobs: 2,
+        executor_crashes: 4,
+        executor_disconnects: 2,
+        ..Faults::default()
+    };
     invariants_hold_with_all_faults_combined: all_faults_combined();
 }
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -22,6 +22,8 @@
 const JOB_COUNT: u64 = 14;
 /// Time at which faults and submissions end.
 const FAULTS_END_MS: u64 = 30_000;
+/// Time from the start of a run to the crash that it causes.
+const CRASH_DELAY_MS: u64 = 10;
 /// Time at which the simulation ends; all jobs must have ended before.
 const END_MS: u64 = 120_000;
 const CAPACITY: Resources = Resources {
@@ -47,6 +49,8 @@
     pub(crate) executor_disconnects: usize,
     /// If not 0, the store accepts no saves for a while after each takeover.
     pub(crate) store_outages: usize,
+    /// Number of jobs whose first task crashes each executor that starts it.
+    pub(crate) crashing_jobs: u64,
     /// True if a new owner at first sees the entry of one executor only.
     pub(crate) missing_entries: bool,
 }
@@ -82,6 +86,8 @@
         stops_earlier: bool,
     },
     CrashExecutor(usize),
+    /// A run crashes its executor, if that executor still has the given start time.
+    CrashUnderRun(usize, u64),
     RestartExecutor(usize),
     DisconnectExecutor(usize),
     /// Executors end their runs if their lease has expired.
@@ -214,6 +220,19 @@
                 "seed {}: job {key} has not ended",
                 self.seed
             );
+            let is_innocent = key.0 > self.faults.crashing_jobs;
+            if is_innocent && outcome == Some(JobOutcome::Failed) {
+                let max_attempts = usize::try_from(rules().max_attempts).expect("few attempts");
+                let steps = self.store.progress[key].steps.values();
+                let mut failed = steps.flat_map(|step| step.failed.values());
+                let may_be_given_up =
+                    self.faults.executor_crashes > 0 && self.observer.may_be_given_up(*key);
+                assert!(
+                    may_be_given_up || failed.any(|runs| runs.len() >= max_attempts),
+                    "seed {}: job {key} failed although no task failed too often",
+                    self.seed
+                );
+            }
             let is_cancelled = self.store.cancelled.contains(key);
             let is_consistent = outcome != Some(JobOutcome::Cancelled) || is_cancelled;
             assert!(
@@ -255,7 +274,14 @@
                 }
             }
             SimEvent::TakeOver { stops_earlier } => self.take_over(stops_earlier),
+            SimEvent::CrashUnderRun(index, started_at) => {
+                let executor = &self.executors[index];
+                if executor.is_up && executor.started_at == started_at {
+                    self.handle(SimEvent::CrashExecutor(index));
+                }
+            }
             SimEvent::CrashExecutor(index) => {
+                self.observer.record_crash(&self.executors[index]);
                 self.executors[index].is_up = false;
                 let downtime = self.rng.random_range(200..6_000);
                 self.schedule(self.now + downtime, SimEvent::RestartExecutor(index));
@@ -520,6 +546,11 @@
                     let started_at = self.executors[index].started_at;
                     let finish = SimEvent::Finish(index, started_at, order.task, order.run);
                     self.schedule(now + duration, finish);
+                    if self.crashes_executors(order.task) {
+                        self.observer.check_crashing_start(order.task, self.seed);
+                        let crash = SimEvent::CrashUnderRun(index, started_at);
+                        self.schedule(now + CRASH_DELAY_MS, crash);
+                    }
                 }
                 Event::StartAnswered {
                     executor,
@@ -540,6 +571,10 @@
         })
     }
 
+    fn crashes_executors(&self, task: guavacart_jobs::TaskKey) -> bool {
+        task.step.job.0 <= self.faults.crashing_jobs && task.step.step == 0 && task.index == 0
+    }
+
     fn finish(
         &mut self,
         index: usize,
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -9,8 +9,8 @@
 
 use guavacart_jobs::{
     ClockReadings, Effect, EndedRun, Event, ExecutorAddress, ExecutorId, HoldReport, Job, JobKey,
-    JobProgress, LearnedInterference, ListedRun, OrderFailure, Registration, RunNumber, RunOutcome,
-    Snapshot, State, Step, TaskKey,
+    JobOutcome, JobProgress, JobState, LearnedInterference, ListedRun, OrderFailure, Registration,
+    RunNumber, RunOutcome, Snapshot, State, Step, TaskKey,
 };
 
 use guavacart_types::{
@@ -27,6 +27,8 @@
 const CAPACITY_MILLICORES: u64 = 8_000;
 /// Headroom of service tasks without best-effort tasks beside them.
 const UNDISTURBED_HEADROOM: f32 = 2.5;
+/// Incarnation of executors that have not restarted.
+const FIRST_INCARNATION: Incarnation = Incarnation(7);
 /// Longest time between two ticks of the owner.
 const MAX_CLOCK_STEP_MS: u64 = 100;
 
@@ -42,6 +44,7 @@
 #[derive(Clone, Default)]
 struct StoredState {
     executors_with_runs: Vec<ExecutorAddress>,
+    progress: BTreeMap<JobKey, JobProgress>,
     learned: LearnedInterference,
 }
 
@@ -53,6 +56,8 @@
     clock_lag_ms: u64,
     executors: Vec<ExecutorId>,
     unresponsive: BTreeSet<ExecutorId>,
+    /// Incarnations of executors that have restarted.
+    incarnations: BTreeMap<ExecutorId, Incarnation>,
     start_failures: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
     /// Paces that were ordered, in percent of full speed.
@@ -103,7 +108,7 @@
 }
 
 /// Returns an executor's entry. The id is also the last label, so that a step can require it.
-fn registration(index: usize, id: &ExecutorId) -> Registration {
+fn registration(index: usize, id: &ExecutorId, incarnation: Incarnation) -> Registration {
     Registration {
         pool: "pool".into(),
         address: ([127, 0, 0, 1], 1_000 + u16::try_from(index).expect("few")).into(),
@@ -115,7 +120,7 @@
             accelerators: Accelerators(0),
         },
         labels: vec!["a".into(), "r1".into(), id.0.clone()],
-        incarnation: Some(Incarnation(7)),
+        incarnation: Some(incarnation),
     }
 }
 
@@ -150,11 +155,17 @@
             configuration: configuration(),
             jobs: jobs
                 .iter()
-                .map(|(key, job)| (*key, job.clone(), JobProgress::default()))
+                .map(|(key, job)| {
+                    (
+                        *key,
+                        job.clone(),
+                        stored.progress.get(key).cloned().unwrap_or_default(),
+                    )
+                })
                 .collect(),
             cancelled: Vec::new(),
             executors: listed
-                .map(|(index, id)| (id.clone(), registration(index, id)))
+                .map(|(index, id)| (id.clone(), registration(index, id, FIRST_INCARNATION)))
                 .collect(),
             executors_with_runs: stored.executors_with_runs.clone(),
             waves: Vec::new(),
@@ -171,6 +182,7 @@
             clock_lag_ms,
             executors,
             unresponsive: BTreeSet::new(),
+            incarnations: BTreeMap::new(),
             start_failures: BTreeMap::new(),
             running,
             paces: BTreeMap::new(),
@@ -214,6 +226,37 @@
         self.unresponsive.insert(executor.clone());
     }
 
+    /// Crashes executors together and restarts them 3 s later under the same ids.
+    pub(crate) fn crash(&mut self, executors: &[ExecutorId]) {
+        for id in executors {
+            self.unresponsive.insert(id.clone());
+            self.running.retain(|(executor, _), _| executor != id);
+            self.ended.retain(|(executor, _)| executor != id);
+        }
+        self.run_for(3_000);
+        for id in executors {
+            self.unresponsive.remove(id);
+            let incarnation = Incarnation(self.incarnation(id).0 + 1);
+            self.incarnations.insert(id.clone(), incarnation);
+            let index = self.executors.iter().position(|known| known == id);
+            let entry = registration(index.expect("a known executor"), id, incarnation);
+            self.apply(Event::ExecutorEntryRead(id.clone(), Some(entry)));
+        }
+    }
+
+    fn incarnation(&self, id: &ExecutorId) -> Incarnation {
+        let restarted = self.incarnations.get(id);
+        restarted.copied().unwrap_or(FIRST_INCARNATION)
+    }
+
+    /// The outcome of a job, once it is stored.
+    pub(crate) fn outcome(&self, key: u64) -> Option<JobOutcome> {
+        match self.state.job_state(JobKey(key)) {
+            Some(JobState::Ended(outcome)) => Some(outcome),
+            _ => None,
+        }
+    }
+
     pub(crate) fn fail_starts_on(&mut self, executor: &str, failure: OrderFailure) {
         self.start_failures.insert(executor.into(), failure);
     }
@@ -352,6 +395,7 @@
                 if let Some(executors_with_runs) = order.executors_with_runs {
                     self.stored.executors_with_runs = executors_with_runs;
                 }
+                self.stored.progress.extend(order.progress);
                 if let Some(learned) = order.learned {
                     self.stored.learned = learned;
                 }
@@ -444,7 +488,7 @@
         let ended = self.ended.iter().filter(|(executor, _)| executor == id);
         let ended = ended.map(|(_, end)| end);
         Ok(HoldReport {
-            incarnation: Incarnation(7),
+            incarnation: self.incarnation(id),
             clock_ms: self.now,
             running: running.collect(),
             ended: ended.cloned().collect(),
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -62,6 +62,21 @@
             percent,
             worst_percent,
         } => info!(event = "paced", %executor, epoch, runs, percent, worst_percent),
+        Decision::ExecutorCrashed {
+            executor,
+            lost,
+            blamed,
+        } => warn!(event = "executor_crashed", %executor, epoch, lost, blamed),
+        Decision::Suspected {
+            task,
+            run,
+            executor,
+            crashes,
+            is_given_up,
+        } => warn!(
+            event = "suspected", %task, run = run.0, %executor, epoch, crashes, is_given_up,
+        ),
+        Decision::Cleared { task } => info!(event = "cleared", %task, epoch),
         Decision::JobEnded { job, outcome } => info!(event = "job_ended", %job, epoch, ?outcome),
         Decision::Advice { step, allowed } => info!(event = "advice", %step, epoch, good = allowed),
         Decision::MaintenanceBegun { machine, wave } => {
--- a/crates/guavacart_node/src/records/tests.rs
+++ b/crates/guavacart_node/src/records/tests.rs
@@ -124,6 +124,7 @@
         ended_unix_ms: 31,
         has_started: true,
         steps: BTreeMap::new(),
+        crashed: BTreeMap::new(),
     }
 }
 
@@ -138,6 +139,7 @@
         ended_unix_ms: 0,
         has_started: false,
         steps: BTreeMap::from([((32, 33), step), ((40, 41), StepProgress::default())]),
+        crashed: BTreeMap::new(),
     }
 }
 
@@ -160,6 +162,10 @@
     job_without_options: short_job()
         => "05717565756504706f6f6c0b0c0000c03f0d00fbd095ffbc31077061796c6f61640000";
     progress_open: open_progress() => "00000002202102222301240225ac0201270573617665642829000000";
+    progress_with_crashes: JobProgress {
+        crashed: BTreeMap::from([((1, 2, 3), BTreeSet::from([RunNumber(4), RunNumber(5)]))]),
+        ..progress(JobOutcome::Failed)
+    } => "01011f010001010203020405";
     progress_completed: progress(JobOutcome::Completed) => "01001f0100";
     progress_failed: progress(JobOutcome::Failed) => "01011f0100";
     progress_cancelled: progress(JobOutcome::Cancelled) => "01021f0100";
