Convict no job of a crash under a start that was not confirmed

On one of 4,000 model seeds (678, tasks and other causes) an innocent job failed: executors crashed after three starts in a row were ordered there, but two of the starts had not taken place. Such a start may have caused a crash, since an executor can crash before it answers, and so it goes on counting; the third crash now ends the job only if the executor had confirmed that start, the fourth in any case.

--- a/crates/guavacart_jobs/src/state/crash_blame.rs
+++ b/crates/guavacart_jobs/src/state/crash_blame.rs
@@ -51,10 +51,19 @@
     crashed_at: Option<Timestamp>,
     /// Unproven runs that the owner gave up when the lease expired; they count if the executor
     /// turns out to have crashed.
-    lapsed: Vec<(TaskKey, RunNumber)>,
+    lapsed: Vec<Unproven>,
     isolation: Option<Isolation>,
 }
 
+/// A run that may have caused the crash of its executor.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Unproven {
+    task: TaskKey,
+    run: RunNumber,
+    /// The executor is known to have started the run.
+    is_confirmed: bool,
+}
+
 /// A reservation of an executor for a task that has to start without other new runs.
 #[derive(Clone, Copy, Debug)]
 struct Isolation {
@@ -160,7 +169,7 @@
 
     /// Runs that an executor which has crashed was not known to have worked on for
     /// [`PROVING_TIME`].
-    pub(super) fn unproven_runs(&self, x: usize) -> Vec<(TaskKey, RunNumber)> {
+    pub(super) fn unproven_runs(&self, x: usize) -> Vec<Unproven> {
         let executor = &self.executors[x];
         let failed_at = executor.crash_watch.last_failure;
         let failed_at = failed_at.filter(|at| *at > executor.last_report_at);
@@ -169,7 +178,12 @@
         };
         let runs = executor.runs.iter();
         let runs = runs.filter(|(_, run)| may_have_caused(run));
-        runs.map(|(task, run)| (*task, run.run)).collect()
+        let unproven = |(task, run): (&TaskKey, &Run)| Unproven {
+            task: *task,
+            run: run.run,
+            is_confirmed: matches!(run.phase, Phase::Running(_)),
+        };
+        runs.map(unproven).collect()
     }
 
     /// Notes the first failed hold since the last report.
@@ -180,14 +194,14 @@
     /// Keeps the unproven runs of an executor whose lease has expired.
     pub(super) fn keep_lapsed_runs(&mut self, x: usize) {
         let runs = self.unproven_runs(x);
-        for (task, run) in &runs {
-            if self.is_over(*task) {
+        for unproven in &runs {
+            if self.is_over(unproven.task) {
                 continue;
             }
-            if !self.suspects.tasks.insert(*task) {
-                self.delay(*task, LAPSE_DELAY);
+            if !self.suspects.tasks.insert(unproven.task) {
+                self.delay(unproven.task, LAPSE_DELAY);
             }
-            self.presume_crash(*task, *run);
+            self.presume_crash(unproven.task, unproven.run);
         }
         self.executors[x].crash_watch.lapsed.extend(runs);
     }
@@ -197,7 +211,7 @@
         &mut self,
         other: usize,
         x: usize,
-        unproven: Vec<(TaskKey, RunNumber)>,
+        unproven: Vec<Unproven>,
         lost: usize,
     ) {
         self.executors[x].crash_watch.crashed_at = Some(self.now);
@@ -206,19 +220,20 @@
 
     /// Counts the crash of an executor that has restarted under the same id.
     pub(super) fn executor_restarted(&mut self, x: usize, report: &HoldReport) {
-        let is_known = |task: &TaskKey, run: &RunNumber| {
-            let is_listed = |listed: &crate::ListedRun| listed.task == *task && listed.run == *run;
-            let is_ended = |end: &crate::EndedRun| end.task == *task && end.run == *run;
+        let is_known = |run: &Unproven| {
+            let is_listed =
+                |listed: &crate::ListedRun| listed.task == run.task && listed.run == run.run;
+            let is_ended = |end: &crate::EndedRun| end.task == run.task && end.run == run.run;
             report.running.iter().any(is_listed) || report.ended.iter().any(is_ended)
         };
         let mut unproven = self.unproven_runs(x);
-        unproven.retain(|(task, run)| !is_known(task, run));
+        unproven.retain(|run| !is_known(run));
         let lost = self.executors[x].runs.len();
         self.executors[x].crash_watch.crashed_at = Some(self.now);
         self.record_crash(x, unproven, lost);
     }
 
-    fn record_crash(&mut self, x: usize, unproven: Vec<(TaskKey, RunNumber)>, lost: usize) {
+    fn record_crash(&mut self, x: usize, unproven: Vec<Unproven>, lost: usize) {
         let watch = &mut self.executors[x].crash_watch;
         let mut blamed = std::mem::take(&mut watch.lapsed);
         blamed.extend(unproven);
@@ -234,10 +249,15 @@
             lost,
             blamed: blamed.len(),
         }));
-        let jobs: BTreeSet<JobKey> = blamed.iter().map(|(task, _)| task.step.job).collect();
+        let jobs: BTreeSet<JobKey> = blamed.iter().map(|run| run.task.step.job).collect();
         let is_cause_known = jobs.len() == 1 && !self.has_common_cause(x, failed_at);
-        for (task, run) in blamed {
-            self.blame(x, task, run, is_cause_known);
+        for Unproven {
+            task,
+            run,
+            is_confirmed,
+        } in blamed
+        {
+            self.blame(x, task, run, is_cause_known && is_confirmed);
         }
     }
 
@@ -272,7 +292,7 @@
     fn unconfirmed_crashes(&self, task: TaskKey) -> usize {
         let lapsed = self.executors.iter();
         let lapsed = lapsed.flat_map(|executor| &executor.crash_watch.lapsed);
-        lapsed.filter(|(lapsed, _)| *lapsed == task).count()
+        lapsed.filter(|lapsed| lapsed.task == task).count()
     }
 
     fn is_over(&self, task: TaskKey) -> bool {
@@ -296,7 +316,7 @@
         let watch = &mut self.executors[x].crash_watch;
         let isolation = watch.isolation;
         // The same incarnation answers again, and so it has not crashed.
-        for (task, run) in std::mem::take(&mut watch.lapsed) {
+        for Unproven { task, run, .. } in std::mem::take(&mut watch.lapsed) {
             self.withdraw_crash(task, run);
         }
         if self.suspects.tasks.is_empty() && isolation.is_none() {
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -51,6 +51,21 @@
     run_seed(21_626, all_faults_combined());
 }
 
+/// Guards against a job that fails because executors crash before they have started its task.
+#[test]
+fn a_job_does_not_fail_by_crashes_before_its_starts() {
+    run_seed(678, tasks_and_other_causes());
+}
+
+fn tasks_and_other_causes() -> Faults {
+    Faults {
+        crashing_jobs: 2,
+        executor_crashes: 4,
+        executor_disconnects: 2,
+        ..Faults::default()
+    }
+}
+
 fn all_faults_combined() -> Faults {
     Faults {
         owner_crashes: 2,
@@ -97,11 +112,6 @@
         owner_crashes: 2,
         ..Faults::default()
     };
-    invariants_hold_when_tasks_and_other_causes_crash_executors: Faults {
-        crashing_jobs: 2,
-        executor_crashes: 4,
-        executor_disconnects: 2,
-        ..Faults::default()
-    };
+    invariants_hold_when_tasks_and_other_causes_crash_executors: tasks_and_other_causes();
     invariants_hold_with_all_faults_combined: all_faults_combined();
 }
