--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod candidates;
 mod capacity;
+mod crash_blame;
 mod demand;
 mod executors;
 mod headroom;
@@ -30,6 +31,7 @@
 };
 use candidates::PassWork;
 use capacity::EntryAge;
+use crash_blame::Suspects;
 use executors::Executor;
 use headroom::Headrooms;
 use holds::Orphan;
@@ -170,6 +172,7 @@
     maintenance: Maintenance,
     interference: Interference,
     headrooms: Headrooms,
+    suspects: Suspects,
     needs_placement: bool,
     pass_work: PassWork,
     /// Where the next pass starts among the steps that are tried in rotation.
@@ -213,6 +216,7 @@
             maintenance: Maintenance::default(),
             interference: Interference::default(),
             headrooms: Headrooms::default(),
+            suspects: Suspects::new(),
             needs_placement: false,
             pass_work: PassWork::default(),
             rotation_offset: 0,
--- a/crates/guavacart_jobs/tests/model/faults.rs
+++ b/crates/guavacart_jobs/tests/model/faults.rs
@@ -1,5 +1,6 @@
 //! Faults: their numbers, when they begin, and what they do to executors, owners and the store.
 
+use guavacart_jobs::TaskKey;
 use rand::Rng;
 
 use crate::{
@@ -38,6 +39,8 @@
     pub(crate) store_downtimes: usize,
     /// True if a new owner at first sees the entry of one executor only.
     pub(crate) missing_entries: bool,
+    /// Number of jobs whose first task crashes each executor that starts it.
+    pub(crate) crashing_jobs: u64,
     /// Number of times that the capacity of an executor changes.
     pub(crate) capacity_changes: usize,
 }
@@ -148,8 +151,22 @@
         }
     }
 
+    /// Crashes an executor, if it still has the given start time.
+    pub(crate) fn crash_under_run(&mut self, index: usize, started_at: u64) {
+        let executor = &self.executors[index];
+        if executor.is_up && executor.started_at == started_at {
+            let downtime = self.rng.random_range(200..6_000);
+            self.crash(index, downtime);
+        }
+    }
+
+    pub(crate) fn crashes_executors(&self, task: TaskKey) -> bool {
+        task.step.job.0 <= self.faults.crashing_jobs && task.step.step == 0 && task.index == 0
+    }
+
     fn crash(&mut self, index: usize, downtime: u64) {
         self.trace(|| format!("x{index} crashes"));
+        self.observer.record_crash(&self.executors[index]);
         self.executors[index].is_up = false;
         self.schedule(self.now + downtime, SimEvent::RestartExecutor(index));
     }
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -110,6 +110,21 @@
     }
 }
 
+/// Guards against a job that fails because executors crash before they have started its task.
+#[test]
+fn a_job_does_not_fail_by_crashes_before_its_starts() {
+    run_seed(678, tasks_and_other_causes());
+}
+
+fn tasks_and_other_causes() -> Faults {
+    Faults {
+        crashing_jobs: 2,
+        executor_crashes: 4,
+        executor_disconnects: 2,
+        ..Faults::default()
+    }
+}
+
 fn all_faults_combined() -> Faults {
     Faults {
         owner_crashes: 2,
@@ -194,6 +209,13 @@
         ..Faults::default()
     };
     invariants_hold_with_all_faults_and_partitions: all_faults_and_partitions();
+    invariants_hold_when_tasks_crash_executors: Faults { crashing_jobs: 2, ..Faults::default() };
+    invariants_hold_when_tasks_crash_executors_and_owners_crash: Faults {
+        crashing_jobs: 2,
+        owner_crashes: 2,
+        ..Faults::default()
+    };
+    invariants_hold_when_tasks_and_other_causes_crash_executors: tasks_and_other_causes();
     invariants_hold_when_capacity_changes: Faults {
         capacity_changes: 20,
         ..Faults::default()
--- a/crates/guavacart_jobs/tests/model/network.rs
+++ b/crates/guavacart_jobs/tests/model/network.rs
@@ -11,6 +11,8 @@
     simulation::{FAULTS_END_MS, SimEvent, Simulation, executor_id, index_of},
 };
 
+/// Time from the start of a run to the crash that it causes.
+const CRASH_DELAY_MS: u64 = 10;
 /// Time after the completion of a job in which an owner that does not know of it may start tasks.
 const MAX_UNAWARE_MS: u64 = 1_000;
 
@@ -136,6 +138,11 @@
                     let started_at = self.executors[index].started_at;
                     let finish = SimEvent::Finish(index, started_at, order.task, order.run);
                     self.schedule(now + duration, finish);
+                    if self.crashes_executors(order.task) {
+                        self.observer.check_crashing_start(order.task, self.seed);
+                        let crash = SimEvent::CrashUnderRun(index, started_at);
+                        self.schedule(now + CRASH_DELAY_MS, crash);
+                    }
                 }
                 Event::StartAnswered {
                     executor,
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -15,6 +15,7 @@
     invariants::Observer,
     network::{Partition, target_of},
     owner::Owner,
+    site::rules,
     store::Store,
 };
 
@@ -55,6 +56,8 @@
     StopOwner(usize),
     Fault(Fault),
     RestartExecutor(usize),
+    /// A run crashes its executor, if that executor still has the given start time.
+    CrashUnderRun(usize, u64),
     ChangeCapacity(usize),
     /// An executor writes its entry.
     WriteEntry(usize),
@@ -163,6 +166,20 @@
                 "seed {}: job {key} has not ended",
                 self.seed
             );
+            let is_innocent = key.0 > self.faults.crashing_jobs;
+            if is_innocent && outcome == Some(JobOutcome::Failed) {
+                let max_attempts = usize::try_from(rules().max_attempts).expect("few attempts");
+                let steps = self.store.progress[key].steps.values();
+                let mut failed = steps.flat_map(|step| step.failed.values());
+                let has_other_crashes =
+                    self.faults.executor_crashes > 0 || self.faults.executor_flaps > 0;
+                let may_be_given_up = has_other_crashes && self.observer.may_be_given_up(*key);
+                assert!(
+                    may_be_given_up || failed.any(|runs| runs.len() >= max_attempts),
+                    "seed {}: job {key} failed although no task failed too often",
+                    self.seed
+                );
+            }
             let is_cancelled = self.store.cancelled.contains(key);
             let is_consistent = outcome != Some(JobOutcome::Cancelled) || is_cancelled;
             assert!(
@@ -199,6 +216,7 @@
             SimEvent::StopOwner(owner) => self.stop_owner(owner),
             SimEvent::Fault(fault) => self.begin_fault(fault),
             SimEvent::RestartExecutor(index) => self.restart_executor(index),
+            SimEvent::CrashUnderRun(index, started) => self.crash_under_run(index, started),
             SimEvent::ChangeCapacity(index) => self.change_capacity(index),
             SimEvent::WriteEntry(index) => self.write_entry(index),
             SimEvent::PollEntries(owner) => self.poll_entries(owner),
--- a/crates/guavacart_jobs/tests/support/entries.rs
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -3,20 +3,15 @@
 use guavacart_jobs::{Event, ExecutorId, JobKey, Registration};
 use guavacart_types::{ByteSize, Incarnation, Processors, Resources, Timestamp};
 
-use super::{Harness, registration};
-
-/// Incarnation of executors that have not restarted.
-const FIRST_INCARNATION: Incarnation = Incarnation(7);
+use super::{FIRST_INCARNATION, Harness, registration};
 
 impl Harness {
     /// Returns the entry that the executor writes.
     pub(crate) fn entry(&self, executor: &str) -> Registration {
         let id = ExecutorId::from(executor);
         let index = self.executors.iter().position(|known| *known == id);
-        Registration {
-            incarnation: Some(self.incarnation(&id)),
-            ..registration(index.expect("an executor of the harness"), &id)
-        }
+        let index = index.expect("an executor of the harness");
+        registration(index, &id, self.incarnation(&id))
     }
 
     /// Sets whether the store answers reads of the executors' entries.
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -10,8 +10,8 @@
 
 use guavacart_jobs::{
     ClockReadings, Effect, EndedRun, Event, ExecutorAddress, ExecutorId, HoldReport, Job, JobKey,
-    JobProgress, LearnedInterference, ListedRun, OrderFailure, Registration, RunNumber, RunOutcome,
-    Snapshot, State, Step, TaskKey,
+    JobOutcome, JobProgress, JobState, LearnedInterference, ListedRun, OrderFailure, Registration,
+    RunNumber, RunOutcome, Snapshot, State, Step, TaskKey,
 };
 
 use guavacart_types::{
@@ -30,6 +30,8 @@
 const UNDISTURBED_HEADROOM: f32 = 2.5;
 /// Time between two confirmations of the ownership lease.
 const RENEWAL_INTERVAL_MS: u64 = 300;
+/// Incarnation of executors that have not restarted.
+const FIRST_INCARNATION: Incarnation = Incarnation(7);
 /// Longest time between two ticks of the owner.
 const MAX_CLOCK_STEP_MS: u64 = 100;
 
@@ -46,6 +48,7 @@
 #[derive(Clone, Default)]
 struct StoredState {
     executors_with_runs: Vec<ExecutorAddress>,
+    progress: BTreeMap<JobKey, JobProgress>,
     learned: LearnedInterference,
 }
 
@@ -62,7 +65,7 @@
     unresponsive: BTreeSet<ExecutorId>,
     /// The owner cannot read the executors' entries.
     is_store_down: bool,
-    /// Incarnations of executors that restarted.
+    /// Incarnations of executors that have restarted.
     incarnations: BTreeMap<ExecutorId, Incarnation>,
     start_failures: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
@@ -114,7 +117,7 @@
 }
 
 /// Returns an executor's entry. The id is also the last label, so that a step can require it.
-fn registration(index: usize, id: &ExecutorId) -> Registration {
+fn registration(index: usize, id: &ExecutorId, incarnation: Incarnation) -> Registration {
     Registration {
         pool: "pool".into(),
         address: ([127, 0, 0, 1], 1_000 + u16::try_from(index).expect("few")).into(),
@@ -126,7 +129,7 @@
             accelerators: Accelerators(0),
         },
         labels: vec!["a".into(), "r1".into(), id.0.clone()],
-        incarnation: Some(Incarnation(7)),
+        incarnation: Some(incarnation),
     }
 }
 
@@ -161,11 +164,17 @@
             configuration: configuration(),
             jobs: jobs
                 .iter()
-                .map(|(key, job)| (*key, job.clone(), JobProgress::default()))
+                .map(|(key, job)| {
+                    (
+                        *key,
+                        job.clone(),
+                        stored.progress.get(key).cloned().unwrap_or_default(),
+                    )
+                })
                 .collect(),
             cancelled: Vec::new(),
             executors: listed
-                .map(|(index, id)| (id.clone(), registration(index, id)))
+                .map(|(index, id)| (id.clone(), registration(index, id, FIRST_INCARNATION)))
                 .collect(),
             store_available_since: Timestamp(0),
             executors_with_runs: stored.executors_with_runs.clone(),
@@ -235,6 +244,27 @@
         self.is_store_unreachable = is_store_unreachable;
     }
 
+    /// Crashes executors together and restarts them 3 s later under the same ids.
+    pub(crate) fn crash(&mut self, executors: &[ExecutorId]) {
+        for id in executors {
+            self.unresponsive.insert(id.clone());
+            self.restart(&id.0);
+        }
+        self.run_for(3_000);
+        for id in executors {
+            self.unresponsive.remove(id);
+            self.read_entry(&id.0, self.entry(&id.0));
+        }
+    }
+
+    /// The outcome of a job, once it is stored.
+    pub(crate) fn outcome(&self, key: u64) -> Option<JobOutcome> {
+        match self.state.job_state(JobKey(key)) {
+            Some(JobState::Ended(outcome)) => Some(outcome),
+            _ => None,
+        }
+    }
+
     pub(crate) fn fail_starts_on(&mut self, executor: &str, failure: OrderFailure) {
         self.start_failures.insert(executor.into(), failure);
     }
@@ -383,6 +413,7 @@
                 if let Some(executors_with_runs) = order.executors_with_runs {
                     self.stored.executors_with_runs = executors_with_runs;
                 }
+                self.stored.progress.extend(order.progress);
                 if let Some(learned) = order.learned {
                     self.stored.learned = learned;
                 }
