Model leases of owners that run out before a takeover

The model confirmed an owner until the moment of the next takeover. The platform's store removes the owner's key only once the lease has run out after the last renewal, and a node takes over only then, so that an owner has been without confirmation for 1.2 s when it is superseded. Two further kinds model that; the stricter kinds stay.

--- a/crates/guavacart_jobs/tests/model/faults.rs
+++ b/crates/guavacart_jobs/tests/model/faults.rs
@@ -6,6 +6,7 @@
     executor::Executor,
     network::{Partition, Reach},
     simulation::{EXECUTOR_COUNT, FAULTS_END_MS, SimEvent, Simulation},
+    store::OWNER_LEASE_MS,
 };
 
 /// Numbers and probabilities of faults.
@@ -17,6 +18,9 @@
     pub(crate) owner_overlaps: usize,
     /// Number of times that an owner is suspended for a while, during which another may take over.
     pub(crate) owner_freezes: usize,
+    /// True if the store confirms no renewal of an owner in the time of a lease before the next owner
+    /// takes over, as the platform's store does; else it confirms them until the takeover.
+    pub(crate) leases_run_out: bool,
     /// True if owners are cut off from the store for seconds when the next owner takes over, so that
     /// their saves get no answer.
     pub(crate) cuts_superseded_owners: bool,
@@ -62,14 +66,10 @@
     pub(crate) fn schedule_faults(&mut self) {
         let faults = self.faults;
         for _ in 0..faults.owner_crashes {
-            self.schedule_at_random(Fault::TakeOver {
-                stops_earlier: true,
-            });
+            self.schedule_take_over_at_random(true);
         }
         for _ in 0..faults.owner_overlaps {
-            self.schedule_at_random(Fault::TakeOver {
-                stops_earlier: false,
-            });
+            self.schedule_take_over_at_random(false);
         }
         self.schedule_on_executors(faults.executor_crashes, Fault::CrashExecutor);
         self.schedule_on_executors(faults.executor_disconnects, Fault::DisconnectExecutor);
@@ -93,6 +93,16 @@
         }
     }
 
+    fn schedule_take_over_at_random(&mut self, stops_earlier: bool) {
+        let at = self.rng.random_range(1_000..FAULTS_END_MS);
+        self.schedule_take_over(at, stops_earlier);
+    }
+
+    fn schedule_take_over(&mut self, at: u64, stops_earlier: bool) {
+        self.planned_takeovers.push(at);
+        self.schedule(at, SimEvent::Fault(Fault::TakeOver { stops_earlier }));
+    }
+
     fn schedule_at_random(&mut self, fault: Fault) {
         let at = self.rng.random_range(1_000..FAULTS_END_MS);
         self.schedule(at, SimEvent::Fault(fault));
@@ -137,10 +147,7 @@
                 self.store.down_until = self.store.down_until.max(until);
                 self.trace(|| format!("the store is down until {until}"));
                 if self.rng.random_bool(0.5) {
-                    let lease_ran_out = Fault::TakeOver {
-                        stops_earlier: false,
-                    };
-                    self.schedule(until, SimEvent::Fault(lease_ran_out));
+                    self.schedule_take_over(until, false);
                 }
             }
         }
@@ -176,11 +183,11 @@
         self.owners[owner].frozen_until = self.now + duration;
         self.trace(|| format!("o{owner} is frozen for {duration} ms"));
         if self.rng.random_bool(0.6) {
-            let delay = self.rng.random_range(0..duration + 500);
-            let take_over = Fault::TakeOver {
-                stops_earlier: false,
-            };
-            self.schedule(self.now + delay, SimEvent::Fault(take_over));
+            let mut delay = self.rng.random_range(0..duration + 500);
+            if self.faults.leases_run_out {
+                delay += OWNER_LEASE_MS;
+            }
+            self.schedule_take_over(self.now + delay, false);
         }
     }
 }
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -173,4 +173,14 @@
         ..Faults::default()
     };
     invariants_hold_with_all_faults_and_partitions: all_faults_and_partitions();
+    invariants_hold_when_executors_flap_and_leases_run_out: Faults {
+        executor_flaps: 4,
+        owner_overlaps: 3,
+        leases_run_out: true,
+        ..Faults::default()
+    };
+    invariants_hold_with_all_faults_and_partitions_when_leases_run_out: Faults {
+        leases_run_out: true,
+        ..all_faults_and_partitions()
+    };
 }
--- a/crates/guavacart_jobs/tests/model/owner.rs
+++ b/crates/guavacart_jobs/tests/model/owner.rs
@@ -10,6 +10,7 @@
     faults::Fault,
     simulation::{EXECUTOR_COUNT, FAULTS_END_MS, SimEvent, Simulation, executor_id},
     site::{bounds, configuration},
+    store::OWNER_LEASE_MS,
 };
 
 pub(crate) struct Owner {
@@ -125,8 +126,13 @@
         }
         // A node accepts no jobs once its lease may have expired.
         let superseded_at = self.owners[owner].superseded_at;
+        let unconfirmed_after_takeover = if self.faults.leases_run_out {
+            MAX_UNCONFIRMED_ACCEPT_TIME.0 - OWNER_LEASE_MS
+        } else {
+            MAX_UNCONFIRMED_ACCEPT_TIME.0
+        };
         let is_lease_unconfirmed =
-            superseded_at.is_some_and(|at| self.now >= at + MAX_UNCONFIRMED_ACCEPT_TIME.0);
+            superseded_at.is_some_and(|at| self.now >= at + unconfirmed_after_takeover);
         if is_lease_unconfirmed && matches!(event, Event::JobAccepted(..)) {
             return;
         }
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -76,6 +76,8 @@
     pub(crate) executors: Vec<Executor>,
     pub(crate) partitions: [Option<Partition>; EXECUTOR_COUNT],
     pub(crate) owners: Vec<Owner>,
+    /// When takeovers are due, in the past and in the future.
+    pub(crate) planned_takeovers: Vec<u64>,
     pub(crate) store: Store,
     pub(crate) observer: Observer,
 }
@@ -101,6 +103,7 @@
             executors: (0..EXECUTOR_COUNT).map(|_| Executor::new(1)).collect(),
             partitions: [None; EXECUTOR_COUNT],
             owners: Vec::new(),
+            planned_takeovers: Vec::new(),
             store: Store::default(),
             observer: Observer::default(),
         };
--- a/crates/guavacart_jobs/tests/model/store.rs
+++ b/crates/guavacart_jobs/tests/model/store.rs
@@ -17,6 +17,8 @@
 
 /// Interval at which an owner renews its ownership.
 const RENEWAL_INTERVAL_MS: u64 = 300;
+/// Time that an owner's lease lasts after the last renewal.
+pub(crate) const OWNER_LEASE_MS: u64 = 1_200;
 
 #[derive(Default)]
 pub(crate) struct Store {
@@ -154,7 +156,13 @@
     /// superseded owners get no answer.
     pub(crate) fn confirm_ownership(&mut self, owner: usize, sent: Timestamp) {
         let is_superseded = self.owners[owner].superseded_at.is_some();
-        if !is_superseded && self.now >= self.store.unavailable_until.max(self.store.down_until) {
+        let until = self.now + OWNER_LEASE_MS;
+        let is_soon = |at: &u64| (self.now..until).contains(at);
+        let is_lost = self.faults.leases_run_out && self.planned_takeovers.iter().any(is_soon);
+        if !is_superseded
+            && !is_lost
+            && self.now >= self.store.unavailable_until.max(self.store.down_until)
+        {
             let confirmed = Event::OwnershipConfirmed { at: sent };
             self.schedule(self.now + 2, SimEvent::Deliver(owner, confirmed));
         }
