--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -149,6 +149,8 @@
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Resources that are reserved for runs.
     pub(super) used: Resources,
+    /// Runs whose size is not known, since their jobs are not known yet.
+    runs_of_unknown_size: usize,
     /// Shares of the executor that its best-effort tasks use, by image.
     pub(super) best_effort_shares: Shares,
     /// The best-effort shares averaged over the same time as a reported tail latency, computed up
@@ -201,6 +203,7 @@
             last_report_sent: Timestamp(0),
             runs: BTreeMap::new(),
             used: Resources::default(),
+            runs_of_unknown_size: 0,
             best_effort_shares: Shares::new(),
             averaged_shares: Shares::new(),
             averaged_until: now,
@@ -220,8 +223,12 @@
         !self.service_images.is_empty()
     }
 
-    /// Resources that are not reserved.
+    /// Resources that are not reserved; none while the size of a run is not known, or while the runs
+    /// reserve more of any resource than the executor has.
     pub(super) fn free(&self) -> Resources {
+        if self.runs_of_unknown_size > 0 {
+            return Resources::default();
+        }
         self.capacity.minus(&self.used).unwrap_or_default()
     }
 
@@ -287,6 +294,7 @@
     pub(super) fn add(&mut self, now: Timestamp, task: TaskKey, run: Run) {
         self.update_averaged_shares(now);
         self.used = self.used.plus(&run.size);
+        self.runs_of_unknown_size += usize::from(run.is_job_unknown);
         let is_best_effort = run.is_best_effort;
         if is_best_effort {
             self.best_effort_demand += run.processor_demand;
@@ -312,6 +320,7 @@
         self.update_averaged_shares(now);
         let run = self.runs.remove(&task)?;
         self.used = self.used.minus(&run.size).unwrap_or_default();
+        self.runs_of_unknown_size -= usize::from(run.is_job_unknown);
         if run.is_best_effort {
             self.best_effort_demand -= run.processor_demand;
             self.update_best_effort_shares();
@@ -395,9 +404,9 @@
             self.hold_if_needed(x);
             return;
         }
+        self.apply_capacity(x, registration.capacity);
         let executor = &mut self.executors[x];
         executor.target.address = registration.address;
-        executor.capacity = registration.capacity;
         let must_record = !executor.is_recorded;
         let is_restarted = match (registration.incarnation, executor.incarnation) {
             (Some(registered), Some(known)) => registered > known,
@@ -453,6 +462,17 @@
         self.executors[x].penalty_until <= self.now && self.accepts_work(x)
     }
 
+    /// True unless the entry describes another incarnation than the one that answers holds, which may
+    /// have another capacity and other labels.
+    fn has_current_entry(&self, x: usize) -> bool {
+        let executor = &self.executors[x];
+        let registered = executor.registration.as_ref().and_then(|r| r.incarnation);
+        match (registered, executor.incarnation) {
+            (Some(registered), Some(known)) => registered == known,
+            _ => true,
+        }
+    }
+
     /// True if the executor can be given work, possibly only as a last choice.
     pub(super) fn accepts_work(&self, x: usize) -> bool {
         let executor = &self.executors[x];
@@ -460,9 +480,11 @@
             return false;
         };
         self.may_start_runs()
+            && !self.are_entries_outdated()
             && executor.has_seen_epoch
             && self.ownership.is_confirmed_since(executor.epoch_seen_at)
             && executor.is_recorded
+            && self.has_current_entry(x)
             && !registration.is_draining
             && !executor.is_machine_draining
             && executor.failed_holds == 0
--- a/crates/guavacart_jobs/tests/model/faults.rs
+++ b/crates/guavacart_jobs/tests/model/faults.rs
@@ -42,6 +42,8 @@
     pub(crate) store_downtimes: usize,
     /// True if a new owner at first sees the entry of one executor only.
     pub(crate) missing_entries: bool,
+    /// Number of times that the capacity of an executor changes.
+    pub(crate) capacity_changes: usize,
 }
 
 /// The beginning of a fault. Executors are named by index.
@@ -166,7 +168,8 @@
         }
         self.trace(|| format!("x{index} restarts"));
         let unreachable_until = self.executors[index].unreachable_until;
-        self.executors[index] = Executor::new(self.now);
+        let capacity = self.executors[index].capacity.clone();
+        self.executors[index] = Executor::new(self.now, capacity);
         self.executors[index].unreachable_until = unreachable_until;
         self.broadcast_entry(index);
     }
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -3,6 +3,7 @@
 //! `GUAVACART_CASES` sets the number of seeds to run and `GUAVACART_SEED` the first one. With
 //! `GUAVACART_TRACE`, orders, their effects and faults are printed.
 
+mod capacity;
 mod executor;
 mod faults;
 mod invariants;
@@ -86,6 +87,21 @@
     run_seed(214, flaps_and_overlaps());
 }
 
+/// Guards against a superseded owner that, by time alone, considers the runs of its predecessor over.
+#[test]
+fn earlier_leases_do_not_expire_for_a_superseded_owner() {
+    run_seed(744, cut_owners_that_reach_other_executors());
+}
+
+fn cut_owners_that_reach_other_executors() -> Faults {
+    Faults {
+        cuts_superseded_owners: true,
+        partial_partitions: 8,
+        owner_overlaps: 3,
+        ..Faults::default()
+    }
+}
+
 fn flaps_and_overlaps() -> Faults {
     Faults {
         executor_flaps: 4,
@@ -158,12 +174,7 @@
         owner_overlaps: 4,
         ..Faults::default()
     };
-    invariants_hold_when_cut_owners_reach_other_executors: Faults {
-        cuts_superseded_owners: true,
-        partial_partitions: 8,
-        owner_overlaps: 3,
-        ..Faults::default()
-    };
+    invariants_hold_when_cut_owners_reach_other_executors: cut_owners_that_reach_other_executors();
     invariants_hold_when_owners_freeze: Faults { owner_freezes: 4, ..Faults::default() };
     invariants_hold_when_owners_freeze_and_executors_are_partitioned: Faults {
         owner_freezes: 4,
@@ -193,4 +204,21 @@
         leases_run_out: true,
         ..all_faults_and_partitions()
     };
+    invariants_hold_when_capacity_changes: Faults {
+        capacity_changes: 20,
+        ..Faults::default()
+    };
+    invariants_hold_when_capacity_changes_and_owners_crash: Faults {
+        capacity_changes: 20,
+        owner_crashes: 3,
+        executor_crashes: 2,
+        ..Faults::default()
+    };
+    invariants_hold_when_capacity_changes_and_the_store_is_unavailable: Faults {
+        capacity_changes: 20,
+        owner_crashes: 3,
+        store_outages: 1,
+        lost_answers: 0.05,
+        ..Faults::default()
+    };
 }
--- a/crates/guavacart_jobs/tests/model/owner.rs
+++ b/crates/guavacart_jobs/tests/model/owner.rs
@@ -3,13 +3,13 @@
 use guavacart_jobs::{
     Effect, Event, LearnedInterference, MAX_UNCONFIRMED_ACCEPT_TIME, Snapshot, State,
 };
-use guavacart_types::{Epoch, Incarnation};
+use guavacart_types::{Epoch, Incarnation, Timestamp};
 use rand::Rng;
 
 use crate::{
     faults::Fault,
     simulation::{EXECUTOR_COUNT, FAULTS_END_MS, SimEvent, Simulation, executor_id},
-    site::{bounds, configuration},
+    site::configuration,
     store::OWNER_LEASE_MS,
 };
 
@@ -62,11 +62,12 @@
             executors: (0..listed_executors)
                 .map(|index| (executor_id(index), self.registration(index)))
                 .collect(),
+            store_available_since: Timestamp(self.store.unavailable_until.min(self.now)),
             executors_with_runs: self.store.executors_with_runs.clone(),
             waves: Vec::new(),
             learned: LearnedInterference::default(),
         };
-        let (state, effects) = State::new(bounds(), snapshot, self.clocks());
+        let (state, effects) = State::new(self.bounds(), snapshot, self.clocks());
         let owner = self.owners.len();
         self.owners.push(Owner {
             state,
@@ -81,6 +82,9 @@
         self.trace(|| format!("o{owner} takes over"));
         self.renew_regularly(owner);
         self.carry_out(owner, effects);
+        if self.faults.capacity_changes > 0 {
+            self.schedule(self.now, SimEvent::PollEntries(owner));
+        }
         for index in listed_executors..EXECUTOR_COUNT {
             let entry = SimEvent::ReadEntry(owner, index, self.registration(index));
             self.schedule(self.now + 2_000, entry);
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -65,6 +65,20 @@
             task: None,
             failure,
         } => warn!(event = "hold_failed", %executor, epoch, ?failure),
+        Decision::PlacementSuspended { is_suspended, age } => {
+            warn!(
+                event = "placement_suspended",
+                epoch,
+                is_suspended,
+                age_ms = age.0
+            );
+        }
+        Decision::CapacityChanged {
+            executor,
+            before,
+            after,
+            reserved,
+        } => info!(event = "capacity_changed", %executor, epoch, %before, %after, %reserved),
         Decision::Trusted {
             executor,
             is_trusted,
