--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -216,6 +216,16 @@
         ..Faults::default()
     };
     invariants_hold_when_tasks_and_other_causes_crash_executors: tasks_and_other_causes();
+    invariants_hold_when_executors_flap_and_leases_run_out: Faults {
+        executor_flaps: 4,
+        owner_overlaps: 3,
+        leases_run_out: true,
+        ..Faults::default()
+    };
+    invariants_hold_with_all_faults_and_partitions_when_leases_run_out: Faults {
+        leases_run_out: true,
+        ..all_faults_and_partitions()
+    };
     invariants_hold_when_capacity_changes: Faults {
         capacity_changes: 20,
         ..Faults::default()
