Stop no unanswered run because of a list from before its start

Cause: a run whose start got no answer is stopped when a list does not name it, but a late list may have been made before the start. Found in review.

Change: only a list whose hold was sent after the start counts.

Result: the new test fails without the condition and passes with it.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -504,7 +504,9 @@
                 Phase::Unanswered if run.deadline_ms != 0 && report.clock_ms > run.deadline_ms => {
                     lost.push((*task, LossReason::NotStarted));
                 }
-                Phase::Unanswered if run.stop.is_none() => to_stop.push(*task),
+                Phase::Unanswered if run.stop.is_none() && run.since < sent => {
+                    to_stop.push(*task);
+                }
                 Phase::Running(_) | Phase::Unanswered | Phase::Sent => {}
             }
         }
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
-use guavacart_jobs::{Decision, Effect, Job, LossReason, Schedule};
-use guavacart_types::Span;
+use guavacart_jobs::{
+    Decision, Effect, Event, HoldReport, Job, LossReason, OrderFailure, Schedule,
+};
+use guavacart_types::{Incarnation, Span, Timestamp};
 use support::{Harness, one_task_job};
 
 /// Guards against a lease that never expires for the owner because each unanswered hold extends it.
@@ -138,3 +140,40 @@
     harness.run_for(400);
     harness.next_start().expect("the task is started again");
 }
+
+/// Guards against the stop of a run because of a late list that is older than the run's start.
+#[test]
+fn a_late_list_does_not_stop_a_run_that_was_started_after_it() {
+    let mut harness = Harness::new(&["a"]);
+    harness.fail_starts_on("a", OrderFailure::NoAnswer);
+    let sent = harness.now();
+    harness.run_for(1);
+    harness.accept(1, one_task_job());
+    harness.run_for(2);
+    let is_unanswered = |effect: &Effect| {
+        matches!(
+            effect,
+            Effect::Log(Decision::OrderFailed { task: Some(_), .. })
+        )
+    };
+    assert!(
+        harness.effects().iter().any(is_unanswered),
+        "the start was answered"
+    );
+    harness.apply(Event::LateReport {
+        executor: "a".into(),
+        sent: Timestamp(sent),
+        report: HoldReport {
+            incarnation: Incarnation(7),
+            clock_ms: sent,
+            running: Vec::new(),
+            ended: Vec::new(),
+            has_more_ends: false,
+        },
+    });
+    let is_stop = |effect: &Effect| matches!(effect, Effect::Stop { .. });
+    assert!(
+        !harness.effects().iter().any(is_stop),
+        "the run was stopped"
+    );
+}
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -350,6 +350,11 @@
         Some(started)
     }
 
+    /// Time on the owner's clock and on the executors' clocks.
+    pub(crate) fn now(&self) -> u64 {
+        self.now
+    }
+
     pub(crate) fn effects(&self) -> &[Effect] {
         &self.effects
     }
