Derive the gap after which entries may be outdated from the bounds

The gap is now what the longest age leaves beside one heartbeat and one read, 1.1 s where contact-ms is 3 s.

--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -196,11 +196,7 @@
             ready: BTreeSet::new(),
             executors: Vec::new(),
             by_id: HashMap::new(),
-            entry_age: EntryAge::new(
-                bounds.entry_interval,
-                snapshot.store_available_since,
-                at.now,
-            ),
+            entry_age: EntryAge::new(&bounds, snapshot.store_available_since, at.now),
             is_suspended: false,
             orphans: Vec::new(),
             unreconciled: BTreeSet::new(),
--- a/crates/guavacart_jobs/src/state/capacity.rs
+++ b/crates/guavacart_jobs/src/state/capacity.rs
@@ -2,14 +2,14 @@
 
 use guavacart_types::{Resources, Span, Timestamp};
 
-use super::State;
+use super::{Bounds, State};
 use crate::{Decision, Effect};
 
 /// Longest time that a start order travels; see [`super::Bounds::max_entry_age`].
 const MAX_ORDER_TIME: Span = Span::millis(400);
 
-/// Time without a read after which the store may have been unavailable to executors too.
-const MAX_READ_GAP: Span = Span::millis(1_500);
+/// Longest time from the write of an entry until its content is applied, while the store answers.
+const MAX_READ_TIME: Span = Span::millis(800);
 
 /// How old the executors' entries may be.
 #[derive(Debug)]
@@ -23,22 +23,24 @@
 }
 
 impl EntryAge {
-    pub(super) fn new(interval: Span, available_since: Timestamp, read: Timestamp) -> Self {
+    pub(super) fn new(bounds: &Bounds, available_since: Timestamp, read: Timestamp) -> Self {
         let mut age = Self {
             as_of: Timestamp(0),
             last_read: read,
             available_since,
         };
-        age.record_read(interval, read);
+        age.record_read(bounds, read);
         age
     }
 
-    fn record_read(&mut self, interval: Span, sent: Timestamp) {
-        if sent.since(self.last_read) > MAX_READ_GAP {
+    fn record_read(&mut self, bounds: &Bounds, sent: Timestamp) {
+        // After a shorter gap, a change is known in time although its first write was missed.
+        let needed = bounds.entry_interval + MAX_READ_TIME;
+        if sent.since(self.last_read) > bounds.max_entry_age.saturating_sub(needed) {
             self.available_since = sent;
         }
         self.last_read = sent;
-        if sent.since(self.available_since) >= interval {
+        if sent.since(self.available_since) >= bounds.entry_interval {
             self.as_of = sent;
         }
     }
@@ -72,7 +74,7 @@
 
     /// Records that the known entries include all changes up to a read that was sent at `sent`.
     pub(super) fn on_entries_confirmed(&mut self, sent: Timestamp) {
-        self.entry_age.record_read(self.bounds.entry_interval, sent);
+        self.entry_age.record_read(&self.bounds, sent);
         if self.is_suspended && !self.are_entries_outdated() {
             self.set_suspended(false);
             self.needs_placement = true;
--- a/crates/guavacart_jobs/tests/model/capacity.rs
+++ b/crates/guavacart_jobs/tests/model/capacity.rs
@@ -98,9 +98,8 @@
 
     pub(crate) fn write_entry(&mut self, index: usize) {
         if self.now < self.store.unavailable_until {
-            let delay = self.rng.random_range(0..ENTRY_INTERVAL.0);
-            let at = self.store.unavailable_until + delay;
-            self.schedule(at, SimEvent::WriteEntry(index));
+            let next = self.now + ENTRY_INTERVAL.0;
+            self.schedule(next, SimEvent::WriteEntry(index));
             return;
         }
         let capacity = &mut self.executors[index].capacity;
