Extend shortened leases as soon as the ownership is confirmed

Runs lapsed on reachable executors in an outage of the store of 5.8 s and more, although leases may last 7 s past the last confirmation.

Cause: a hold that was sent in the outage waits up to 1 s, so that the next extension came after the shortened lease.

Change: the confirmation that ends an outage sends holds at once to executors with runs whose leases were shortened.

Result: the new test, an outage of 6.2 s at ten phases, failed before and passes.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -345,12 +345,18 @@
 }
 
 impl State {
+    /// The lease that an order requests.
+    pub(super) fn usual_lease(&self) -> Span {
+        Span(self.bounds.max_lease.0 * LEASE_PERCENT / 100)
+    }
+
     /// Returns the deadline for an order to the executor and extends the lease assumed for it to
     /// this deadline. `None` if the executor's clock is not known, or if the ownership has not been
     /// confirmed for so long that leases may not be extended.
     pub(super) fn extend_lease(&mut self, x: usize) -> Option<u64> {
-        let lease = Span(self.bounds.max_lease.0 * LEASE_PERCENT / 100);
-        let lease = lease.min(self.leases_may_last_until().since(self.now));
+        let lease = self
+            .usual_lease()
+            .min(self.leases_may_last_until().since(self.now));
         if lease == Span::ZERO {
             return None;
         }
--- a/crates/guavacart_jobs/src/state/ownership.rs
+++ b/crates/guavacart_jobs/src/state/ownership.rs
@@ -94,15 +94,32 @@
 
     /// Records that the store confirmed a renewal of the ownership lease that was sent at `at`.
     pub(super) fn on_ownership_confirmed(&mut self, at: Timestamp) {
+        let were_leases_shortened = self.leases_may_last_until() < self.now + self.usual_lease();
         let ownership = &mut self.ownership;
+        let is_first = ownership.confirmed_at == Timestamp(0);
         ownership.confirmed_at = ownership.confirmed_at.max(at);
         ownership.is_requested = false;
+        if were_leases_shortened && !is_first {
+            self.extend_shortened_leases();
+        }
+        let ownership = &mut self.ownership;
         let is_awaited = |since: &mut Timestamp| *since <= at;
         if ownership.awaited_since.take_if(is_awaited).is_some() {
             self.needs_placement = true;
         }
     }
 
+    /// Extends leases that were shortened while the ownership was not confirmed, without waiting for
+    /// the next holds.
+    fn extend_shortened_leases(&mut self) {
+        for x in 0..self.executors.len() {
+            let executor = &self.executors[x];
+            if !executor.runs.is_empty() && executor.failed_holds == 0 {
+                self.hold_immediately(x);
+            }
+        }
+    }
+
     /// Has the ownership lease confirmed soon, for an observation that was made now.
     pub(super) fn await_confirmation(&mut self) {
         self.ownership.awaited_since = Some(self.now);
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -177,3 +177,28 @@
         "the run was stopped"
     );
 }
+
+/// Guards against runs that lapse in an outage of the store that leases bridge, since the next
+/// extension comes too late after it.
+#[test]
+fn runs_survive_an_outage_of_the_store() {
+    for phase in (0..1_000).step_by(100) {
+        let mut harness = Harness::new(&["a"]);
+        harness.accept(1, one_task_job());
+        harness.run_for(1_000 + phase);
+        harness.set_store_unreachable(true);
+        harness.run_for(6_200);
+        harness.set_store_unreachable(false);
+        harness.run_for(3_000);
+        let is_lost = |effect: &Effect| matches!(effect, Effect::Log(Decision::Lost { .. }));
+        let lost = harness
+            .effects()
+            .iter()
+            .filter(|effect| is_lost(effect))
+            .count();
+        assert_eq!(
+            lost, 0,
+            "runs lapsed in an outage that began at phase {phase}"
+        );
+    }
+}
