Wait for answers for longer while all executors answer slowly

What callers saw: tasks that had ended were started again (TWICE), and with late answers applied still thousands of lapsed runs.

Cause: the limit of 350 ms took an instance whose own link or processor was the bottleneck for one with silent executors. Each order that it gave up was sent again, which loaded the link further; starts that had worked were stopped, and leases lapsed. A late refusal by fencing was dropped as well.

Change: orders are unanswered after four times the average answer time of all executors, between 350 ms and 4 s. Only real answers count, so that silent executors are found as fast as before. A late answer that names a greater epoch ends the term.

--- a/crates/guavacart_node/src/lib.rs
+++ b/crates/guavacart_node/src/lib.rs
@@ -21,6 +21,6 @@
 pub use metrics::Counters;
 pub use node::{NodeError, run};
 pub use ports::{
-    ANSWER_TIMEOUT, BodyError, Content, Item, JobBody, Key, LATE_ANSWER_TIMEOUT, LeaseId,
-    NodeSettings, NodeSize, Platform, Put, Space, StoreError, Value, Write,
+    BodyError, Content, Item, JobBody, Key, LATE_ANSWER_TIMEOUT, LeaseId, NodeSettings, NodeSize,
+    Platform, Put, Space, StoreError, Value, Write,
 };
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -1,5 +1,6 @@
 //! The owner: runs the reducer and executes its effects.
 
+mod answer_times;
 mod holds;
 mod listed_executors;
 mod saving;
@@ -26,6 +27,7 @@
     shared::Shared,
     watching::{self, FollowMode, Read},
 };
+use answer_times::AnswerTimes;
 use listed_executors::ListedExecutors;
 use saving::SavedRevisions;
 
@@ -72,6 +74,7 @@
     /// Signalled when the lease is to be renewed without waiting for the next regular renewal.
     renew_now: Notify,
     ended: Notify,
+    answer_times: AnswerTimes,
     saved_revisions: SavedRevisions,
     advice_lock: Mutex<()>,
 }
@@ -127,6 +130,7 @@
             reschedule_tick: Notify::new(),
             renew_now: Notify::new(),
             ended: Notify::new(),
+            answer_times: AnswerTimes::default(),
             saved_revisions: SavedRevisions::new(revisions),
             advice_lock: Mutex::new(()),
         });
@@ -343,7 +347,8 @@
                 self.shared.counters.starts.add(1);
                 task::spawn_local(async move {
                     let (executor, task, run) = (target.id.clone(), order.task, order.run);
-                    let result = platform.start(target, order).await;
+                    let order = platform.start(target, order);
+                    let result = owner.answer_in_time(order).await;
                     owner.apply(Event::StartAnswered {
                         executor,
                         task,
@@ -361,7 +366,8 @@
                 self.shared.counters.stops.add(1);
                 task::spawn_local(async move {
                     let executor = target.id.clone();
-                    let result = platform.stop(target, task, run, epoch).await;
+                    let order = platform.stop(target, task, run, epoch);
+                    let result = owner.answer_in_time(order).await;
                     owner.apply(Event::StopAnswered {
                         executor,
                         task,
@@ -380,7 +386,8 @@
                 self.shared.counters.paces.add(1);
                 task::spawn_local(async move {
                     let executor = target.id.clone();
-                    let result = platform.pace(target, task, run, percent, epoch).await;
+                    let order = platform.pace(target, task, run, percent, epoch);
+                    let result = owner.answer_in_time(order).await;
                     owner.apply(Event::PaceAnswered {
                         executor,
                         task,
--- a/crates/guavacart_node/src/owner/holds.rs
+++ b/crates/guavacart_node/src/owner/holds.rs
@@ -1,13 +1,13 @@
-//! Holds to executors, and their answers.
+//! Orders to executors, and their answers.
 
 use std::{pin::pin, rc::Rc};
 
-use guavacart_jobs::{Event, ExecutorAddress, HoldOrder, OrderFailure};
+use guavacart_jobs::{Event, ExecutorAddress, HoldOrder, OrderFailure, RefusalReason};
 use guavacart_types::Span;
 use tokio::time;
 
 use super::Owner;
-use crate::{Platform, clock, ports::ANSWER_TIMEOUT};
+use crate::{Platform, clock};
 
 impl<P: Platform> Owner<P> {
     /// Sends a hold and applies its answer. A hold without an answer in time counts as failed, but
@@ -15,27 +15,58 @@
     pub(super) async fn hold(self: Rc<Self>, target: ExecutorAddress, order: HoldOrder) {
         let executor = target.id.clone();
         let sent = clock::now();
-        let is_long_poll = order.wait > Span::ZERO;
-        let answer_time = ANSWER_TIMEOUT + order.wait;
+        let wait = order.wait;
+        let answer_time = self.answer_times.timeout() + wait;
         let mut answer = pin!(self.shared.platform.hold(target, order));
         let in_time = time::timeout(answer_time.into(), &mut answer).await;
         let is_late = in_time.is_err();
+        let report = in_time.unwrap_or(Err(OrderFailure::NoAnswer));
+        if report.is_ok() {
+            self.record_answer_time(clock::now().since(sent), wait);
+        }
         self.apply(Event::HoldAnswered {
             executor: executor.clone(),
             sent,
-            report: in_time.unwrap_or(Err(OrderFailure::NoAnswer)),
-            is_long_poll,
+            report,
+            is_long_poll: wait > Span::ZERO,
         });
         if !is_late {
             return;
         }
         match answer.await {
-            Ok(report) => self.apply(Event::LateReport {
-                executor,
-                sent,
-                report,
-            }),
+            Ok(report) => {
+                self.record_answer_time(clock::now().since(sent), wait);
+                self.apply(Event::LateReport {
+                    executor,
+                    sent,
+                    report,
+                });
+            }
+            Err(OrderFailure::Refused(RefusalReason::Fenced)) => {
+                self.step_down("an executor has seen a greater epoch");
+            }
             Err(failure) => tracing::debug!(event = "no_late_answer", %executor, ?failure),
         }
     }
+
+    /// Records the answer time of a hold; one that ended early tells nothing about it.
+    fn record_answer_time(&self, taken: Span, wait: Span) {
+        if taken > wait {
+            self.answer_times.record(taken.saturating_sub(wait));
+        }
+    }
+
+    /// Waits for the answer to an order that is carried out at once.
+    pub(super) async fn answer_in_time<T>(
+        &self,
+        order: impl Future<Output = Result<T, OrderFailure>>,
+    ) -> Result<T, OrderFailure> {
+        let sent = clock::now();
+        let answer_time = self.answer_times.timeout();
+        let in_time = time::timeout(answer_time.into(), order).await;
+        if let Ok(Ok(_)) = &in_time {
+            self.answer_times.record(clock::now().since(sent));
+        }
+        in_time.unwrap_or(Err(OrderFailure::NoAnswer))
+    }
 }
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -13,8 +13,6 @@
 
 /// Longest time from an order to an executor until its answer, apart from the time that a hold
 /// waits.
-pub const ANSWER_TIMEOUT: Span = Span::millis(350);
-/// How much later the answer to a hold is still used.
 pub const LATE_ANSWER_TIMEOUT: Span = Span::millis(4_000);
 
 /// The interfaces of the users' platform: its store, executors, advice service and machines.
@@ -54,8 +52,8 @@
     /// Ends a lease and removes its keys.
     fn release(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Extends an executor's lease, and lists its runs and the ends of runs. Waits for the answer up
-    /// to [`LATE_ANSWER_TIMEOUT`] longer than [`ANSWER_TIMEOUT`] and the wait in the order.
+    /// Extends an executor's lease, and lists its runs and the ends of runs. This and the other
+    /// orders wait for the answer for up to [`LATE_ANSWER_TIMEOUT`].
     fn hold(
         &self,
         target: ExecutorAddress,
