Keep room for service tasks that find none

Cause: on full executors each part of a room that became free was taken by a smaller task, so that 12 to 20 processors never came together on one executor while anything else waited. Penalties, `not_before`, the break and the rotation hid no room. The failures in a row on one executor are of the same cause: its penalty keeps others off, so only there is room.

Change: a service task without room claims it on the executor where the least is lacking; others are kept from it until the task fits. At most one executor of 32 is kept, and a claim without progress for 1 s is given up. A service task goes back to the executor where it failed last only if it has no claim elsewhere, or after 1 s.

--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod candidates;
+mod claims;
 mod demand;
 mod executors;
 mod headroom;
@@ -27,6 +28,7 @@
     StepKey,
 };
 use candidates::PassWork;
+use claims::Claims;
 use executors::Executor;
 use headroom::Headrooms;
 use holds::Orphan;
@@ -158,6 +160,7 @@
     headrooms: Headrooms,
     needs_placement: bool,
     pass_work: PassWork,
+    claims: Claims,
     /// Where the next pass starts among the steps that are tried in rotation.
     rotation_offset: usize,
     /// When the best-effort load expected on each executor is computed again.
@@ -194,6 +197,7 @@
             headrooms: Headrooms::default(),
             needs_placement: false,
             pass_work: PassWork::default(),
+            claims: Claims::default(),
             rotation_offset: 0,
             next_demand_update: Timestamp(0),
             has_slack: false,
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -38,8 +38,9 @@
 pub(super) type Score = (i64, i64, i64);
 
 /// What an executor must offer for the tasks of a step.
+#[derive(Clone)]
 pub(super) struct Requirements<'a> {
-    key: StepKey,
+    pub(super) key: StepKey,
     pub(super) step: &'a Step,
     /// Resources that one task reserves.
     pub(super) size: Resources,
@@ -83,6 +84,7 @@
 
     fn place_in_order(&mut self) {
         self.update_expected_loads();
+        self.place_claimed();
         let mut ranks: Vec<Rank> = self
             .ready
             .iter()
@@ -150,7 +152,7 @@
         })
     }
 
-    fn place_step(&mut self, key: StepKey) {
+    pub(super) fn place_step(&mut self, key: StepKey) {
         let Some(entry) = self.jobs.get(&key.job) else {
             return;
         };
@@ -176,19 +178,21 @@
             return;
         }
         let mut candidates = self.candidates(&requirements);
+        let (count, mut placed) = (waiting.len(), 0);
         for index in waiting {
             let task =
                 &self.jobs[&key.job].steps[&(key.occurrence, key.step)].tasks[usize::from(index)];
             if task.not_before > self.now {
                 continue;
             }
-            let (avoid, last_run) = (task.avoid, task.last_run);
-            let mut chosen = candidates.best(avoid);
-            if chosen.is_none() && step.is_long_running && !requirements.allows_penalized {
-                requirements.allows_penalized = true;
-                candidates = self.candidates(&requirements);
-                chosen = candidates.best(avoid);
-            }
+            let (avoid, not_before, last_run) = (task.avoid, task.not_before, task.last_run);
+            let chosen = if step.is_long_running {
+                let waiting = count - placed;
+                let failed = (avoid, not_before);
+                self.best_for_service(&mut candidates, &mut requirements, failed, waiting)
+            } else {
+                candidates.best(avoid)
+            };
             let Some(x) = chosen else {
                 self.pass_work.record_unmet(&requirements);
                 break;
@@ -196,6 +200,10 @@
             let run = self.next_run(last_run);
             let ticket = self.ticket(x, key);
             self.start_run(x, key.task(index), run, ticket);
+            if step.is_long_running {
+                self.release_claim(x, key);
+                placed += 1;
+            }
             self.update_candidate(&mut candidates, x, &requirements);
         }
     }
@@ -326,7 +334,9 @@
             return false;
         };
         let (reserved_size, reserved_tasks) = reservations.get(&x).copied().unwrap_or_default();
-        let needed = reserved_size.plus(&requirements.size);
+        let needed = reserved_size
+            .plus(&requirements.size)
+            .plus(&self.claims.kept_from(x, requirements));
         if !needed.fits_in(&executor.free()) || registration.pool != requirements.pool {
             return false;
         }
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -246,6 +246,17 @@
         self.ended.push((started.executor.clone(), end));
     }
 
+    /// Answers all holds that wait, as executors do when a run ends.
+    pub(crate) fn report_ends(&mut self) {
+        for ((at, number), (sent, effect)) in std::mem::take(&mut self.pending) {
+            let at = match effect {
+                Effect::Hold(..) => at.min(self.now + ANSWER_DELAY_MS),
+                _ => at,
+            };
+            self.pending.insert((at, number), (sent, effect));
+        }
+    }
+
     /// Sets the headroom that a service image loses when a best-effort image uses one whole
     /// executor.
     pub(crate) fn set_interference(&mut self, service: &str, best_effort: &str, slope: f32) {
