--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod candidates;
 mod capacity;
+mod claims;
 mod crash_blame;
 mod demand;
 mod executors;
@@ -31,6 +32,7 @@
 };
 use candidates::PassWork;
 use capacity::EntryAge;
+use claims::Claims;
 use crash_blame::Suspects;
 use executors::Executor;
 use headroom::Headrooms;
@@ -175,6 +177,7 @@
     suspects: Suspects,
     needs_placement: bool,
     pass_work: PassWork,
+    claims: Claims,
     /// Where the next pass starts among the steps that are tried in rotation.
     rotation_offset: usize,
     /// When the best-effort load expected on each executor is computed again.
@@ -215,6 +218,7 @@
             suspects: Suspects::new(),
             needs_placement: false,
             pass_work: PassWork::default(),
+            claims: Claims::default(),
             rotation_offset: 0,
             next_demand_update: Timestamp(0),
             has_slack: false,
