End only the runs of the executor that was ordered down for maintenance

What callers would see: a task that runs twice after a maintenance.

Cause: an order whose answer was lost is repeated, and answered as already done. By then the machine may run its next executor, whose live runs were marked lost and started elsewhere. Class: an answer that does not say whom it speaks of.

Change: the executor of the first order is remembered until an order is answered as carried out; only its runs are over then.

--- a/crates/guavacart_jobs/src/state/maintenance.rs
+++ b/crates/guavacart_jobs/src/state/maintenance.rs
@@ -20,6 +20,9 @@
 pub(super) struct Maintenance {
     waves: BTreeMap<WaveNumber, WaveProgress>,
     machines: BTreeMap<MachineId, Machine>,
+    /// Executors whose machines were ordered down, by index, until an order is answered as carried
+    /// out. An order without an answer is repeated, and its machine may run its next executor then.
+    ordered_down: BTreeMap<MachineId, Option<usize>>,
     is_listing: bool,
     is_timer_set: bool,
 }
@@ -228,6 +231,8 @@
                 }
             }
             let now = self.now;
+            let ordered_down = &mut self.maintenance.ordered_down;
+            ordered_down.entry(machine.clone()).or_insert(x);
             if let Some(wave) = self.maintenance.waves.get_mut(&number) {
                 wave.draining.remove(&machine);
                 wave.down.insert(machine.clone(), now);
@@ -251,17 +256,15 @@
             self.effects.push(Effect::StepDown);
             return;
         }
-        let x = self.executor_on(machine);
-        if let Some(x) = x {
+        if let Some(x) = self.executor_on(machine) {
             self.executors[x].is_machine_draining = false;
-            if result.is_ok() {
-                // All runs on the machine have ended. Its next executor registers under a new
-                // entry.
+        }
+        if result.is_ok() {
+            if let Some(x) = self.maintenance.ordered_down.remove(machine).flatten() {
+                // All its runs have ended. The machine's next executor registers under a new entry.
                 self.executors[x].registration = None;
                 self.mark_all_lost(x, crate::LossReason::Reborn);
             }
-        }
-        if result.is_ok() {
             return;
         }
         // A failed call is repeated. If the maintenance was done, the answer to the repeated call
