Stop or adopt a lost run that is listed again

What callers would see: two runs of one task at once for as long as the first one lasts.

Cause: a run that was only believed over was never looked at again, although its executor went on listing it. Class: evidence dropped since it does not fit the belief.

Change: a list that was asked for after the loss and names the run has it stopped, or adopted if its task is not placed.

Result: the new test failed before and passes.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -541,6 +541,7 @@
             let now = self.now;
             if let Some(task) = self.task_mut(task) {
                 task.lost_at = now;
+                task.lost_run = run.run;
             }
             self.await_confirmation();
         }
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -6,6 +6,7 @@
 use super::{
     IDLE_HOLD_INTERVAL, State, Timer,
     executors::{Phase, Run},
+    jobs::Task,
     pacing::unconfirmed_pace,
 };
 use crate::{
@@ -338,8 +339,11 @@
 
     /// Handles a listed run that this owner did not start or has given up.
     fn apply_unknown_run(&mut self, x: usize, sent: Timestamp, listed: &ListedRun) {
-        let task = self.task(listed.task);
-        if task.is_some_and(|task| listed.run <= task.last_ended_run) {
+        let is_over = |task: &Task| {
+            let is_listed_again = listed.run == task.lost_run && sent > task.lost_at;
+            listed.run <= task.last_ended_run && !is_listed_again
+        };
+        if self.task(listed.task).is_some_and(is_over) {
             return;
         }
         if !self.jobs.contains_key(&listed.task.step.job) {
--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -80,6 +80,8 @@
     /// When the last run was considered over without a report of its end. The next one starts once
     /// the ownership has been confirmed since.
     pub(super) lost_at: Timestamp,
+    /// The run that was considered over at that time.
+    pub(super) lost_run: RunNumber,
 }
 
 impl JobEntry {
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -202,3 +202,26 @@
         );
     }
 }
+
+/// Guards against a run that goes on beside the next one of its task, since the owner that considered
+/// it over ignores the lists that name it.
+#[test]
+fn a_lost_run_that_is_listed_again_is_stopped() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(100);
+    let first = harness.next_start().expect("the task is started");
+    harness.stop_answering(&first.executor);
+    harness.run_for(8_000);
+    harness.next_start().expect("the task is started again");
+    harness.answer_again(&first.executor);
+    harness.run_for(2_000);
+    let is_stop = |effect: &Effect| {
+        matches!(effect, Effect::Stop { target, run, .. }
+            if target.id == first.executor && *run == first.run)
+    };
+    assert!(
+        harness.effects().iter().any(is_stop),
+        "the first run goes on"
+    );
+}
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -239,6 +239,10 @@
         self.unresponsive.insert(executor.clone());
     }
 
+    pub(crate) fn answer_again(&mut self, executor: &ExecutorId) {
+        self.unresponsive.remove(executor);
+    }
+
     /// Sets whether renewals of the ownership lease stay without an answer.
     pub(crate) fn set_store_unreachable(&mut self, is_store_unreachable: bool) {
         self.is_store_unreachable = is_store_unreachable;
