--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -1,5 +1,6 @@
 //! The reducer: one owner's state of jobs and executors, updated by events.
 
+mod adoption;
 mod advice;
 mod candidates;
 mod capacity;
@@ -17,6 +18,7 @@
 mod ownership;
 mod pacing;
 mod placement;
+mod runs;
 mod saving;
 mod tails;
 
@@ -30,13 +32,13 @@
     JobProgress, LearnedInterference, MaintenanceWave, QueueName, QueuePolicy, Registration,
     StepKey,
 };
+use adoption::Orphan;
 use candidates::PassWork;
 use capacity::EntryAge;
 use claims::Claims;
 use crash_blame::Suspects;
 use executors::Executor;
 use headroom::Headrooms;
-use holds::Orphan;
 use interference::Interference;
 use jobs::JobEntry;
 pub use jobs::MAX_UNCONFIRMED_ACCEPT_TIME;
--- a/crates/guavacart_jobs/src/state/crash_blame.rs
+++ b/crates/guavacart_jobs/src/state/crash_blame.rs
@@ -12,8 +12,8 @@
 
 use super::{
     State, Timer,
-    executors::{Phase, Run},
     placement::{Requirements, Reservations},
+    runs::{Phase, Run},
 };
 use crate::{Decision, Effect, HoldReport, JobKey, JobOutcome, RunNumber, StepKey, TaskKey};
 
--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -320,7 +320,7 @@
             executor: self.executors[x].id.clone(),
             outcome: end.outcome,
         }));
-        let is_ended = |run: &super::executors::Run| run.run <= end.run;
+        let is_ended = |run: &super::runs::Run| run.run <= end.run;
         if self.executors[x].runs.get(&end.task).is_some_and(is_ended) {
             self.executors[x].remove(self.now, end.task);
         }
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -4,7 +4,7 @@
 
 use super::{
     State, Timer,
-    executors::{PendingStop, Phase, Run},
+    runs::{PendingStop, Phase, Run},
 };
 use crate::{
     Decision, Effect, ExecutorId, JobKey, LossReason, OrderFailure, RefusalReason, RunNumber,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -5,10 +5,11 @@
 
 use super::{
     State, Timer,
-    executors::{Executor, Phase, Run},
+    executors::Executor,
     headroom::Estimate,
     interference::{ImageId, Interference, Shares},
     placement::Reservations,
+    runs::{Phase, Run},
 };
 use crate::{
     Decision, Effect, ExecutorId, ListedRun, OrderFailure, RefusalReason, RunNumber, TaskKey,
--- a/crates/guavacart_jobs/src/state/tails.rs
+++ b/crates/guavacart_jobs/src/state/tails.rs
@@ -2,12 +2,7 @@
 
 use guavacart_types::{Span, Timestamp};
 
-use super::{
-    State,
-    executors::{Executor, Run},
-    headroom::Estimate,
-    interference::ImageId,
-};
+use super::{State, executors::Executor, headroom::Estimate, interference::ImageId, runs::Run};
 use crate::StepKey;
 
 /// Time ahead for which headroom must be available when a best-effort task is placed; the usual
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -4,16 +4,15 @@
 mod holds;
 mod listed_executors;
 mod saving;
+mod snapshot;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     rc::Rc,
 };
 
 use guavacart_jobs::{
-    Effect, Event, ExecutorId, Job, JobKey, JobState, MAX_UNCONFIRMED_ACCEPT_TIME, Snapshot, State,
-    Ticket,
+    Effect, Event, ExecutorId, Job, JobKey, JobState, MAX_UNCONFIRMED_ACCEPT_TIME, State, Ticket,
 };
 use guavacart_types::{Epoch, Revision, Span, Timestamp};
 use serde::de::DeserializeOwned;
@@ -30,6 +29,7 @@
 use answer_times::AnswerTimes;
 use listed_executors::ListedExecutors;
 use saving::SavedRevisions;
+use snapshot::snapshot;
 
 /// How often the inbox is polled for jobs and cancels that no node reported; nodes report the
 /// others over their links at once.
@@ -454,66 +454,3 @@
         _ => None,
     }
 }
-
-type Revisions = HashMap<JobKey, Revision>;
-
-/// Builds the snapshot of the stored state, and the revisions of the progress records; no snapshot
-/// without a configuration.
-fn snapshot(
-    epoch: Epoch,
-    operator: Vec<Item>,
-    executors: &[Item],
-    inbox: Vec<Item>,
-    progress: Vec<Item>,
-) -> (Option<Snapshot>, Revisions) {
-    let mut configuration = None;
-    let mut waves = Vec::new();
-    for item in operator {
-        match item.content {
-            Content::Configuration(read) => configuration = Some(read),
-            Content::Wave(wave) => waves.push(wave),
-            _ => {}
-        }
-    }
-    let mut records_by_job = HashMap::new();
-    let mut revisions = Revisions::new();
-    for item in progress {
-        if let Content::Record(Key::Progress(key), Some(bytes)) = item.content {
-            revisions.insert(key, item.revision);
-            match records::decode(&bytes) {
-                Some(record) => {
-                    records_by_job.insert(key, record);
-                }
-                None => tracing::error!(event = "unreadable_progress", job = %key),
-            }
-        }
-    }
-    let mut jobs = Vec::new();
-    let mut cancelled = Vec::new();
-    for item in inbox {
-        match item.content {
-            Content::Record(Key::Job(key), Some(bytes)) => match records::decode(&bytes) {
-                Some(job) => jobs.push((key, job, records_by_job.remove(&key).unwrap_or_default())),
-                None => tracing::error!(event = "unreadable_job", job = %key),
-            },
-            Content::Record(Key::Cancel(key), Some(_)) => cancelled.push(key),
-            _ => {}
-        }
-    }
-    let executors = executors.iter().filter_map(|item| match &item.content {
-        Content::Executor(id, Some(registration)) => Some((id.clone(), registration.clone())),
-        _ => None,
-    });
-    let snapshot = configuration.map(|configuration| Snapshot {
-        epoch,
-        configuration,
-        jobs,
-        cancelled,
-        executors: executors.collect(),
-        store_available_since: Timestamp(0),
-        executors_with_runs: Vec::new(),
-        waves,
-        learned: guavacart_jobs::LearnedInterference::default(),
-    });
-    (snapshot, revisions)
-}
--- a/crates/guavacart_node/src/owner/saving.rs
+++ b/crates/guavacart_node/src/owner/saving.rs
@@ -5,7 +5,7 @@
 use guavacart_jobs::{Event, JobKey, SaveOrder};
 use guavacart_types::Revision;
 
-use super::{Owner, Revisions};
+use super::{Owner, snapshot::Revisions};
 use crate::{Key, Platform, Put, StoreError, Value, Write, records, watching};
 
 /// Progress records in one write: each takes a condition and a put of the 32 entries that a write
