--- a/crates/guavacart_jobs/src/state/crash_blame.rs
+++ b/crates/guavacart_jobs/src/state/crash_blame.rs
@@ -272,7 +272,8 @@
         runs.insert(run);
         self.suspects.tasks.insert(task);
         let is_placed = self.task(task).and_then(|task| task.placement) == Some((x, run));
-        let crashes = self.crashes(task) + usize::from(is_placed) - self.unconfirmed_crashes(task);
+        let known = self.crashes(task) + usize::from(is_placed);
+        let crashes = known.saturating_sub(self.unconfirmed_crashes(task));
         let is_given_up =
             crashes >= MAX_CRASHES || (crashes >= CRASHES_TO_GIVE_UP && is_cause_known);
         self.effects.push(Effect::Log(Decision::Suspected {
