--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -1,8 +1,8 @@
 //! The owner: runs the reducer and executes its effects.
 
 mod answer_times;
-mod holds;
 mod listed_executors;
+mod orders;
 mod saving;
 mod snapshot;
 
