--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -173,7 +173,7 @@
     }
 
     /// Applies a report that came after its hold was counted as failed, unless the report to a later
-    /// hold has been applied. It may name ends that the executor counts as read.
+    /// hold has been applied.
     pub(super) fn on_late_report(&mut self, id: &ExecutorId, sent: Timestamp, report: HoldReport) {
         let Some(&x) = self.by_id.get(id) else {
             return;
