Wait for no lease of an executor that was replaced before a takeover

Cause: a new owner learns from the entries that executors of the record were replaced at their addresses, and then put them among those that it still waits for. All earlier jobs waited for leases of executors that no longer existed.

Evidence: owner_begins at 14.93 s with 65 of 66 executors back; the first task of an earlier job is placed at 26.78 s, when the leases of earlier owners expire.

Change: executors that entries show to be replaced are not waited for.

--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -231,16 +231,19 @@
         for target in snapshot.executors_with_runs {
             state.add_recorded_executor(target);
         }
+        // An entry at the address of a recorded executor shows that the executor was replaced.
+        let recorded = state.executors.len();
+        state.unreconciled = (0..recorded).collect();
         for (id, registration) in snapshot.executors {
             state.on_registration(&id, Some(registration));
         }
+        state.unreconciled.extend(recorded..state.executors.len());
         for (key, job, progress) in snapshot.jobs {
             state.add_job(key, job, progress, true);
         }
         for wave in snapshot.waves {
             state.add_wave(wave);
         }
-        state.unreconciled = (0..state.executors.len()).collect();
         for x in 0..state.executors.len() {
             state.hold_if_needed(x);
         }
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -225,3 +225,15 @@
         "the first run goes on"
     );
 }
+
+/// Guards against a new owner that waits for the leases of an executor that has been replaced.
+#[test]
+fn tasks_of_a_replaced_executor_restart_soon_after_a_takeover() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(100);
+    let first = harness.next_start().expect("the task is started");
+    let mut next = harness.take_over_after_replacement(&first.executor, "c");
+    next.run_for(2_000);
+    next.next_start().expect("the task is started again");
+}
--- a/crates/guavacart_jobs/tests/support/entries.rs
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -59,6 +59,33 @@
         restarted.unwrap_or(FIRST_INCARNATION)
     }
 
+    /// Returns a harness with the next owner, 1 s later; an executor has been replaced by another one
+    /// at its address.
+    pub(crate) fn take_over_after_replacement(&self, replaced: &ExecutorId, by: &str) -> Self {
+        let executors = self.executors.iter();
+        let executors = executors.map(|id| {
+            if id == replaced {
+                by.into()
+            } else {
+                id.clone()
+            }
+        });
+        let mut running = self.running.clone();
+        running.retain(|(executor, _), _| executor != replaced);
+        let (at, stored) = (self.now + 1_000, self.stored.clone());
+        let mut next = Self::new_owner(
+            2,
+            at,
+            0,
+            executors.collect(),
+            self.jobs.clone(),
+            stored,
+            running,
+        );
+        next.unresponsive.insert(replaced.clone());
+        next
+    }
+
     /// Returns a harness with the next owner, which has not read the job records yet.
     pub(crate) fn take_over_before_jobs_are_read(&self) -> Self {
         let mut next = Self::new_owner(
