--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -504,6 +504,70 @@
     site.end("TWICE", |_| true)
 }
 
+/// Answers of the store are lost, and a job that was cancelled is stored late.
+fn late_job(record: File, trouble: bool) -> ! {
+    let site = Site::start(record, 3, 6, 8_000, 1);
+    let id = "00000000000000d7";
+    let step = |after: &str| format!("{{\"count\":4,\"cpu\":1000,\"mem-mb\":100,\"estimate-ms\":2000{after}}}");
+    let body = format!(
+        "{{\"spec\":\"work 2000\",\"steps\":[{},{},{},{}]}}",
+        step(""), step(",\"after\":[0]"), step(",\"after\":[1]"), step(",\"after\":[2]")
+    );
+    let began = Instant::now();
+    if trouble {
+        let mut world = site.shared.lock();
+        world.note("trouble: for 4.5 s answers of the store are lost, and the writes are done 6 s later");
+        world.late = Some((id.to_owned(), Duration::from_secs(6)));
+        world.writes = (0, 0);
+    }
+    // Other clients go on.
+    let fronts: Vec<SocketAddr> = site.nodes.iter().map(|node| node.front).collect();
+    let others = thread::spawn(move || {
+        for n in 0..40 {
+            call(fronts[n % fronts.len()], "POST", &format!("{PREFIX}{:016x}", 0xf000 + n), &batch(2, 300, 500), 3_000);
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let path = format!("{PREFIX}{id}");
+    let post = call(site.nodes[0].front, "POST", &path, &body, 3_000).map_or(0, |(status, _)| status);
+    site.note(&format!("client: POST {id} at {} -> {post}", site.nodes[0].name));
+    let mut acknowledged = None;
+    while acknowledged.is_none() && began.elapsed() < Duration::from_secs(10) {
+        let delete = call(site.nodes[1].front, "DELETE", &path, "", 3_000).map_or(0, |(status, _)| status);
+        site.note(&format!("client: DELETE {id} at {} -> {delete}", site.nodes[1].name));
+        if delete == 200 || delete == 410 {
+            acknowledged = Some(Instant::now());
+        } else {
+            thread::sleep(Duration::from_millis(200));
+        }
+    }
+    let Some(acknowledged) = acknowledged else {
+        fail("the cancel was not acknowledged");
+    };
+    thread::sleep(Duration::from_millis(4_500).saturating_sub(began.elapsed()));
+    if trouble {
+        let mut world = site.shared.lock();
+        world.late = None;
+        let (all, lost) = world.writes;
+        world.note(&format!("trouble over: {lost} of {all} writes got no answer"));
+    }
+    let _ = others.join();
+    thread::sleep(Duration::from_secs(14));
+    let state = site.state(id);
+    site.note(&format!("client: GET {id} -> {state}"));
+    // cancel_ms after the acknowledgement, and only once the store has been without disruption for contact-ms.
+    let from = (acknowledged + Duration::from_millis(3_000)).max(began + Duration::from_millis(4_500 + 3_000));
+    let late: Vec<String> = {
+        let world = site.shared.lock();
+        let started = world.started.iter().filter(|(at, task)| *at > from && task.starts_with(id));
+        started.map(|(at, task)| format!("{task} begins {} ms after the cancel was acknowledged", at.duration_since(acknowledged).as_millis())).collect()
+    };
+    for text in late {
+        site.shared.lock().broken("UNASKED", text);
+    }
+    site.end("UNASKED", |_| true)
+}
+
 fn main() {
     let mut words = env::args().skip(1);
     let (Some(case), Some(record)) = (words.next(), words.next()) else {
@@ -520,6 +584,7 @@
         "wave-one" => wave_one(file, trouble),
         "many-ends" => many_ends(file, trouble),
         "foreign-entry" => foreign_entry(file, trouble),
+        "late-job" => late_job(file, trouble),
         "timed-jobs" => timed_jobs(file, trouble),
         _ => fail("no such case"),
     }
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -187,12 +187,18 @@
     pub cut: BTreeSet<usize>,
     /// The store is down for all, and leases pause; since when.
     pub paused: Option<Instant>,
+    /// Writes to this key get no answer, and are carried out later by this time.
+    pub late: Option<(String, Duration)>,
+    /// All writes since the trouble began, and those of them that got no answer.
+    pub writes: (u64, u64),
     /// Node that last wrote to the store under a condition.
     pub last_writer: Option<usize>,
     pub breaks: Vec<Break>,
     /// Ends `done` by task, and whether an acknowledgement has covered them.
     pub done: BTreeMap<String, bool>,
     pub starts: u64,
+    /// When each start came, and of which task.
+    pub started: Vec<(Instant, String)>,
     pub upkeeps: Vec<(Instant, String, String, u64, bool)>,
     pub services: Vec<Service>,
     /// How and when the last run of a task ended.
@@ -215,10 +221,13 @@
             cap,
             cut: BTreeSet::new(),
             paused: None,
+            late: None,
+            writes: (0, 0),
             last_writer: None,
             breaks: Vec::new(),
             done: BTreeMap::new(),
             starts: 0,
+            started: Vec::new(),
             upkeeps: Vec::new(),
             services: Vec::new(),
             last_ends: BTreeMap::new(),
@@ -429,6 +438,7 @@
         let spec = body.get("spec").str().to_owned();
         let length = spec.strip_prefix("work ").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
         self.starts += 1;
+        self.started.push((Instant::now(), task.clone()));
         self.note(&format!("start {task} run {run} on {id} by token {token}"));
         if !others.is_empty() {
             self.broken("TWICE", format!("{task} run {run} begins on {id} while {} still runs", others.join(", ")));
@@ -715,6 +725,19 @@
 pub fn serve_store(shared: &Arc<Shared>, node: usize, listener: TcpListener) {
     let shared = Arc::clone(shared);
     serve(listener, move |request| {
+        if let Some(delay) = late_by(&shared, request) {
+            let shared = Arc::clone(&shared);
+            let body = Json::parse(&request.body);
+            thread::spawn(move || {
+                thread::sleep(delay);
+                let mut world = shared.lock();
+                let (status, _) = world.store.txn(&body);
+                world.note(&format!("store: the late write is carried out -> {status}"));
+            });
+            // The connection on which the answer is lost returns nothing further.
+            thread::sleep(Duration::from_secs(3));
+            return (0, String::new());
+        }
         // While the node is cut off, what it sends is lost, and it gets no answer.
         let answer = if shared.lock().cut.contains(&node) {
             None
@@ -733,6 +756,23 @@
     });
 }
 
+/// The time by which a write is late, if its answer is lost.
+fn late_by(shared: &Shared, request: &Request) -> Option<Duration> {
+    if request.path != "/-/kv-txn" {
+        return None;
+    }
+    let body = Json::parse(&request.body);
+    let mut world = shared.lock();
+    world.writes.0 += 1;
+    let (key, delay) = world.late.clone()?;
+    let is_meant = body.get("puts").list().iter().any(|put| put.get("key").str().ends_with(&key));
+    if is_meant {
+        world.writes.1 += 1;
+        world.note(&format!("store: a write of {key} gets no answer"));
+    }
+    is_meant.then_some(delay)
+}
+
 fn store_call(shared: &Shared, node: usize, request: &Request) -> (u16, String) {
     let query = |key: &str| request.query.get(key).cloned().unwrap_or_default();
     match (request.method.as_str(), request.path.as_str()) {
