--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/guavacart ] || exit 2
-exec target/review/standin wave-cut "$here/record.txt"
+exec target/review/standin late-job "$here/record.txt"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -568,6 +568,47 @@
     site.end("UNASKED", |_| true)
 }
 
+const CRASHES: u32 = 4;
+const DOWN_MS: u64 = 600;
+const UP_MS: u64 = 1_400;
+
+/// An executor crashes and starts again by turns, whatever it runs.
+fn given_up(record: File, trouble: bool) -> ! {
+    let site = Site::start(record, 3, 10, 8_000, 1);
+    site.shared.lock().machines[4].kind = "b";
+    thread::sleep(Duration::from_secs(3));
+    let id = "00000000000000d1";
+    let body = "{\"spec\":\"work 3000\",\"steps\":[{\"count\":1,\"cpu\":2000,\"mem-mb\":500,\"estimate-ms\":3000,\"requires\":\"b\"}]}";
+    if !site.submit(id, body) {
+        fail("the job was not accepted");
+    }
+    if trouble {
+        thread::sleep(Duration::from_millis(500));
+        for crash in 1..=CRASHES {
+            {
+                let mut world = site.shared.lock();
+                world.note(&format!("trouble: crash {crash} of {CRASHES}"));
+                world.crash(4);
+            }
+            thread::sleep(Duration::from_millis(DOWN_MS));
+            site.shared.lock().start_again(4);
+            thread::sleep(Duration::from_millis(UP_MS));
+        }
+        site.note("trouble over");
+    }
+    let began = Instant::now();
+    let mut state = String::new();
+    while began.elapsed() < Duration::from_secs(30) && state != "completed" && state != "failed" {
+        thread::sleep(Duration::from_millis(500));
+        state = site.state(id);
+    }
+    site.note(&format!("client: GET {id} -> {state}"));
+    if state == "failed" {
+        site.shared.lock().broken("LOST", format!("{id} is shown as failed; no run of it has ended failed, and its queue has max-attempts 4"));
+    }
+    site.end("LOST", |_| true)
+}
+
 fn main() {
     let mut words = env::args().skip(1);
     let (Some(case), Some(record)) = (words.next(), words.next()) else {
@@ -585,6 +626,7 @@
         "many-ends" => many_ends(file, trouble),
         "foreign-entry" => foreign_entry(file, trouble),
         "late-job" => late_job(file, trouble),
+        "given-up" => given_up(file, trouble),
         "timed-jobs" => timed_jobs(file, trouble),
         _ => fail("no such case"),
     }
