--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -46,7 +46,10 @@
     }
 
     pub fn parse(text: &str) -> Json {
-        let mut reader = Reader { text: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            text: text.as_bytes(),
+            at: 0,
+        };
         reader.value().unwrap_or(Json::Null)
     }
 }
@@ -125,10 +128,15 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let from = self.at;
-                while self.at < self.text.len() && b"+-.eE0123456789".contains(&self.text[self.at]) {
+                while self.at < self.text.len() && b"+-.eE0123456789".contains(&self.text[self.at])
+                {
                     self.at += 1;
                 }
-                std::str::from_utf8(&self.text[from..self.at]).ok()?.parse().ok().map(Json::Num)
+                std::str::from_utf8(&self.text[from..self.at])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Num)
             }
         }
     }
@@ -151,7 +159,8 @@
                         b'u' => {
                             let digits = self.text.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
                             let mut buf = [0; 4];
                             let c = char::from_u32(code).unwrap_or('?');
                             bytes.extend_from_slice(c.encode_utf8(&mut buf).as_bytes());
@@ -186,7 +195,11 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let b = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let b = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let n = (u32::from(b[0]) << 16) | (u32::from(b[1]) << 8) | u32::from(b[2]);
         for i in 0..4 {
             if i <= chunk.len() {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,14 +13,14 @@
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
-    process::{Child, Command, Stdio, exit},
-    sync::Arc,
+    process::{exit, Child, Command, Stdio},
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use json::{Json, base64};
-use platform::{SERVICE, Shared};
+use json::{base64, Json};
+use platform::{Shared, SERVICE};
 
 const HOST: &str = "nony24.example";
 const PREFIX: &str = "/lohu930/";
@@ -35,27 +35,37 @@
 
 impl Node {
     fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(self.settings.with_extension("log"));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"));
         let Ok(log) = log else { return };
         let Ok(errors) = log.try_clone() else { return };
         let mut command = Command::new("target/release/guavacart");
-        command.arg("node").env_clear().env("GUAVACART_CONFIG", &self.settings);
+        command
+            .arg("node")
+            .env_clear()
+            .env("GUAVACART_CONFIG", &self.settings);
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
         self.child = command.spawn().ok();
+        let id = self.child.as_ref().map(Child::id);
+        STARTED
+            .lock()
+            .unwrap_or_else(|err| err.into_inner())
+            .extend(id);
     }
 
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
+            let id = child.id();
+            STARTED
+                .lock()
+                .unwrap_or_else(|err| err.into_inner())
+                .retain(|started| *started != id);
             let _ = child.wait();
         }
     }
-
-    fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(name).arg(child.id().to_string()).status();
-        }
-    }
 }
 
 struct Site {
@@ -73,8 +83,22 @@
     }
 }
 
+/// Processes that were started and have not been waited for, so that their ids are still theirs.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case that couldn't run, and all processes that it started.
 fn fail(text: &str) -> ! {
     eprintln!("the case couldn't run: {text}");
+    for id in STARTED
+        .lock()
+        .unwrap_or_else(|err| err.into_inner())
+        .drain(..)
+    {
+        let _ = Command::new("kill")
+            .arg("-KILL")
+            .arg(id.to_string())
+            .status();
+    }
     exit(2)
 }
 
@@ -87,7 +111,9 @@
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |t| t.as_millis() as u64)
 }
 
 impl Site {
@@ -109,13 +135,20 @@
              \"health-path\":\"/health\",\"max-conns\":64,\"protocol\":\"h1\",\"tls\":false,\
              \"admission-check\":false}}]}}"
         );
-        shared.lock().store.put("op/config", &base64(config.as_bytes()), 0);
+        shared
+            .lock()
+            .store
+            .put("op/config", &base64(config.as_bytes()), 0);
         platform::keep_time(&shared);
         let folder = env::temp_dir().join(format!("review-{}", std::process::id()));
         if fs::create_dir_all(&folder).is_err() {
             fail("no temporary folder");
         }
-        let mut site = Self { shared, nodes: Vec::new(), folder };
+        let mut site = Self {
+            shared,
+            nodes: Vec::new(),
+            folder,
+        };
         for n in 0..nodes {
             let store = listener("127.0.0.1");
             let store_address = address(&store);
@@ -123,13 +156,19 @@
             site.add_node(n, store_address, cloud_address);
         }
         let began = Instant::now();
-        while !site.nodes.iter().all(|node| get(node.ready, "/-/readiness", 500).is_some_and(|r| r.0 == 200)) {
+        while !site
+            .nodes
+            .iter()
+            .all(|node| get(node.ready, "/-/readiness", 500).is_some_and(|r| r.0 == 200))
+        {
             if began.elapsed() > Duration::from_secs(15) {
                 fail("the nodes are not ready");
             }
             thread::sleep(Duration::from_millis(50));
         }
-        if !site.shared.wait(Duration::from_secs(10), |world| world.store.text("gc/owner").is_some() || world.last_writer.is_some()) {
+        if !site.shared.wait(Duration::from_secs(10), |world| {
+            world.store.text("gc/owner").is_some() || world.last_writer.is_some()
+        }) {
             fail("no node writes to the store");
         }
         thread::sleep(Duration::from_millis(1_500));
@@ -164,7 +203,13 @@
             fail("no settings file");
         }
         drop(ports);
-        let mut node = Node { name, settings, front: at[1], ready: at[2], child: None };
+        let mut node = Node {
+            name,
+            settings,
+            front: at[1],
+            ready: at[2],
+            child: None,
+        };
         node.start();
         self.nodes.push(node);
     }
@@ -175,9 +220,17 @@
 
     /// The node that leads: the one that gave the last order to the platform's machines.
     fn leader(&self) -> usize {
-        let holder = self.shared.lock().upkeeps.last().map(|(_, _, holder, ..)| holder.clone());
+        let holder = self
+            .shared
+            .lock()
+            .upkeeps
+            .last()
+            .map(|(_, _, holder, ..)| holder.clone());
         let is_it = |node: &Node| Some(&node.name) == holder.as_ref();
-        self.nodes.iter().position(is_it).unwrap_or_else(|| fail("no node has given an order"))
+        self.nodes
+            .iter()
+            .position(is_it)
+            .unwrap_or_else(|| fail("no node has given an order"))
     }
 
     fn write_wave(&self, number: u64, machines: &[usize], cap: usize) {
@@ -188,7 +241,9 @@
         );
         let mut world = self.shared.lock();
         world.note(&format!("operator: op/wave/{number} = {text}"));
-        world.store.put(&format!("op/wave/{number}"), &base64(text.as_bytes()), 0);
+        world
+            .store
+            .put(&format!("op/wave/{number}"), &base64(text.as_bytes()), 0);
     }
 
     /// Submits a job as a client does: again at another node until it is accepted.
@@ -216,7 +271,8 @@
             if node.child.is_none() {
                 continue;
             }
-            if let Some((200, text)) = call(node.front, "GET", &format!("{PREFIX}{id}"), "", 3_000) {
+            if let Some((200, text)) = call(node.front, "GET", &format!("{PREFIX}{id}"), "", 3_000)
+            {
                 return Json::parse(&text).get("state").str().to_owned();
             }
             last = "no answer".into();
@@ -228,7 +284,11 @@
     fn end(self, rule: &str, matches: impl Fn(&str) -> bool) -> ! {
         let broken = {
             let mut world = self.shared.lock();
-            let broken = world.breaks.iter().filter(|b| b.rule == rule && matches(&b.text)).count();
+            let broken = world
+                .breaks
+                .iter()
+                .filter(|b| b.rule == rule && matches(&b.text))
+                .count();
             world.note(&format!("{rule}: broken {broken} times"));
             broken
         };
@@ -241,7 +301,9 @@
 fn call(at: SocketAddr, method: &str, path: &str, body: &str, ms: u64) -> Option<(u16, String)> {
     let timeout = Duration::from_millis(ms);
     let mut stream = TcpStream::connect_timeout(&at, timeout).ok()?;
-    stream.set_read_timeout(Some(timeout + Duration::from_millis(300))).ok()?;
+    stream
+        .set_read_timeout(Some(timeout + Duration::from_millis(300)))
+        .ok()?;
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Timeout-Ms: {ms}\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
@@ -268,7 +330,12 @@
 
 /// Upkeeps that have begun.
 fn begun(site: &Site) -> usize {
-    site.shared.lock().upkeeps.iter().filter(|(.., has_begun)| *has_begun).count()
+    site.shared
+        .lock()
+        .upkeeps
+        .iter()
+        .filter(|(.., has_begun)| *has_begun)
+        .count()
 }
 
 /// Case 1: the process that leads is killed during a wave of upkeep.
@@ -281,9 +348,16 @@
     site.write_wave(1, &[0, 1, 2, 3], 1);
     if !site.shared.wait(Duration::from_secs(30), |world| {
         let is_back = |machine: &platform::Machine| {
-            machine.upkeep_began.is_some() && machine.upkeep_until.is_none() && machine.life.is_some()
+            machine.upkeep_began.is_some()
+                && machine.upkeep_until.is_none()
+                && machine.life.is_some()
         };
-        world.machines.iter().filter(|machine| is_back(machine)).count() >= 3
+        world
+            .machines
+            .iter()
+            .filter(|machine| is_back(machine))
+            .count()
+            >= 3
     }) {
         fail("three machines have not had their upkeep");
     }
@@ -301,7 +375,10 @@
         site.nodes[leader].start();
     }
     thread::sleep(Duration::from_secs(32));
-    let states = (site.state("00000000000000a1"), site.state("00000000000000a2"));
+    let states = (
+        site.state("00000000000000a1"),
+        site.state("00000000000000a2"),
+    );
     site.note(&format!("states of the jobs: {} {}", states.0, states.1));
     if begun(&site) < 4 {
         fail("the wave did not go on");
@@ -313,20 +390,29 @@
 fn wave_cut(record: File, trouble: bool) -> ! {
     let site = Site::start(record, 3, 8, 8_000, 1);
     site.write_wave(1, &[0, 1, 2, 3, 4, 5, 6, 7], 1);
-    if !site.shared.wait(Duration::from_secs(20), |world| !world.upkeeps.is_empty()) {
+    if !site
+        .shared
+        .wait(Duration::from_secs(20), |world| !world.upkeeps.is_empty())
+    {
         fail("no upkeep began");
     }
     thread::sleep(Duration::from_millis(200));
     let leader = site.leader();
     if trouble {
-        site.note(&format!("trouble: {} is cut off from the store for 5.5 s", site.nodes[leader].name));
+        site.note(&format!(
+            "trouble: {} is cut off from the store for 5.5 s",
+            site.nodes[leader].name
+        ));
         site.shared.lock().cut.insert(leader);
         thread::sleep(Duration::from_millis(5_500));
         site.shared.lock().cut.remove(&leader);
         site.note("trouble over");
     }
     if !site.shared.wait(Duration::from_secs(60), |world| {
-        world.store.text("status/wave/1").is_some_and(|text| text.contains("completed"))
+        world
+            .store
+            .text("status/wave/1")
+            .is_some_and(|text| text.contains("completed"))
     }) {
         site.note("the wave did not end within 60 s");
     }
@@ -339,13 +425,19 @@
 fn wave_one(record: File, trouble: bool) -> ! {
     let mut site = Site::start(record, 3, 6, 8_000, 1);
     site.write_wave(1, &[2], 1);
-    if !site.shared.wait(Duration::from_secs(20), |world| !world.upkeeps.is_empty()) {
+    if !site
+        .shared
+        .wait(Duration::from_secs(20), |world| !world.upkeeps.is_empty())
+    {
         fail("no upkeep began");
     }
     thread::sleep(Duration::from_millis(300));
     if trouble {
         let leader = site.leader();
-        site.note(&format!("trouble: {} loses power for 3.5 s", site.nodes[leader].name));
+        site.note(&format!(
+            "trouble: {} loses power for 3.5 s",
+            site.nodes[leader].name
+        ));
         site.nodes[leader].kill();
         thread::sleep(Duration::from_millis(3_500));
         site.nodes[leader].start();
@@ -380,11 +472,18 @@
             let pid = site.nodes[n].child.as_ref().map(Child::id);
             let status = pid.and_then(|pid| fs::read_to_string(format!("/proc/{pid}/status")).ok());
             let rss = status.and_then(|status| {
-                let line = status.lines().find(|line| line.starts_with("VmRSS:"))?.to_owned();
+                let line = status
+                    .lines()
+                    .find(|line| line.starts_with("VmRSS:"))?
+                    .to_owned();
                 line.split_whitespace().nth(1)?.parse::<u64>().ok()
             });
             if rss.is_some_and(|kb| kb > 260 * 1_000) {
-                site.note(&format!("{} exceeds memory-mb 260 ({} MB) and is killed", site.nodes[n].name, rss.unwrap_or(0) / 1_000));
+                site.note(&format!(
+                    "{} exceeds memory-mb 260 ({} MB) and is killed",
+                    site.nodes[n].name,
+                    rss.unwrap_or(0) / 1_000
+                ));
                 site.nodes[n].kill();
                 restart_at[n] = Some(Instant::now() + Duration::from_millis(500));
                 ends += 1;
@@ -394,7 +493,10 @@
                 site.nodes[n].start();
             }
         }
-        if began.elapsed() >= next_submit && jobs.len() < 10 && began.elapsed() < Duration::from_secs(20) {
+        if began.elapsed() >= next_submit
+            && jobs.len() < 10
+            && began.elapsed() < Duration::from_secs(20)
+        {
             let id = format!("00000000000000f{}", jobs.len());
             if site.submit(&id, &batch(4, 1_000, 1_000)) {
                 jobs.push(id);
@@ -443,7 +545,12 @@
     while Instant::now() < end && idle_since.elapsed() < Duration::from_secs(3) {
         let running: usize = {
             let world = site.shared.lock();
-            world.machines.iter().filter_map(|m| m.life.as_ref()).map(|life| life.running.len()).sum()
+            world
+                .machines
+                .iter()
+                .filter_map(|m| m.life.as_ref())
+                .map(|life| life.running.len())
+                .sum()
         };
         if running > 0 {
             idle_since = Instant::now();
@@ -454,8 +561,14 @@
     for id in [first, second] {
         let state = site.state(id);
         let mut world = site.shared.lock();
-        let ended = world.done.keys().filter(|task| task.starts_with(id)).count();
-        world.note(&format!("client: GET {id} -> {state}; {ended} of its tasks have ended done"));
+        let ended = world
+            .done
+            .keys()
+            .filter(|task| task.starts_with(id))
+            .count();
+        world.note(&format!(
+            "client: GET {id} -> {state}; {ended} of its tasks have ended done"
+        ));
         if state != "completed" && is_idle {
             let text = format!("{id} has had nothing running for 3 s, {ended} of its tasks have ended, and no executor runs anything");
             world.broken("LOST", text);
@@ -467,7 +580,13 @@
             .machines
             .iter()
             .filter_map(|machine| machine.life.as_ref())
-            .map(|life| format!("{} lists {} ends that are not acknowledged", life.id, life.ended.len()))
+            .map(|life| {
+                format!(
+                    "{} lists {} ends that are not acknowledged",
+                    life.id,
+                    life.ended.len()
+                )
+            })
             .collect();
         world.note(&ends.join("; "));
     }
@@ -484,7 +603,10 @@
     thread::sleep(Duration::from_secs(2));
     if trouble {
         let mut world = site.shared.lock();
-        let busy = world.machines.iter().find(|m| m.life.as_ref().is_some_and(|life| !life.running.is_empty()));
+        let busy = world
+            .machines
+            .iter()
+            .find(|m| m.life.as_ref().is_some_and(|life| !life.running.is_empty()));
         let Some(address) = busy.map(|machine| machine.address) else {
             drop(world);
             fail("nothing runs");
@@ -495,8 +617,12 @@
              \"mem-mb\":64000,\"gpu\":0}},\"labels\":[\"a\",\"r1-0\"]}}",
             unix_ms()
         );
-        world.note(&format!("trouble: another writer's entry servers/i-other = {text}"));
-        world.store.put("servers/i-other", &base64(text.as_bytes()), 0);
+        world.note(&format!(
+            "trouble: another writer's entry servers/i-other = {text}"
+        ));
+        world
+            .store
+            .put("servers/i-other", &base64(text.as_bytes()), 0);
     }
     thread::sleep(Duration::from_secs(20));
     let state = site.state(id);
@@ -508,15 +634,22 @@
 fn late_job(record: File, trouble: bool) -> ! {
     let site = Site::start(record, 3, 6, 8_000, 1);
     let id = "00000000000000d7";
-    let step = |after: &str| format!("{{\"count\":4,\"cpu\":1000,\"mem-mb\":100,\"estimate-ms\":2000{after}}}");
+    let step = |after: &str| {
+        format!("{{\"count\":4,\"cpu\":1000,\"mem-mb\":100,\"estimate-ms\":2000{after}}}")
+    };
     let body = format!(
         "{{\"spec\":\"work 2000\",\"steps\":[{},{},{},{}]}}",
-        step(""), step(",\"after\":[0]"), step(",\"after\":[1]"), step(",\"after\":[2]")
+        step(""),
+        step(",\"after\":[0]"),
+        step(",\"after\":[1]"),
+        step(",\"after\":[2]")
     );
     let began = Instant::now();
     if trouble {
         let mut world = site.shared.lock();
-        world.note("trouble: for 4.5 s answers of the store are lost, and the writes are done 6 s later");
+        world.note(
+            "trouble: for 4.5 s answers of the store are lost, and the writes are done 6 s later",
+        );
         world.late = Some((id.to_owned(), Duration::from_secs(6)));
         world.writes = (0, 0);
     }
@@ -524,17 +657,31 @@
     let fronts: Vec<SocketAddr> = site.nodes.iter().map(|node| node.front).collect();
     let others = thread::spawn(move || {
         for n in 0..40 {
-            call(fronts[n % fronts.len()], "POST", &format!("{PREFIX}{:016x}", 0xf000 + n), &batch(2, 300, 500), 3_000);
+            call(
+                fronts[n % fronts.len()],
+                "POST",
+                &format!("{PREFIX}{:016x}", 0xf000 + n),
+                &batch(2, 300, 500),
+                3_000,
+            );
             thread::sleep(Duration::from_millis(100));
         }
     });
     let path = format!("{PREFIX}{id}");
-    let post = call(site.nodes[0].front, "POST", &path, &body, 3_000).map_or(0, |(status, _)| status);
-    site.note(&format!("client: POST {id} at {} -> {post}", site.nodes[0].name));
+    let post =
+        call(site.nodes[0].front, "POST", &path, &body, 3_000).map_or(0, |(status, _)| status);
+    site.note(&format!(
+        "client: POST {id} at {} -> {post}",
+        site.nodes[0].name
+    ));
     let mut acknowledged = None;
     while acknowledged.is_none() && began.elapsed() < Duration::from_secs(10) {
-        let delete = call(site.nodes[1].front, "DELETE", &path, "", 3_000).map_or(0, |(status, _)| status);
-        site.note(&format!("client: DELETE {id} at {} -> {delete}", site.nodes[1].name));
+        let delete =
+            call(site.nodes[1].front, "DELETE", &path, "", 3_000).map_or(0, |(status, _)| status);
+        site.note(&format!(
+            "client: DELETE {id} at {} -> {delete}",
+            site.nodes[1].name
+        ));
         if delete == 200 || delete == 410 {
             acknowledged = Some(Instant::now());
         } else {
@@ -549,18 +696,31 @@
         let mut world = site.shared.lock();
         world.late = None;
         let (all, lost) = world.writes;
-        world.note(&format!("trouble over: {lost} of {all} writes got no answer"));
+        world.note(&format!(
+            "trouble over: {lost} of {all} writes got no answer"
+        ));
     }
     let _ = others.join();
     thread::sleep(Duration::from_secs(14));
     let state = site.state(id);
     site.note(&format!("client: GET {id} -> {state}"));
     // cancel_ms after the acknowledgement, and only once the store has been without disruption for contact-ms.
-    let from = (acknowledged + Duration::from_millis(3_000)).max(began + Duration::from_millis(4_500 + 3_000));
+    let from = (acknowledged + Duration::from_millis(3_000))
+        .max(began + Duration::from_millis(4_500 + 3_000));
     let late: Vec<String> = {
         let world = site.shared.lock();
-        let started = world.started.iter().filter(|(at, task)| *at > from && task.starts_with(id));
-        started.map(|(at, task)| format!("{task} begins {} ms after the cancel was acknowledged", at.duration_since(acknowledged).as_millis())).collect()
+        let started = world
+            .started
+            .iter()
+            .filter(|(at, task)| *at > from && task.starts_with(id));
+        started
+            .map(|(at, task)| {
+                format!(
+                    "{task} begins {} ms after the cancel was acknowledged",
+                    at.duration_since(acknowledged).as_millis()
+                )
+            })
+            .collect()
     };
     for text in late {
         site.shared.lock().broken("UNASKED", text);
@@ -618,7 +778,16 @@
     let Ok(mut file) = File::create(&record) else {
         fail("the record cannot be written");
     };
-    let _ = writeln!(file, "case {case}, trouble {trouble}, began at {} (Unix ms); seconds since then", unix_ms());
+    let _ = writeln!(
+        file,
+        "case {case}, trouble {trouble}, began at {} (Unix ms); seconds since then",
+        unix_ms()
+    );
+    // No case takes longer; one that hangs is ended.
+    thread::spawn(|| {
+        thread::sleep(Duration::from_secs(115));
+        fail("it took too long");
+    });
     match case.as_str() {
         "wave-twice" => wave_twice(file, trouble),
         "wave-cut" => wave_cut(file, trouble),
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -5,13 +5,13 @@
     collections::{BTreeMap, BTreeSet},
     fs::File,
     io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use crate::json::{Json, base64, from_base64, quote};
+use crate::json::{base64, from_base64, quote, Json};
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1_100);
 pub const MAX_HOLD_MS: u64 = 6_000;
@@ -39,8 +39,14 @@
     pub fn put(&mut self, key: &str, value: &str, lease: u64) {
         self.rev += 1;
         let created = self.items.get(key).map_or(self.rev, |item| item.created);
-        let item = Item { value: value.to_owned(), rev: self.rev, created, lease };
-        self.log.push((key.to_owned(), self.rev, Some(item.clone())));
+        let item = Item {
+            value: value.to_owned(),
+            rev: self.rev,
+            created,
+            lease,
+        };
+        self.log
+            .push((key.to_owned(), self.rev, Some(item.clone())));
         self.items.insert(key.to_owned(), item);
     }
 
@@ -53,33 +59,50 @@
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let keys: Vec<String> = self.items.iter().filter(|(_, i)| i.lease == lease).map(|(k, _)| k.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, i)| i.lease == lease)
+            .map(|(k, _)| k.clone())
+            .collect();
         keys.iter().for_each(|key| self.remove(key));
     }
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let over: Vec<u64> = self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
         over.into_iter().for_each(|lease| self.end_lease(lease));
     }
 
     /// The decoded value of a key.
     pub fn text(&self, key: &str) -> Option<String> {
         let item = self.items.get(key)?;
-        String::from_utf8(from_base64(&item.value)).ok()
+        Some(String::from_utf8_lossy(&from_base64(&item.value)).into_owned())
     }
 
     fn json(key: &str, item: &Item) -> String {
         format!(
             "{{\"key\":{},\"value\":\"{}\",\"rev\":{},\"created\":{},\"lease\":{}}}",
-            quote(key), item.value, item.rev, item.created, item.lease
+            quote(key),
+            item.value,
+            item.rev,
+            item.created,
+            item.lease
         )
     }
 
     fn txn(&mut self, body: &Json) -> (u16, String) {
         let rows = body.get("expected-rev").list();
         let current = |key: &str| self.items.get(key).map_or(0, |item| item.rev);
-        if rows.iter().any(|row| current(row.get("key").str()) != row.get("rev").u64()) {
+        if rows
+            .iter()
+            .any(|row| current(row.get("key").str()) != row.get("rev").u64())
+        {
             let items: Vec<String> = rows
                 .iter()
                 .filter_map(|row| {
@@ -90,11 +113,17 @@
             return (412, format!("{{\"items\":[{}]}}", items.join(",")));
         }
         let puts = body.get("puts").list();
-        if puts.iter().any(|put| put.get("lease").u64() != 0 && !self.leases.contains_key(&put.get("lease").u64())) {
+        if puts.iter().any(|put| {
+            put.get("lease").u64() != 0 && !self.leases.contains_key(&put.get("lease").u64())
+        }) {
             return (404, "{}".into());
         }
         for put in puts {
-            self.put(put.get("key").str(), put.get("value").str(), put.get("lease").u64());
+            self.put(
+                put.get("key").str(),
+                put.get("value").str(),
+                put.get("lease").u64(),
+            );
         }
         for key in body.get("remove").list() {
             self.remove(key.str());
@@ -234,7 +263,10 @@
             record,
             began: Instant::now(),
         };
-        Arc::new(Self { world: Mutex::new(world), changed: Condvar::new() })
+        Arc::new(Self {
+            world: Mutex::new(world),
+            changed: Condvar::new(),
+        })
     }
 
     pub fn lock(&self) -> MutexGuard<'_, World> {
@@ -292,8 +324,17 @@
         let Some(life) = self.machines[n].life.take() else {
             return;
         };
-        let runs: Vec<String> = life.running.keys().map(|(t, r)| format!("{t} run {r}")).collect();
-        self.note(&format!("executor {} crashes with {} runs: {}", life.id, runs.len(), runs.join(", ")));
+        let runs: Vec<String> = life
+            .running
+            .keys()
+            .map(|(t, r)| format!("{t} run {r}"))
+            .collect();
+        self.note(&format!(
+            "executor {} crashes with {} runs: {}",
+            life.id,
+            runs.len(),
+            runs.join(", ")
+        ));
     }
 
     /// The executor starts again under the id that it had.
@@ -303,7 +344,9 @@
     }
 
     fn new_life(&mut self, n: usize) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |t| t.as_millis() as u64);
         let machine = &mut self.machines[n];
         machine.lives += 1;
         machine.next_entry = Instant::now();
@@ -362,7 +405,10 @@
             let over: Vec<(String, u64)> = life
                 .running
                 .iter()
-                .filter(|(_, run)| run.length.is_some_and(|length| run.started.elapsed() >= length))
+                .filter(|(_, run)| {
+                    run.length
+                        .is_some_and(|length| run.started.elapsed() >= length)
+                })
                 .map(|(key, _)| key.clone())
                 .collect();
             let lapses = !life.running.is_empty() && life.clock_ms() > life.lease_end_ms;
@@ -401,7 +447,10 @@
 
     /// The executors that run a task now.
     fn where_runs(&self, task: &str) -> Vec<String> {
-        let lives = self.machines.iter().filter_map(|machine| machine.life.as_ref());
+        let lives = self
+            .machines
+            .iter()
+            .filter_map(|machine| machine.life.as_ref());
         lives
             .flat_map(|life| life.running.keys().map(move |(t, run)| (t, run, &life.id)))
             .filter(|(t, ..)| *t == task)
@@ -436,19 +485,39 @@
         let id = life.id.clone();
         let others = self.where_runs(&task);
         let spec = body.get("spec").str().to_owned();
-        let length = spec.strip_prefix("work ").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+        let length = spec
+            .strip_prefix("work ")
+            .and_then(|ms| ms.parse().ok())
+            .map(Duration::from_millis);
         self.starts += 1;
         self.started.push((Instant::now(), task.clone()));
         self.note(&format!("start {task} run {run} on {id} by token {token}"));
         if !others.is_empty() {
-            self.broken("TWICE", format!("{task} run {run} begins on {id} while {} still runs", others.join(", ")));
+            self.broken(
+                "TWICE",
+                format!(
+                    "{task} run {run} begins on {id} while {} still runs",
+                    others.join(", ")
+                ),
+            );
         }
         if self.done.get(&task).copied() == Some(true) {
-            self.broken("TWICE", format!("{task} run {run} begins on {id} after its end done was taken note of"));
+            self.broken(
+                "TWICE",
+                format!("{task} run {run} begins on {id} after its end done was taken note of"),
+            );
         }
         if let Some(life) = &mut self.machines[n].life {
             let started = Instant::now();
-            life.running.insert((task, run), Run { spec, started, length, epoch: token });
+            life.running.insert(
+                (task, run),
+                Run {
+                    spec,
+                    started,
+                    length,
+                    epoch: token,
+                },
+            );
         }
         (200, format!("{{\"clock-ms\":{clock}}}"))
     }
@@ -466,7 +535,8 @@
         let closed = life.closed.entry(task.clone()).or_default();
         *closed = (*closed).max(run);
         let id = life.id.clone();
-        self.last_ends.insert(task.clone(), ("stopped", Instant::now()));
+        self.last_ends
+            .insert(task.clone(), ("stopped", Instant::now()));
         self.note(&format!("stop {task} run {run} on {id}"));
         (200, format!("{{\"clock-ms\":{clock}}}"))
     }
@@ -492,7 +562,9 @@
         let clock = life.clock_ms();
         let deadline = body.get("deadline-ms");
         if !deadline.is_null() {
-            life.lease_end_ms = life.lease_end_ms.max(deadline.u64().min(clock + MAX_HOLD_MS));
+            life.lease_end_ms = life
+                .lease_end_ms
+                .max(deadline.u64().min(clock + MAX_HOLD_MS));
         }
         let cursor = body.get("ack-cursor").u64();
         let noted: Vec<String> = life
@@ -527,11 +599,16 @@
             .ended
             .iter()
             .take(500)
-            .map(|(number, task, run, how)| format!("[{number},{},{run},\"{how}\",\"\"]", quote(task)))
+            .map(|(number, task, run, how)| {
+                format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
+            })
             .collect();
         let text = format!(
             "{{\"clock-ms\":{},\"born\":{},\"running\":[{}],\"ended\":[{}]}}",
-            life.clock_ms(), life.born, running.join(","), ended.join(",")
+            life.clock_ms(),
+            life.born,
+            running.join(","),
+            ended.join(",")
         );
         Some((200, text))
     }
@@ -560,23 +637,36 @@
         let now = Instant::now();
         let at_work = |run: &Run| run.started.elapsed() >= Duration::from_millis(300);
         for ((task, run), state) in &ended.running {
-            let Some(service) = self.services.iter().find(|service| task.starts_with(&service.job)) else {
+            let Some(service) = self
+                .services
+                .iter()
+                .find(|service| task.starts_with(&service.job))
+            else {
                 continue;
             };
             let (job, count, may_miss) = (service.job.clone(), service.count, service.may_miss);
             let mut away = Vec::new();
             for index in 0..count {
                 let other = format!("{job}.0.0.{index}");
-                let lives = self.machines.iter().filter_map(|machine| machine.life.as_ref());
-                let is_there = lives.flat_map(|life| &life.running).any(|((t, _), run)| *t == other && at_work(run));
+                let lives = self
+                    .machines
+                    .iter()
+                    .filter_map(|machine| machine.life.as_ref());
+                let is_there = lives
+                    .flat_map(|life| &life.running)
+                    .any(|((t, _), run)| *t == other && at_work(run));
                 // Those of this executor end at the same moment by this order.
                 let ends_now = ended.running.keys().any(|(t, _)| *t == other);
                 if other == *task || is_there || ends_now {
                     continue;
                 }
                 match self.last_ends.get(&other) {
-                    Some((how, _)) if *how == "stopped" || *how == "upkeep" => away.push(format!("{other} ({how})")),
-                    Some((_, at)) if at.elapsed() >= Duration::from_millis(4_500) => away.push(format!("{other} (long)")),
+                    Some((how, _)) if *how == "stopped" || *how == "upkeep" => {
+                        away.push(format!("{other} ({how})"))
+                    }
+                    Some((_, at)) if at.elapsed() >= Duration::from_millis(4_500) => {
+                        away.push(format!("{other} (long)"))
+                    }
                     _ => {}
                 }
             }
@@ -592,34 +682,57 @@
     fn upkeep(&mut self, holder: &str, token: u64, body: &Json) -> (u16, String) {
         let (name, wave) = (body.get("machine").str().to_owned(), body.get("wave").u64());
         let now = Instant::now();
-        let Some(n) = self.machines.iter().position(|machine| machine.name == name) else {
+        let Some(n) = self
+            .machines
+            .iter()
+            .position(|machine| machine.name == name)
+        else {
             return (400, "{}".into());
         };
         if token < self.machines[n].fence {
-            self.note(&format!("upkeep of {name} by {holder} token {token} refused: fence"));
+            self.note(&format!(
+                "upkeep of {name} by {holder} token {token} refused: fence"
+            ));
             return (409, "{\"reason\":\"fence\"}".into());
         }
-        let last = self.machines[n].last_order.replace((now, holder.to_owned(), token));
+        let last = self.machines[n]
+            .last_order
+            .replace((now, holder.to_owned(), token));
         self.machines[n].fence = token;
         if let Some((at, other, other_token)) = last.filter(|(_, other, _)| other != holder) {
             let ms = now.duration_since(at).as_millis() as u64;
             if ms < LEASE_MS {
                 self.broken("ONE", format!("{holder} (token {token}) orders {name} {ms} ms after {other} (token {other_token}); lease-ms is {LEASE_MS}"));
             } else if other_token == token {
-                self.broken("ONE", format!("{holder} and {other} order {name} with one token {token}"));
+                self.broken(
+                    "ONE",
+                    format!("{holder} and {other} order {name} with one token {token}"),
+                );
             }
         }
         if self.machines[n].waves_done.contains(&wave) {
-            self.note(&format!("upkeep of {name} for wave {wave} by {holder} token {token}: already done, 200"));
-            self.upkeeps.push((now, name, holder.to_owned(), token, false));
+            self.note(&format!(
+                "upkeep of {name} for wave {wave} by {holder} token {token}: already done, 200"
+            ));
+            self.upkeeps
+                .push((now, name, holder.to_owned(), token, false));
             return (200, "{}".into());
         }
         if self.machines[n].life.is_none() {
             return (409, "{\"reason\":\"busy\"}".into());
         }
-        let down: Vec<String> = self.machines.iter().filter(|m| m.upkeep_until.is_some() && m.upkeep_wave == wave).map(|m| m.name.clone()).collect();
+        let down: Vec<String> = self
+            .machines
+            .iter()
+            .filter(|m| m.upkeep_until.is_some() && m.upkeep_wave == wave)
+            .map(|m| m.name.clone())
+            .collect();
         let life = self.machines[n].life.take();
-        let runs: Vec<String> = life.iter().flat_map(|life| life.running.keys()).map(|(t, r)| format!("{t} run {r}")).collect();
+        let runs: Vec<String> = life
+            .iter()
+            .flat_map(|life| life.running.keys())
+            .map(|(t, r)| format!("{t} run {r}"))
+            .collect();
         self.note(&format!("upkeep of {name} for wave {wave} by {holder} token {token} begins; it ends {} runs: {}", runs.len(), runs.join(", ")));
         if down.len() >= self.cap {
             self.broken("LIMIT", format!("upkeep of {name} by {holder} (token {token}) begins while {} of the wave {} down; cap is {}", down.join(", "), if down.len() == 1 { "is" } else { "are" }, self.cap));
@@ -636,7 +749,8 @@
         machine.upkeep_began = Some(now);
         machine.upkeep_wave = wave;
         machine.waves_done.insert(wave);
-        self.upkeeps.push((now, name, holder.to_owned(), token, true));
+        self.upkeeps
+            .push((now, name, holder.to_owned(), token, true));
         (200, "{}".into())
     }
 }
@@ -644,7 +758,10 @@
 /// Refuses an order with a lower token than the executor has seen.
 fn fence(life: &mut Life, token: u64) -> Option<(u16, String)> {
     if token < life.fence {
-        return Some((409, format!("{{\"clock-ms\":{},\"reason\":\"fence\"}}", life.clock_ms())));
+        return Some((
+            409,
+            format!("{{\"clock-ms\":{},\"reason\":\"fence\"}}", life.clock_ms()),
+        ));
     }
     life.fence = token;
     None
@@ -679,23 +796,65 @@
             headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
         }
     }
-    let length = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(k, v)| (k.to_owned(), v.to_owned())).collect();
-    Some(Request { method, path: path.to_owned(), query, headers, body: String::from_utf8(body).ok()? })
+    Some(Request {
+        method,
+        path: path.to_owned(),
+        query,
+        headers,
+        body: String::from_utf8(body).ok()?,
+    })
 }
 
 /// Serves an address; a status of 0 closes the connection without an answer.
 pub fn serve(
     listener: TcpListener,
     respond: impl Fn(&Request) -> (u16, String) + Send + Sync + 'static,
+) {
+    serve_while(listener, || true, respond);
+}
+
+/// Serves an address while its process is up; connections are refused while it is down.
+fn serve_while(
+    listener: TcpListener,
+    is_up: impl Fn() -> bool + Send + 'static,
+    respond: impl Fn(&Request) -> (u16, String) + Send + Sync + 'static,
 ) {
     let respond = Arc::new(respond);
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        let Ok(address) = listener.local_addr() else {
+            return;
+        };
+        let mut open = Some(listener);
+        let mut streams: Vec<TcpStream> = Vec::new();
+        loop {
+            if !is_up() {
+                open = None;
+                for stream in streams.drain(..) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            }
+            let Some(listener) = &open else {
+                open = TcpListener::bind(address).ok();
+                continue;
+            };
+            let _ = listener.set_nonblocking(true);
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            streams.extend(stream.try_clone());
             let respond = Arc::clone(&respond);
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
@@ -765,7 +924,11 @@
     let mut world = shared.lock();
     world.writes.0 += 1;
     let (key, delay) = world.late.clone()?;
-    let is_meant = body.get("puts").list().iter().any(|put| put.get("key").str().ends_with(&key));
+    let is_meant = body
+        .get("puts")
+        .list()
+        .iter()
+        .any(|put| put.get("key").str().ends_with(&key));
     if is_meant {
         world.writes.1 += 1;
         world.note(&format!("store: a write of {key} gets no answer"));
@@ -787,11 +950,24 @@
         ("GET", "/-/kv-range") => {
             let world = shared.lock();
             let (prefix, after) = (query("prefix"), query("after"));
-            let matching = world.store.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-            let rows: Vec<String> = matching.take(501).map(|(key, item)| Store::json(key, item)).collect();
+            let matching = world
+                .store
+                .items
+                .iter()
+                .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+            let rows: Vec<String> = matching
+                .take(501)
+                .map(|(key, item)| Store::json(key, item))
+                .collect();
             let has_more = rows.len() > 500;
             let rows = rows.into_iter().take(500).collect::<Vec<_>>().join(",");
-            (200, format!("{{\"items\":[{rows}],\"has-more\":{has_more},\"at\":{}}}", world.store.rev))
+            (
+                200,
+                format!(
+                    "{{\"items\":[{rows}],\"has-more\":{has_more},\"at\":{}}}",
+                    world.store.rev
+                ),
+            )
         }
         ("GET", "/-/kv-watch") => {
             let after: u64 = query("after").parse().unwrap_or(0);
@@ -800,18 +976,32 @@
             loop {
                 {
                     let world = shared.lock();
-                    let new = world.store.log.iter().rev().take_while(|(_, rev, _)| *rev > after);
+                    let new = world
+                        .store
+                        .log
+                        .iter()
+                        .rev()
+                        .take_while(|(_, rev, _)| *rev > after);
                     let mut rows: Vec<String> = new
                         .filter(|(key, ..)| key.starts_with(&prefix))
                         .map(|(key, rev, item)| match item {
                             Some(item) => Store::json(key, item),
-                            None => format!("{{\"key\":{},\"rev\":{rev},\"deleted\":true}}", quote(key)),
+                            None => {
+                                format!("{{\"key\":{},\"rev\":{rev},\"deleted\":true}}", quote(key))
+                            }
                         })
                         .collect();
                     rows.reverse();
                     let is_over = Instant::now() >= end || world.cut.contains(&node);
                     if !rows.is_empty() || is_over {
-                        return (200, format!("{{\"events\":[{}],\"at\":{}}}", rows.join(","), world.store.rev));
+                        return (
+                            200,
+                            format!(
+                                "{{\"events\":[{}],\"at\":{}}}",
+                                rows.join(","),
+                                world.store.rev
+                            ),
+                        );
                     }
                 }
                 thread::sleep(Duration::from_millis(5));
@@ -842,11 +1032,18 @@
             world.store.rev += 1;
             let lease = world.store.rev;
             let ttl = Duration::from_millis(ms);
-            world.store.leases.insert(lease, (Instant::now() + ttl, ttl));
+            world
+                .store
+                .leases
+                .insert(lease, (Instant::now() + ttl, ttl));
             (200, format!("{{\"lease\":{lease},\"ttl-ms\":{ms}}}"))
         }
         (method, path) => {
-            let lease: u64 = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+            let lease: u64 = path
+                .rsplit('/')
+                .next()
+                .and_then(|id| id.parse().ok())
+                .unwrap_or(0);
             let mut world = shared.lock();
             world.store.expire();
             let Some((end, ttl)) = world.store.leases.get_mut(&lease) else {
@@ -864,9 +1061,15 @@
 /// Serves one machine's executor.
 pub fn serve_executor(shared: &Arc<Shared>, n: usize, listener: TcpListener) {
     let shared = Arc::clone(shared);
-    serve(listener, move |request| {
+    let for_listener = Arc::clone(&shared);
+    let is_up = move || for_listener.lock().machines[n].life.is_some();
+    serve_while(listener, is_up, move |request| {
         let body = Json::parse(&request.body);
-        let target = request.headers.get("x-target-instance").cloned().unwrap_or_default();
+        let target = request
+            .headers
+            .get("x-target-instance")
+            .cloned()
+            .unwrap_or_default();
         let delay = {
             let mut world = shared.lock();
             world.advance();
@@ -934,11 +1137,9 @@
 /// Lets the platform's time pass.
 pub fn keep_time(shared: &Arc<Shared>) {
     let shared = Arc::clone(shared);
-    thread::spawn(move || {
-        loop {
-            shared.lock().advance();
-            shared.changed.notify_all();
-            thread::sleep(Duration::from_millis(10));
-        }
+    thread::spawn(move || loop {
+        shared.lock().advance();
+        shared.changed.notify_all();
+        thread::sleep(Duration::from_millis(10));
     });
 }
