--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -55,6 +55,21 @@
             .extend(id);
     }
 
+    /// Sends SIGTERM and waits until the process has ended, for grace-s at most.
+    fn terminate(&mut self) {
+        let Some(child) = &mut self.child else {
+            return;
+        };
+        let _ = Command::new("kill")
+            .arg("-TERM")
+            .arg(child.id().to_string())
+            .status();
+        let end = Instant::now() + Duration::from_secs(6);
+        while child.try_wait().is_ok_and(|status| status.is_none()) && Instant::now() < end {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -370,6 +385,10 @@
     if trouble {
         let leader = site.leader();
         site.note(&format!("trouble: {} is killed", site.nodes[leader].name));
+        // With HOW=term it is stopped as an operator does, and started again once it has ended.
+        if env::var("HOW").is_ok_and(|how| how == "term") {
+            site.nodes[leader].terminate();
+        }
         site.nodes[leader].kill();
         thread::sleep(Duration::from_secs(1));
         site.nodes[leader].start();
