--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -191,7 +191,9 @@
     }
 
     fn add_node(&mut self, n: usize, store: SocketAddr, cloud: SocketAddr) {
-        let ip = format!("127.0.0.{}", 11 + n);
+        // Each run has loopback addresses of its own, so that runs side by side take no port of each other.
+        let id = std::process::id();
+        let ip = format!("127.{}.{}.{}", 1 + (id >> 8) % 250, id & 255, 11 + n);
         let ports: Vec<TcpListener> = (0..4).map(|_| listener(&ip)).collect();
         let at: Vec<SocketAddr> = ports.iter().map(address).collect();
         let name = format!("front-nbo-a-{}", n + 1);
@@ -653,16 +655,16 @@
 fn late_job(record: File, trouble: bool) -> ! {
     let site = Site::start(record, 3, 6, 8_000, 1);
     let id = "00000000000000d7";
-    let step = |after: &str| {
-        format!("{{\"count\":4,\"cpu\":1000,\"mem-mb\":100,\"estimate-ms\":2000{after}}}")
-    };
-    let body = format!(
-        "{{\"spec\":\"work 2000\",\"steps\":[{},{},{},{}]}}",
-        step(""),
-        step(",\"after\":[0]"),
-        step(",\"after\":[1]"),
-        step(",\"after\":[2]")
-    );
+    // Eight steps of 2 s, one after the other.
+    let steps: Vec<String> = (0..8)
+        .map(|step: usize| {
+            let after = step
+                .checked_sub(1)
+                .map_or(String::new(), |earlier| format!(",\"after\":[{earlier}]"));
+            format!("{{\"count\":4,\"cpu\":1000,\"mem-mb\":100,\"estimate-ms\":2000{after}}}")
+        })
+        .collect();
+    let body = format!("{{\"spec\":\"work 2000\",\"steps\":[{}]}}", steps.join(","));
     let began = Instant::now();
     if trouble {
         let mut world = site.shared.lock();
@@ -720,12 +722,13 @@
         ));
     }
     let _ = others.join();
-    thread::sleep(Duration::from_secs(14));
+    thread::sleep(Duration::from_secs(20));
     let state = site.state(id);
     site.note(&format!("client: GET {id} -> {state}"));
-    // cancel_ms after the acknowledgement, and only once the store has been without disruption for contact-ms.
+    // cancel_ms after the acknowledgement, and only contact-ms after the last write can have been carried out late.
+    let disrupted = Duration::from_millis(4_500) + Duration::from_secs(6);
     let from = (acknowledged + Duration::from_millis(3_000))
-        .max(began + Duration::from_millis(4_500 + 3_000));
+        .max(began + disrupted + Duration::from_millis(3_000));
     let late: Vec<String> = {
         let world = site.shared.lock();
         let started = world
@@ -753,7 +756,7 @@
 
 /// An executor crashes and starts again by turns, whatever it runs.
 fn given_up(record: File, trouble: bool) -> ! {
-    let site = Site::start(record, 3, 10, 8_000, 1);
+    let site = Site::start(record, 3, 24, 8_000, 1);
     site.shared.lock().machines[4].kind = "b";
     thread::sleep(Duration::from_secs(3));
     let id = "00000000000000d1";
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -389,6 +389,8 @@
             self.store.expire();
         }
         let now = Instant::now();
+        // While the store is down, executors don't reach it either.
+        let is_down = self.paused.is_some();
         let cpu = self.cpu;
         for n in 0..self.machines.len() {
             let machine = &mut self.machines[n];
@@ -398,7 +400,7 @@
             }
             let machine = &mut self.machines[n];
             let (name, address, kind) = (machine.name.clone(), machine.address, machine.kind);
-            let is_entry_due = machine.next_entry <= now;
+            let is_entry_due = machine.next_entry <= now && !is_down;
             let Some(life) = &mut machine.life else {
                 continue;
             };
