Show the version and the age of the configuration in force

When callers are refused by an older configuration, neither logs nor metrics told whether the change was never read, could not be decoded, or was hidden by calls that failed. Each node now reports the version in force and the time since a read of the store confirmed it; a refusal names both, and failed lists and watches and unusable configurations are counted. An unusable configuration is a read of its own instead of an unreadable key. No decision changes.

--- /dev/null
+++ b/crates/guavacart_node/src/configuration.rs
@@ -0,0 +1,82 @@
+//! The configuration in force on a node, and how recently the store confirmed it.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use guavacart_jobs::Configuration;
+use guavacart_types::{Revision, Span, Timestamp};
+
+use crate::clock;
+
+/// The configuration in force on this node.
+#[derive(Debug, Default)]
+pub(crate) struct CurrentConfiguration {
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Revision of the newest item that was read; the item itself may be unusable.
+    revision: Cell<Revision>,
+    /// When the last read was sent whose answer held the newest item.
+    confirmed_at: Cell<Timestamp>,
+}
+
+impl CurrentConfiguration {
+    /// The configuration; `None` until one has been read.
+    pub(crate) fn get(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Revision of the newest item that was read.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision.get()
+    }
+
+    /// Time since the store last confirmed that no newer configuration exists.
+    pub(crate) fn age(&self) -> Span {
+        clock::now().since(self.confirmed_at.get())
+    }
+
+    /// Records that a read sent at `sent` held no newer item than those that were applied.
+    pub(crate) fn confirm(&self, sent: Timestamp) {
+        self.confirmed_at.set(self.confirmed_at.get().max(sent));
+    }
+
+    /// Applies an item; `None` stands for one that cannot be used. Returns the configuration if it
+    /// is newer than the one in force, which it replaces. The version never decreases.
+    pub(crate) fn apply(
+        &self,
+        revision: Revision,
+        configuration: Option<Configuration>,
+    ) -> Option<Rc<Configuration>> {
+        if revision <= self.revision.get() {
+            return None;
+        }
+        self.revision.set(revision);
+        let before = self.get().map(|current| current.version);
+        let Some(configuration) = configuration else {
+            tracing::error!(
+                event = "configuration_unreadable", %revision, in_force = before,
+                "the operator's configuration cannot be used; correct it"
+            );
+            return None;
+        };
+        if before.is_some_and(|before| configuration.version <= before) {
+            tracing::warn!(
+                event = "configuration_not_newer", %revision, in_force = before,
+                version = configuration.version,
+            );
+            return None;
+        }
+        tracing::info!(
+            event = "configured",
+            version = configuration.version,
+            before,
+            %revision,
+            age_ms = self.age().0,
+            queues = configuration.queues.len(),
+        );
+        let configuration = Rc::new(configuration);
+        *self.configuration.borrow_mut() = Some(Rc::clone(&configuration));
+        Some(configuration)
+    }
+}
--- a/crates/guavacart_node/src/election.rs
+++ b/crates/guavacart_node/src/election.rs
@@ -132,7 +132,7 @@
     links: &Rc<Links<P>>,
     previous: Option<Item>,
 ) {
-    if shared.configuration().is_none() {
+    if shared.configuration.get().is_none() {
         return;
     }
     let ttl = OWNER_LEASE.max(shared.settings.min_lease);
@@ -231,7 +231,7 @@
 
 /// Applies the configuration and the waves that were read while the owner started.
 fn apply_known_configuration<P: Platform>(shared: &Shared<P>, owner: &Rc<Owner<P>>) {
-    if let Some(configuration) = shared.configuration() {
+    if let Some(configuration) = shared.configuration.get() {
         owner.apply(guavacart_jobs::Event::ConfigurationRead(
             (*configuration).clone(),
         ));
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -67,7 +67,7 @@
         // A node that reaches neither the store nor the owner would refuse every request; other
         // nodes may still serve them.
         let is_cut_off = shared.health.failing_for() >= CUT_OFF_AFTER && links.has_lost_owner();
-        let has_started = !shared.is_stopping.get() && shared.configuration().is_some();
+        let has_started = !shared.is_stopping.get() && shared.configuration.get().is_some();
         let is_ready = has_started && !is_cut_off;
         let status = if is_ready {
             StatusCode::OK
@@ -87,6 +87,12 @@
     let listener = TcpListener::bind(address).await?;
     serve_paths(listener, move |_| {
         let mut text = shared.counters.text();
+        if let Some(configuration) = shared.configuration.get() {
+            let version = configuration.version;
+            text.push_str(&format!("guavacart_configuration_version {version}\n"));
+            let age = shared.configuration.age().0;
+            text.push_str(&format!("guavacart_configuration_age_ms {age}\n"));
+        }
         if let Some(owner) = shared.owner() {
             text.push_str(&format!("guavacart_owner_epoch {}\n", owner.epoch));
             let summary = owner.summary();
@@ -144,7 +150,7 @@
         tracing::debug!(event = "no_nodelay", cause = %err);
     }
     let shared = Rc::clone(&submitter.shared);
-    let limits = shared.configuration().map(|cfg| cfg.limits);
+    let limits = shared.configuration.get().map(|cfg| cfg.limits);
     let service = service_fn(move |req| {
         let submitter = Rc::clone(&submitter);
         async move {
@@ -209,7 +215,7 @@
 
 async fn handle<P: Platform>(submitter: &Rc<Submitter<P>>, req: Request<Incoming>) -> HttpResponse {
     let shared = &submitter.shared;
-    let Some(configuration) = shared.configuration() else {
+    let Some(configuration) = shared.configuration.get() else {
         shared.counters.refused.add(1);
         return retry_later();
     };
@@ -218,7 +224,9 @@
     let Some((queue, rest)) = configuration.find_queue(&host, &path) else {
         shared.counters.rejected.add(1);
         tracing::info!(
-            event = "no_queue", %host, path, version = configuration.version, status = 404
+            event = "no_queue", %host, path, version = configuration.version,
+            revision = %shared.configuration.revision(), age_ms = shared.configuration.age().0,
+            status = 404,
         );
         return response(StatusCode::NOT_FOUND, Bytes::new());
     };
--- a/crates/guavacart_node/src/lib.rs
+++ b/crates/guavacart_node/src/lib.rs
@@ -5,6 +5,7 @@
 //! executors.
 
 mod clock;
+mod configuration;
 mod election;
 mod front;
 mod links;
--- a/crates/guavacart_node/src/metrics.rs
+++ b/crates/guavacart_node/src/metrics.rs
@@ -86,6 +86,10 @@
     stops;
     /// Changes of pace sent to executors.
     paces;
+    /// Operator's configurations that could not be decoded.
+    configurations_unreadable;
+    /// Lists and watches of the store that failed.
+    store_follows_failed;
     /// Reads, lists and watches of the store.
     store_reads;
     /// Writes to the store.
--- a/crates/guavacart_node/src/owner/snapshot.rs
+++ b/crates/guavacart_node/src/owner/snapshot.rs
@@ -22,7 +22,7 @@
     let mut waves = Vec::new();
     for item in operator {
         match item.content {
-            Content::Configuration(read) => configuration = Some(read),
+            Content::Configuration(read) => configuration = read,
             Content::Wave(wave) => waves.push(wave),
             _ => {}
         }
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -159,8 +159,8 @@
 /// The content of an item.
 #[derive(Clone, Debug)]
 pub enum Content {
-    /// The operator's configuration.
-    Configuration(Configuration),
+    /// The operator's configuration; `None` if it was removed or cannot be decoded.
+    Configuration(Option<Configuration>),
     /// A request for maintenance.
     Wave(MaintenanceWave),
     /// An executor's entry; `None` if it was removed or describes no usable executor.
--- a/crates/guavacart_node/src/shared.rs
+++ b/crates/guavacart_node/src/shared.rs
@@ -6,12 +6,15 @@
     rc::Rc,
 };
 
-use guavacart_jobs::{Configuration, MaintenanceWave};
+use guavacart_jobs::MaintenanceWave;
 use guavacart_types::{Epoch, Span, Timestamp};
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
-use crate::{NodeSettings, StoreError, clock, metrics::Counters, owner::Owner, ports::Platform};
+use crate::{
+    NodeSettings, StoreError, clock, configuration::CurrentConfiguration, metrics::Counters,
+    owner::Owner, ports::Platform,
+};
 
 /// Time for which calls fail before this counts as an outage, in which executors may miss writes.
 const SHORTEST_OUTAGE: Span = Span::millis(1_000);
@@ -28,10 +31,8 @@
 pub(crate) struct Shared<P> {
     pub(crate) platform: P,
     pub(crate) settings: NodeSettings,
-    pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    pub(crate) configuration: CurrentConfiguration,
     pub(crate) waves: RefCell<Vec<MaintenanceWave>>,
-    /// Signalled when a new configuration was read.
-    pub(crate) configured: Notify,
     /// The owner that this node knows of, if any.
     pub(crate) known_owner: RefCell<Option<KnownOwner>>,
     /// This node's term, while it is the owner.
@@ -54,9 +55,8 @@
         Self {
             platform,
             settings,
-            configuration: RefCell::new(None),
+            configuration: CurrentConfiguration::default(),
             waves: RefCell::new(Vec::new()),
-            configured: Notify::new(),
             known_owner: RefCell::new(None),
             owner: RefCell::new(None),
             health: StoreHealth::default(),
@@ -69,10 +69,6 @@
         }
     }
 
-    pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
-        self.configuration.borrow().clone()
-    }
-
     pub(crate) fn owner(&self) -> Option<Rc<Owner<P>>> {
         self.owner.borrow().clone()
     }
--- a/crates/guavacart_node/src/watching.rs
+++ b/crates/guavacart_node/src/watching.rs
@@ -88,7 +88,11 @@
                 after = None;
             }
             Err(err) => {
-                tracing::debug!(event = "watch_failed", ?space, cause = %err);
+                shared.counters.store_follows_failed.add(1);
+                tracing::debug!(
+                    event = "watch_failed", ?space, cause = %err,
+                    waited_ms = clock::now().since(sent).0,
+                );
                 pause_after_failure().await;
             }
         }
@@ -112,10 +116,10 @@
 
 /// Follows the operator's configuration and waves until the node stops.
 pub(crate) async fn follow_operator<P: Platform>(shared: Rc<Shared<P>>) {
-    let apply_items = |items: Vec<Item>, _| {
+    let apply_items = |items: Vec<Item>, read: Read| {
         for item in items {
             match item.content {
-                Content::Configuration(cfg) => apply_configuration(&shared, cfg),
+                Content::Configuration(cfg) => apply_configuration(&shared, item.revision, cfg),
                 Content::Wave(wave) => add_wave(&shared, wave),
                 Content::Unreadable(key) => {
                     tracing::warn!(
@@ -126,6 +130,9 @@
                 Content::Executor(..) | Content::Record(..) => {}
             }
         }
+        if read.is_whole {
+            shared.configuration.confirm(read.sent);
+        }
     };
     follow(
         &shared,
@@ -138,23 +145,20 @@
     .await;
 }
 
-fn apply_configuration<P: Platform>(shared: &Shared<P>, configuration: Configuration) {
-    let known = shared.configuration().map(|known| known.version);
-    if known.is_some_and(|known| configuration.version <= known) {
-        return;
+fn apply_configuration<P: Platform>(
+    shared: &Shared<P>,
+    revision: Revision,
+    configuration: Option<Configuration>,
+) {
+    if configuration.is_none() {
+        shared.counters.configurations_unreadable.add(1);
     }
-    tracing::info!(
-        event = "configured",
-        version = configuration.version,
-        before = known,
-        queues = configuration.queues.len(),
-    );
-    let configuration = Rc::new(configuration);
-    *shared.configuration.borrow_mut() = Some(Rc::clone(&configuration));
+    let Some(configuration) = shared.configuration.apply(revision, configuration) else {
+        return;
+    };
     if let Some(owner) = shared.owner() {
         owner.apply(Event::ConfigurationRead((*configuration).clone()));
     }
-    shared.configured.notify_waiters();
 }
 
 fn add_wave<P: Platform>(shared: &Shared<P>, wave: MaintenanceWave) {
