Handle requests only under a configuration that the store has confirmed

Callers were refused with 404 for a route, or served on a dropped one, for as long as the node's watch of the operator's keys heard nothing: a watch that waits on a silent connection or misses a change looks the same as one without a change, and the node took its silence for proof that it knew the newest configuration.

A job is now written on the condition that the configuration still has the revision under which its queue was looked up; the conflict returns the newer one, and the queue is looked up again. This needs no further call. All other requests, and the answer that there is no such queue, need a configuration that a read, or such a write, has confirmed within half of the time in which changes take effect; else the key is read first, once for all requests that wait. If that fails, an unknown queue is refused with 503 instead of 404.

--- a/crates/guavacart_node/src/configuration.rs
+++ b/crates/guavacart_node/src/configuration.rs
@@ -7,6 +7,7 @@
 
 use guavacart_jobs::Configuration;
 use guavacart_types::{Revision, Span, Timestamp};
+use tokio::sync::Mutex;
 
 use crate::clock;
 
@@ -18,6 +19,9 @@
     revision: Cell<Revision>,
     /// When the last read was sent whose answer held the newest item.
     confirmed_at: Cell<Timestamp>,
+    /// When the last read was sent that [`crate::watching::confirm_configuration`] made; locked
+    /// during a read.
+    pub(crate) last_read: Mutex<Timestamp>,
 }
 
 impl CurrentConfiguration {
@@ -26,6 +30,11 @@
         self.configuration.borrow().clone()
     }
 
+    /// The configuration and the revision on which writes that rely on it are conditional.
+    pub(crate) fn with_revision(&self) -> Option<(Rc<Configuration>, Revision)> {
+        Some((self.get()?, self.revision()))
+    }
+
     /// Revision of the newest item that was read.
     pub(crate) fn revision(&self) -> Revision {
         self.revision.get()
@@ -36,7 +45,8 @@
         clock::now().since(self.confirmed_at.get())
     }
 
-    /// Records that a read sent at `sent` held no newer item than those that were applied.
+    /// Records that a call sent at `sent` showed no newer item than those that were applied. A
+    /// watch that reports no change shows nothing: it may have missed one.
     pub(crate) fn confirm(&self, sent: Timestamp) {
         self.confirmed_at.set(self.confirmed_at.get().max(sent));
     }
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -1,17 +1,20 @@
 //! The HTTP interface for submitters, and the endpoints for the platform's load balancer and for
 //! metrics.
 
+mod submission;
+
 use std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use guavacart_jobs::{Configuration, HttpLimits, Job, JobKey, Queue};
+use guavacart_jobs::{Configuration, JobKey, Queue};
 use guavacart_types::{Span, Timestamp};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, header, server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use smol_str::SmolStr;
 use tokio::{
     net::{TcpListener, TcpStream},
     task, time,
@@ -22,6 +25,7 @@
     links::Links,
     shared::Shared,
     submit::{Outcome, Submitter},
+    watching,
 };
 
 /// Time allowed for a request whose caller gives no timeout.
@@ -39,6 +43,20 @@
 
 type HttpResponse = Response<Full<Bytes>>;
 
+/// Where a request is addressed to.
+#[derive(Debug)]
+struct Target {
+    host: SmolStr,
+    path: SmolStr,
+}
+
+impl Target {
+    /// Returns the queue, and the rest of the path.
+    fn find_queue<'a>(&'a self, configuration: &'a Configuration) -> Option<(&'a Queue, &'a str)> {
+        configuration.find_queue(&self.host, &self.path)
+    }
+}
+
 /// Serves submitters at the settings' address until the node stops.
 pub(crate) async fn serve<P: Platform>(submitter: Rc<Submitter<P>>) -> io::Result<()> {
     let listener = TcpListener::bind(submitter.shared.settings.submitters).await?;
@@ -214,41 +232,74 @@
 }
 
 async fn handle<P: Platform>(submitter: &Rc<Submitter<P>>, req: Request<Incoming>) -> HttpResponse {
+    let response = respond(submitter, req).await;
+    count_failures(&submitter.shared, response.status());
+    response
+}
+
+async fn respond<P: Platform>(
+    submitter: &Rc<Submitter<P>>,
+    req: Request<Incoming>,
+) -> HttpResponse {
     let shared = &submitter.shared;
-    let Some(configuration) = shared.configuration.get() else {
-        shared.counters.refused.add(1);
+    let deadline = clock::now() + timeout_of::<P>(&req);
+    let target = Target {
+        host: host_of(&req).into(),
+        path: req.uri().path().into(),
+    };
+    let Some(known) = shared.configuration.get() else {
         return retry_later();
     };
-    let host = host_of(&req).to_owned();
-    let path = req.uri().path().to_owned();
-    let Some((queue, rest)) = configuration.find_queue(&host, &path) else {
-        shared.counters.rejected.add(1);
-        tracing::info!(
-            event = "no_queue", %host, path, version = configuration.version,
-            revision = %shared.configuration.revision(), age_ms = shared.configuration.age().0,
-            status = 404,
-        );
-        return response(StatusCode::NOT_FOUND, Bytes::new());
+    // A job is stored on the condition that the configuration has not changed. Other requests, and
+    // the answer that there is no queue, need a configuration that was confirmed recently.
+    let is_conditional = *req.method() == Method::POST && target.find_queue(&known).is_some();
+    let is_confirmed = is_conditional || watching::confirm_configuration(shared).await;
+    let configuration = shared.configuration.get().unwrap_or(known);
+    let Some((queue, rest)) = target.find_queue(&configuration) else {
+        return no_queue(shared, &target, configuration.version, is_confirmed);
     };
     if rest.is_empty() && req.method() == Method::GET {
         return queued_jobs(submitter, queue).await;
     }
     let Ok(key) = rest.parse::<JobKey>() else {
-        shared.counters.rejected.add(1);
-        tracing::info!(event = "bad_job_id", path, status = 400);
-        return response(StatusCode::BAD_REQUEST, Bytes::new());
+        return bad_job_id(&target);
     };
-    let deadline = clock::now() + timeout_of::<P>(&req);
-    let response = match *req.method() {
-        Method::POST => post(submitter, &configuration, queue, key, deadline, req).await,
+    match *req.method() {
+        Method::POST => {
+            let limits = configuration.limits;
+            submission::submit(submitter, &target, key, limits, deadline, req).await
+        }
         Method::GET => state(submitter, key, deadline).await,
         Method::DELETE => delete(submitter, key, deadline).await,
         _ => response(StatusCode::METHOD_NOT_ALLOWED, Bytes::new()),
+    }
+}
+
+/// Answers a request for a queue that the configuration does not have.
+fn no_queue<P: Platform>(
+    shared: &Shared<P>,
+    target: &Target,
+    version: u64,
+    is_confirmed: bool,
+) -> HttpResponse {
+    let response = if is_confirmed {
+        response(StatusCode::NOT_FOUND, Bytes::new())
+    } else {
+        retry_later()
     };
-    count_failures(shared, response.status());
+    tracing::info!(
+        event = "no_queue", host = %target.host, path = %target.path, version,
+        revision = %shared.configuration.revision(), age_ms = shared.configuration.age().0,
+        status = response.status().as_u16(),
+    );
     response
 }
 
+fn bad_job_id(target: &Target) -> HttpResponse {
+    tracing::info!(event = "bad_job_id", path = %target.path, status = 400);
+    response(StatusCode::BAD_REQUEST, Bytes::new())
+}
+
 fn count_failures<P>(shared: &Shared<P>, status: StatusCode) {
     let counters = &shared.counters;
     match status {
@@ -278,76 +329,11 @@
             tracing::info!(
                 event = "no_count", queue = %queue.name, status = 503, "no reply from an owner"
             );
-            submitter.shared.counters.refused.add(1);
             retry_later()
         }
     }
 }
 
-async fn post<P: Platform>(
-    submitter: &Rc<Submitter<P>>,
-    configuration: &Configuration,
-    queue: &Queue,
-    key: JobKey,
-    deadline: Timestamp,
-    req: Request<Incoming>,
-) -> HttpResponse {
-    let body = match read_body(req, &configuration.limits, deadline).await {
-        Ok(body) => body,
-        Err(status) => {
-            tracing::info!(event = "body_not_read", job = %key, status = status.as_u16());
-            return response(status, Bytes::new());
-        }
-    };
-    let job = match P::decode_job(&body) {
-        Ok(body) => Job {
-            queue: queue.name.clone(),
-            rules: queue.rules.clone(),
-            accepted_unix_ms: clock::unix_ms(),
-            payload: body.payload,
-            steps: body.steps,
-            schedule: body.schedule,
-        },
-        Err(err) => {
-            tracing::info!(event = "bad_body", job = %key, status = 400, cause = %err);
-            return response(StatusCode::BAD_REQUEST, Bytes::new());
-        }
-    };
-    if let Err(err) = job.validate() {
-        tracing::info!(event = "bad_job", job = %key, status = 400, cause = %err);
-        return response(StatusCode::BAD_REQUEST, Bytes::new());
-    }
-    let outcome = submitter.submit(key, job, deadline).await;
-    tracing::info!(
-        event = "submitted", job = %key, queue = %queue.name, version = configuration.version,
-        store_failing_ms = submitter.shared.health.failing_for().0, ?outcome,
-    );
-    match outcome {
-        Outcome::Stored => json(b"{}".to_vec()),
-        Outcome::NoSuchJob => response(StatusCode::GONE, Bytes::new()),
-        Outcome::NotStored => retry_later(),
-        Outcome::Unknown => response(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
-    }
-}
-
-async fn read_body(
-    req: Request<Incoming>,
-    limits: &HttpLimits,
-    deadline: Timestamp,
-) -> Result<Bytes, StatusCode> {
-    let max_bytes = usize::try_from(limits.max_body.0).unwrap_or(usize::MAX);
-    let body = Limited::new(req.into_body(), max_bytes).collect();
-    let remaining = deadline.since(clock::now());
-    match time::timeout(remaining.into(), body).await {
-        Err(_elapsed) => Err(StatusCode::REQUEST_TIMEOUT),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-    }
-}
-
 async fn state<P: Platform>(
     submitter: &Submitter<P>,
     key: JobKey,
--- a/crates/guavacart_node/src/metrics.rs
+++ b/crates/guavacart_node/src/metrics.rs
@@ -86,6 +86,8 @@
     stops;
     /// Changes of pace sent to executors.
     paces;
+    /// Jobs that were not stored at first, since the configuration had changed unnoticed.
+    stale_submissions;
     /// Operator's configurations that could not be decoded.
     configurations_unreadable;
     /// Lists and watches of the store that failed.
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -131,6 +131,8 @@
 /// One key of the store.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Key {
+    /// The operator's configuration, which nodes only read.
+    Configuration,
     /// The record that names the owner.
     Owner,
     /// A job as it was submitted.
@@ -269,6 +271,8 @@
     pub links: SocketAddr,
     /// Address at which metrics are read, if they are served.
     pub metrics: Option<SocketAddr>,
+    /// Longest time from the acknowledgement of a configuration until it is in force on all nodes.
+    pub apply_time: Span,
     /// Time for a graceful shutdown.
     pub grace: Span,
     /// Shortest lease that the store grants.
--- a/crates/guavacart_node/src/watching.rs
+++ b/crates/guavacart_node/src/watching.rs
@@ -145,6 +145,60 @@
     .await;
 }
 
+/// Age above which the configuration is read before a request relies on it. Half of the time in
+/// which changes take effect leaves the other half for the read.
+pub(crate) fn max_configuration_age<P: Platform>(shared: &Shared<P>) -> Span {
+    Span(shared.settings.apply_time.0 / 2)
+}
+
+/// Reads the configuration unless the store confirmed it recently. False if it stays unconfirmed.
+pub(crate) async fn confirm_configuration<P: Platform>(shared: &Shared<P>) -> bool {
+    let current = &shared.configuration;
+    let is_recent = || current.age() <= max_configuration_age(shared);
+    if is_recent() {
+        return true;
+    }
+    let requested = clock::now();
+    let mut last_read = current.last_read.lock().await;
+    // A read that another request made meanwhile answers this one as well.
+    let is_answered = is_recent() || *last_read > requested;
+    if is_answered || !shared.health.is_serving() {
+        return is_recent();
+    }
+    let sent = clock::now();
+    *last_read = sent;
+    let found = shared.platform.get(Key::Configuration).await;
+    shared.counters.store_reads.add(1);
+    shared.health.record(&found);
+    match found {
+        Ok(item) => apply_configuration_item(shared, item.as_ref(), sent),
+        Err(err) => {
+            let age_ms = current.age().0;
+            tracing::warn!(event = "configuration_unconfirmed", age_ms, cause = %err);
+        }
+    }
+    is_recent()
+}
+
+/// Applies the configuration's item as a call sent at `sent` showed it.
+pub(crate) fn apply_configuration_item<P: Platform>(
+    shared: &Shared<P>,
+    item: Option<&Item>,
+    sent: Timestamp,
+) {
+    match item {
+        Some(Item {
+            revision,
+            content: Content::Configuration(configuration),
+        }) => apply_configuration(shared, *revision, configuration.clone()),
+        _ => tracing::error!(
+            event = "no_configuration",
+            "the store has no configuration; write it again"
+        ),
+    }
+    shared.configuration.confirm(sent);
+}
+
 fn apply_configuration<P: Platform>(
     shared: &Shared<P>,
     revision: Revision,
