Let requests wait a bounded time for the read of the configuration

Where the configuration takes long to arrive, each request that needed it confirmed waited for its whole transfer: 2.9 s for a count of jobs with 3,000 routes over 200 kB/s. The read now runs beside the requests, one at a time; a request waits for it for half of the time in which changes take effect at most, and is answered with what is known of a queue that exists, or refused. The configuration is read at three quarters of that time instead of a half, since a request relies on it as of its own arrival: fewer reads.

request_does_not_wait_for_a_slow_read_of_the_configuration failed before (2.9 s, 2 s allowed) and passes.

--- a/crates/guavacart_node/src/configuration.rs
+++ b/crates/guavacart_node/src/configuration.rs
@@ -7,7 +7,7 @@
 
 use guavacart_jobs::Configuration;
 use guavacart_types::{Revision, Span, Timestamp};
-use tokio::sync::Mutex;
+use tokio::sync::Notify;
 
 use crate::clock;
 
@@ -19,9 +19,10 @@
     revision: Cell<Revision>,
     /// When the last read was sent whose answer held the newest item.
     confirmed_at: Cell<Timestamp>,
-    /// When the last read was sent that [`crate::watching::confirm_configuration`] made; locked
-    /// during a read.
-    pub(crate) last_read: Mutex<Timestamp>,
+    /// True during a read that confirms the configuration.
+    pub(crate) is_reading: Cell<bool>,
+    /// Signalled when such a read has ended.
+    pub(crate) read_ended: Notify,
 }
 
 impl CurrentConfiguration {
@@ -40,6 +41,11 @@
         self.revision.get()
     }
 
+    /// When the last call was sent that showed that no newer configuration existed; 0 for never.
+    pub(crate) fn confirmed_at(&self) -> Timestamp {
+        self.confirmed_at.get()
+    }
+
     /// Time since the store last confirmed that no newer configuration exists.
     pub(crate) fn age(&self) -> Span {
         clock::now().since(self.confirmed_at.get())
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -42,9 +42,6 @@
 /// How often the executors' entries are polled; each entry is written about once a second.
 const EXECUTORS_POLL_INTERVAL: Span = Span::millis(500);
 
-/// Shortest pause between two reads of the configuration.
-const MIN_CONFIRMATION_PAUSE: Span = Span::millis(50);
-
 /// Result of a renewal of the lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Renewal {
@@ -291,15 +288,7 @@
     /// Reads the configuration often enough for a change that no watch reports: the reducer places
     /// jobs by their queue's current rules.
     async fn keep_configuration_confirmed(self: Rc<Self>) {
-        while self.is_active() {
-            if watching::confirm_configuration(&self.shared).await {
-                let max_age = watching::max_configuration_age(&self.shared);
-                let left = max_age.saturating_sub(self.shared.configuration.age());
-                time::sleep((left + MIN_CONFIRMATION_PAUSE).into()).await;
-            } else {
-                watching::pause_after_failure().await;
-            }
-        }
+        watching::keep_configuration_confirmed(&self.shared, || self.is_active()).await;
     }
 
     async fn follow_inbox(self: Rc<Self>, from: Revision) {
--- a/crates/guavacart_node/src/watching.rs
+++ b/crates/guavacart_node/src/watching.rs
@@ -6,7 +6,7 @@
 use guavacart_jobs::{Configuration, Event, MaintenanceWave};
 use guavacart_types::{Revision, Span, Timestamp};
 use rand::Rng;
-use tokio::time;
+use tokio::{task, time};
 
 use crate::{Content, Item, Key, Platform, Space, StoreError, clock, shared::Shared};
 
@@ -18,6 +18,9 @@
 /// same moment.
 const MAX_PAUSE_MS: u64 = 240;
 
+/// Shortest pause between two reads that confirm the configuration.
+const MIN_CONFIRMATION_PAUSE: Span = Span::millis(50);
+
 /// How changes of a space are followed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum FollowMode {
@@ -145,39 +148,66 @@
     .await;
 }
 
-/// Age above which the configuration is read before a request relies on it. Half of the time in
-/// which changes take effect leaves the other half for the read.
-pub(crate) fn max_configuration_age<P: Platform>(shared: &Shared<P>) -> Span {
-    Span(shared.settings.apply_time.0 / 2)
+/// Age up to which a request may rely on the configuration without reading it.
+fn max_configuration_age<P: Platform>(shared: &Shared<P>) -> Span {
+    Span(shared.settings.apply_time.0 * 3 / 4)
 }
 
-/// Reads the configuration unless the store confirmed it recently. False if it stays unconfirmed.
-pub(crate) async fn confirm_configuration<P: Platform>(shared: &Shared<P>) -> bool {
+/// Reads the configuration unless the store confirmed it recently. False if it stays unconfirmed;
+/// a read that takes longer than callers can wait goes on.
+pub(crate) async fn confirm_configuration<P: Platform>(shared: &Rc<Shared<P>>) -> bool {
     let current = &shared.configuration;
-    let is_recent = || current.age() <= max_configuration_age(shared);
-    if is_recent() {
-        return true;
+    let needed = clock::now() - max_configuration_age(shared);
+    let is_confirmed = || current.confirmed_at() >= needed && current.confirmed_at().0 > 0;
+    if is_confirmed() || !shared.health.is_serving() {
+        return is_confirmed();
+    }
+    let read = current.read_ended.notified();
+    if !current.is_reading.replace(true) {
+        task::spawn_local(read_configuration(Rc::clone(shared)));
     }
-    let requested = clock::now();
-    let mut last_read = current.last_read.lock().await;
-    // A read that another request made meanwhile answers this one as well.
-    let is_answered = is_recent() || *last_read > requested;
-    if is_answered || !shared.health.is_serving() {
-        return is_recent();
+    let max_wait = Span(shared.settings.apply_time.0 / 2);
+    if time::timeout(max_wait.into(), read).await.is_err() {
+        let age_ms = current.age().0;
+        tracing::info!(
+            event = "configuration_read_slow",
+            age_ms,
+            "answering without it"
+        );
     }
+    is_confirmed()
+}
+
+async fn read_configuration<P: Platform>(shared: Rc<Shared<P>>) {
     let sent = clock::now();
-    *last_read = sent;
     let found = shared.platform.get(Key::Configuration).await;
     shared.counters.store_reads.add(1);
     shared.health.record(&found);
     match found {
-        Ok(item) => apply_configuration_item(shared, item.as_ref(), sent),
+        Ok(item) => apply_configuration_item(&shared, item.as_ref(), sent),
         Err(err) => {
-            let age_ms = current.age().0;
+            let age_ms = shared.configuration.age().0;
             tracing::warn!(event = "configuration_unconfirmed", age_ms, cause = %err);
         }
     }
-    is_recent()
+    shared.configuration.is_reading.set(false);
+    shared.configuration.read_ended.notify_waiters();
+}
+
+/// Confirms the configuration whenever it would become too old, until `keep_confirming` returns
+/// false.
+pub(crate) async fn keep_configuration_confirmed<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    keep_confirming: impl Fn() -> bool,
+) {
+    while keep_confirming() {
+        if confirm_configuration(shared).await {
+            let left = max_configuration_age(shared).saturating_sub(shared.configuration.age());
+            time::sleep((left + MIN_CONFIRMATION_PAUSE).into()).await;
+        } else {
+            pause_after_failure().await;
+        }
+    }
 }
 
 /// Applies the configuration's item as a call sent at `sent` showed it.
