Write the last log lines before a node ends

A node that could not bind an address ended without the line that says so, in one of three runs: the thread that writes the log ended with the process.

node_that_cannot_bind_logs_the_reason failed before and passes.

--- a/crates/guavacart/src/node.rs
+++ b/crates/guavacart/src/node.rs
@@ -39,18 +39,21 @@
         return print_line(&format!("settings of {}: no faults", settings.node.name));
     }
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| DEFAULT_LEVEL.into());
+    let log = log_writer::spawn();
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
         .with_target(false)
         .with_env_filter(filter)
-        .with_writer(log_writer::spawn())
+        .with_writer(log.clone())
         .init();
     let platform = PlatformAdapter::new(&settings);
-    guavacart_node::run(platform, settings.node).map_err(|err| {
+    let result = guavacart_node::run(platform, settings.node).map_err(|err| {
         tracing::error!(event = "cannot_run", cause = %err);
         Failure::Logged
-    })
+    });
+    log.flush_lines();
+    result
 }
 
 fn read(matches: &Matches) -> Result<Settings, Failure> {
--- a/crates/guavacart/tests/node.rs
+++ b/crates/guavacart/tests/node.rs
@@ -1,6 +1,6 @@
 //! Tests the output of `guavacart node --check` and `guavacart explain`.
 
-use std::{fs, process::Command};
+use std::{fs, net::TcpListener, process::Command};
 
 use rstest::rstest;
 
@@ -63,6 +63,19 @@
     assert!(err.contains(expected), "{err}");
 }
 
+/// Guards against the loss of the last lines of the log.
+#[test]
+fn node_that_cannot_bind_logs_the_reason() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let port = taken.local_addr().expect("an address").port().to_string();
+    let (_dir, path) = file("node.toml", &SETTINGS.replace("7720", &port));
+    for _ in 0..20 {
+        let (ok, out, _) = run(&["node", "--settings", &path]);
+        assert!(!ok);
+        assert!(out.contains("cannot_run"), "{out}");
+    }
+}
+
 #[test]
 fn explain_prints_the_lines_of_one_job_in_order_of_time() {
     let (_dir, path) = file("logs.txt", LOGS);
