Soak real nodes while the configuration changes and connections fail

Real processes behind relays to a stand-in store: connections that go silent, cuts, slow links, watches that miss changes, SIGSTOP, SIGKILL, SIGTERM and SIGHUP in three overlapping series beside changes in quick succession, and clients that keep their connections. Each answer must follow from a configuration that was in force within 2 s before its request (a stored job: at that moment), no process goes back to an older one, accepted jobs complete and no task starts after its end.

--- /dev/null
+++ b/crates/guavacart/tests/soak/node.rs
@@ -0,0 +1,205 @@
+//! One node as a process of its own, behind a relay to the store.
+
+use std::{
+    fs::{self, File},
+    iter,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{self, Child, Command, Stdio},
+    sync::{
+        Mutex,
+        atomic::{AtomicU16, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
+
+use crate::gate::Gate;
+
+/// Time after a fault for which a node may lag behind.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// First port that nodes may listen on; outgoing connections use ports above 32,768.
+const FIRST_PORT: u16 = 10_000;
+/// Ports that one test process may use.
+const PORTS: u16 = 2_000;
+/// Ranges of ports, by the id of the test process.
+const PORT_RANGES: u32 = 11;
+/// Rate of a slow link, in bytes a second.
+const SLOW_RATE: u64 = 20_000;
+
+/// One node.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    /// Address for submitters.
+    pub(crate) front: SocketAddr,
+    dir: PathBuf,
+    gate: Gate,
+    /// The process; held during a fault that stops it.
+    child: Mutex<Child>,
+    incarnation: AtomicU64,
+    /// When the last fault of the path to the store, or of the process, ended or will end.
+    disturbed_until: Mutex<Option<Instant>>,
+    faults: AtomicU64,
+}
+
+/// Returns a port that is free, and that no outgoing connection takes while the node is down.
+fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = FIRST_PORT + u16::try_from(process::id() % PORT_RANGES).expect("small") * PORTS;
+    let ports = iter::repeat_with(|| first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS);
+    let mut ports = ports.take(usize::from(PORTS));
+    let is_free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    ports.find(is_free).expect("a free port")
+}
+
+impl Node {
+    pub(crate) fn spawn(seed: u64, number: usize, store: SocketAddr) -> Self {
+        let name = format!("n-{number}");
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}-{name}"));
+        fs::create_dir_all(&dir).expect("a folder");
+        let gate = Gate::spawn(store);
+        let [front, ready, links, last] = [free_port(), free_port(), free_port(), free_port()];
+        let settings = format!(
+            "node = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"a\"\ninternal-ports = [{links}, {last}]\n\
+             orders = \"rpc\"\n[listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
+             [bounds]\ngrace-s = 2\nconfig-apply-ms = 2000\n[platform]\naddress = \"{}\"\n",
+            gate.address
+        );
+        fs::write(dir.join("node.toml"), settings).expect("the settings");
+        let child = Mutex::new(start(&dir, 0));
+        Self {
+            name,
+            front: SocketAddr::from(([127, 0, 0, 1], front)),
+            dir,
+            gate,
+            child,
+            incarnation: AtomicU64::new(0),
+            disturbed_until: Mutex::new(None),
+            faults: AtomicU64::new(0),
+        }
+    }
+
+    /// Number of the process among those of this node.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::SeqCst)
+    }
+
+    /// Describes the process's end if it has ended by itself.
+    pub(crate) fn end(&self) -> Option<String> {
+        let mut child = self.child.lock().expect("no panic");
+        let status = child.try_wait().expect("a status")?;
+        Some(format!("{} has ended by itself: {status}", self.name))
+    }
+
+    pub(crate) fn faults(&self) -> u64 {
+        self.faults.load(Ordering::Relaxed)
+    }
+
+    /// True if a fault touched the node within `CONTACT_TIME` before `at` or since.
+    pub(crate) fn was_disturbed_since(&self, at: Instant) -> bool {
+        let until = *self.disturbed_until.lock().expect("no panic");
+        until.is_some_and(|until| until + CONTACT_TIME >= at)
+    }
+
+    fn mark_disturbed(&self, length: Duration) {
+        self.faults.fetch_add(1, Ordering::Relaxed);
+        let end = Instant::now() + length;
+        let mut until = self.disturbed_until.lock().expect("no panic");
+        *until = Some(until.map_or(end, |until| until.max(end)));
+    }
+
+    /// Silences the open connections to the store.
+    pub(crate) fn silence_connections(&self) {
+        self.mark_disturbed(Duration::ZERO);
+        self.gate.silence_open_connections();
+    }
+
+    /// Cuts the node off from the store.
+    pub(crate) fn cut_from_store(&self, length: Duration) {
+        self.mark_disturbed(length);
+        self.gate.shut();
+        thread::sleep(length);
+        self.gate.open();
+        self.mark_disturbed(Duration::ZERO);
+    }
+
+    /// Slows the connections to the store down.
+    pub(crate) fn limit_rate(&self, length: Duration) {
+        self.mark_disturbed(length);
+        self.gate.limit_rate(SLOW_RATE);
+        thread::sleep(length);
+        self.gate.limit_rate(0);
+        self.mark_disturbed(Duration::ZERO);
+    }
+
+    /// Stops the process and lets it continue.
+    pub(crate) fn pause(&self, length: Duration) {
+        let child = self.child.lock().expect("no panic");
+        self.mark_disturbed(length);
+        send(&child, Signal::SIGSTOP);
+        thread::sleep(length);
+        send(&child, Signal::SIGCONT);
+        self.mark_disturbed(Duration::ZERO);
+    }
+
+    /// Kills the process and starts it again after a while.
+    pub(crate) fn kill(&self, down: Duration) {
+        let mut child = self.child.lock().expect("no panic");
+        self.mark_disturbed(down);
+        send(&child, Signal::SIGKILL);
+        self.restart(&mut child, down);
+    }
+
+    /// Stops the process gracefully and starts it again.
+    pub(crate) fn terminate(&self) {
+        let mut child = self.child.lock().expect("no panic");
+        self.mark_disturbed(Duration::ZERO);
+        send(&child, Signal::SIGTERM);
+        self.restart(&mut child, Duration::ZERO);
+    }
+
+    /// Tells the process that its settings file has changed.
+    pub(crate) fn hang_up(&self) {
+        self.faults.fetch_add(1, Ordering::Relaxed);
+        send(&self.child.lock().expect("no panic"), Signal::SIGHUP);
+    }
+
+    fn restart(&self, child: &mut Child, down: Duration) {
+        child.wait().expect("an exit status");
+        let incarnation = self.incarnation.fetch_add(1, Ordering::SeqCst) + 1;
+        thread::sleep(down);
+        *child = start(&self.dir, incarnation);
+        self.mark_disturbed(Duration::ZERO);
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let mut child = self.child.lock().expect("no panic");
+        child.kill().expect("a running process");
+        child.wait().expect("an exit status");
+    }
+}
+
+fn start(dir: &std::path::Path, incarnation: u64) -> Child {
+    let log = File::create(dir.join(format!("{incarnation}.log"))).expect("a log file");
+    let err = log.try_clone().expect("a log file");
+    Command::new(env!("CARGO_BIN_EXE_guavacart"))
+        .args(["node", "--settings"])
+        .arg(dir.join("node.toml"))
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(err)
+        .spawn()
+        .expect("the guavacart binary can be started")
+}
+
+fn send(child: &Child, signal: Signal) {
+    let pid = i32::try_from(child.id()).expect("a process id");
+    signal::kill(Pid::from_raw(pid), signal).expect("a running process");
+}
