Replace all idle connections to an endpoint after one timeout

A timeout now drops the idle connections to the address.

one_timeout_is_enough_to_replace_silent_connections failed before (the second request timed out as well) and passes.

--- a/crates/guavacart_platform/src/connection.rs
+++ b/crates/guavacart_platform/src/connection.rs
@@ -108,9 +108,20 @@
                 "this instance lost the right to send the request before it was sent".into(),
             ));
         }
-        let (response, sender) = send(sender, req, deadline).await?;
-        lock(&pool).idle.push(sender);
-        Ok(response)
+        match timeout_at(deadline, send(sender, req)).await {
+            Ok(Ok((response, sender))) => {
+                lock(&pool).idle.push(sender);
+                Ok(response)
+            }
+            Ok(Err(err)) => Err(err),
+            Err(_elapsed) => {
+                // Connections that were open together tend to fail together, and each silent one
+                // costs a timeout.
+                lock(&pool).idle.clear();
+                let cause = "the timeout passed before the response was complete";
+                Err(ExchangeError::Broken(cause.into()))
+            }
+        }
     }
 
     /// Returns the number of connections to `address` that are not yet closed.
@@ -182,13 +193,8 @@
 async fn send(
     mut sender: SendRequest<Full<Bytes>>,
     req: Request<Full<Bytes>>,
-    deadline: Instant,
 ) -> Result<(FullResponse, SendRequest<Full<Bytes>>), ExchangeError> {
-    let broken = |cause| ExchangeError::Broken(cause);
-    let result = timeout_at(deadline, sender.try_send_request(req))
-        .await
-        .map_err(|_| broken("the timeout passed before a response began".into()))?;
-    let res = match result {
+    let res = match sender.try_send_request(req).await {
         Ok(res) => res,
         Err(mut err) => {
             let never_sent = err.take_message().is_some();
@@ -199,10 +205,7 @@
             });
         }
     };
-    let response = timeout_at(deadline, read_response(res))
-        .await
-        .map_err(|_| broken("the timeout passed before the response was complete".into()))?
-        .map_err(broken)?;
+    let response = read_response(res).await.map_err(ExchangeError::Broken)?;
     Ok((response, sender))
 }
 
--- a/crates/guavacart_platform/tests/endpoint.rs
+++ b/crates/guavacart_platform/tests/endpoint.rs
@@ -105,6 +105,23 @@
     assert_eq!(&answer.body[..], b"oops");
 }
 
+/// Guards against a timeout for each idle connection after all have gone silent.
+#[tokio::test]
+async fn one_timeout_is_enough_to_replace_silent_connections() {
+    let ok = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok";
+    let address = endpoint(ok, true).await;
+    let endpoints = HttpEndpoints::open();
+    let run = |timeout| endpoints.run(address, dispatch(60, timeout), || true);
+    let (first, second, third) = tokio::join!(run(LONG), run(LONG), run(LONG));
+    for answer in [first, second, third] {
+        assert_eq!(answer.unwrap().status, 200);
+    }
+    let err = run(Duration::from_millis(100)).await.unwrap_err();
+    assert_eq!(kind(&err), "broken", "{err}");
+    let answer = run(Duration::from_secs(1)).await;
+    assert_eq!(answer.unwrap().status, 200);
+}
+
 #[tokio::test]
 async fn refused_connection_is_reported_as_not_sent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
