Hold SIGHUP back until a node handles it

A SIGHUP that came between the start of the process and the installation of its handler ended the node; on a slow machine that is a good part of a second. The signal is blocked with the command's first statement and handled once there is a handler.

hang_up_while_the_settings_are_read_does_not_end_a_node failed before (ended by signal 1) and passes.

--- a/crates/guavacart/src/node.rs
+++ b/crates/guavacart/src/node.rs
@@ -34,6 +34,7 @@
 }
 
 fn run(matches: &Matches) -> Result<(), Failure> {
+    guavacart_node::hold_back_hangups()?;
     let settings = read(matches)?;
     if matches.opt_present("check") {
         return print_line(&format!("settings of {}: no faults", settings.node.name));
--- a/crates/guavacart/tests/node.rs
+++ b/crates/guavacart/tests/node.rs
@@ -1,7 +1,18 @@
 //! Tests the output of `guavacart node --check` and `guavacart explain`.
 
-use std::{fs, net::TcpListener, process::Command};
+use std::{
+    fs,
+    io::Write,
+    net::TcpListener,
+    process::{Command, Stdio},
+    thread,
+    time::Duration,
+};
 
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
 use rstest::rstest;
 
 const SETTINGS: &str = r#"
@@ -63,6 +74,48 @@
     assert!(err.contains(expected), "{err}");
 }
 
+/// Guards against the end of a node that gets SIGHUP before it handles signals.
+#[test]
+fn hang_up_while_the_settings_are_read_does_not_end_a_node() {
+    let dir = tempfile::tempdir().expect("a temporary folder can be created");
+    let path = dir.path().join("node.toml");
+    let made = Command::new("mkfifo").arg(&path).status();
+    assert!(made.expect("mkfifo can be started").success());
+    let mut node = Command::new(env!("CARGO_BIN_EXE_guavacart"))
+        .args(["node", "--settings"])
+        .arg(&path)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the guavacart binary can be started");
+    let pid = Pid::from_raw(i32::try_from(node.id()).expect("a process id"));
+    // Opening the pipe waits until the node opens it to read its settings.
+    let mut pipe = fs::OpenOptions::new()
+        .write(true)
+        .open(&path)
+        .expect("a pipe");
+    signal::kill(pid, Signal::SIGHUP).expect("a running node");
+    let [front, ready, links] = [free_port(), free_port(), free_port()];
+    let listen = format!("[listen]\nready = \"127.0.0.1:{ready}\"");
+    let settings = SETTINGS.replace("8161", &front).replace("7720", &links);
+    let settings = settings.replace("[listen]", &listen);
+    pipe.write_all(settings.as_bytes())
+        .expect("the node reads its settings");
+    drop(pipe);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(node.try_wait().expect("a status"), None);
+    signal::kill(pid, Signal::SIGKILL).expect("a running node");
+    node.wait().expect("an exit status");
+}
+
+fn free_port() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener
+        .local_addr()
+        .expect("an address")
+        .port()
+        .to_string()
+}
+
 /// Guards against the loss of the last lines of the log.
 #[test]
 fn node_that_cannot_bind_logs_the_reason() {
--- a/crates/guavacart_node/src/lib.rs
+++ b/crates/guavacart_node/src/lib.rs
@@ -20,7 +20,7 @@
 mod watching;
 
 pub use metrics::Counters;
-pub use node::{NodeError, run};
+pub use node::{NodeError, hold_back_hangups, run};
 pub use ports::{
     BodyError, Content, Item, JobBody, Key, LATE_ANSWER_TIMEOUT, LeaseId, NodeSettings, NodeSize,
     Platform, Put, Space, StoreError, Value, Write,
--- a/crates/guavacart_node/src/node.rs
+++ b/crates/guavacart_node/src/node.rs
@@ -3,6 +3,7 @@
 use std::{io, rc::Rc};
 
 use guavacart_types::Span;
+use nix::sys::signal::{SigSet, Signal};
 use thiserror::Error;
 use tokio::{
     runtime,
@@ -42,6 +43,19 @@
     },
 }
 
+/// Holds SIGHUP back until the node that this thread runs handles it; without a handler it would end
+/// the process.
+///
+/// # Errors
+/// Returns the error of the operating system.
+pub fn hold_back_hangups() -> io::Result<()> {
+    hangups().thread_block().map_err(io::Error::from)
+}
+
+fn hangups() -> SigSet {
+    SigSet::from(Signal::SIGHUP)
+}
+
 /// Runs a node on this thread until it receives SIGTERM.
 ///
 /// # Errors
@@ -56,6 +70,7 @@
 async fn serve<P: Platform>(platform: P, settings: NodeSettings) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    hangups().thread_unblock().map_err(io::Error::from)?;
     let shared = Rc::new(Shared::new(platform, settings));
     let settings = &shared.settings;
     tracing::info!(
