Take an executor for replaced only once its successor has answered

An entry only says where to ask. An executor is replaced now when another one, called by its own id, has answered an order that was sent after the last sign of the former (its entry or its report); until then its runs go on. A real successor is asked as soon as its entry is read, so that this costs one hold.

--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -18,6 +18,7 @@
 mod ownership;
 mod pacing;
 mod placement;
+mod replacement;
 mod runs;
 mod saving;
 mod tails;
@@ -231,13 +232,10 @@
         for target in snapshot.executors_with_runs {
             state.add_recorded_executor(target);
         }
-        // An entry at the address of a recorded executor shows that the executor was replaced.
-        let recorded = state.executors.len();
-        state.unreconciled = (0..recorded).collect();
         for (id, registration) in snapshot.executors {
             state.on_registration(&id, Some(registration));
         }
-        state.unreconciled.extend(recorded..state.executors.len());
+        state.unreconciled = (0..state.executors.len()).collect();
         for (key, job, progress) in snapshot.jobs {
             state.add_job(key, job, progress, true);
         }
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -38,6 +38,10 @@
     /// it for its runs.
     pub(super) is_recorded: bool,
     pub(super) target: ExecutorAddress,
+    /// Another executor may be, or may have been, at the same address.
+    pub(super) shares_address: bool,
+    /// When the executor's entry was last read.
+    pub(super) entry_read_at: Timestamp,
     pub(super) capacity: Resources,
     pub(super) incarnation: Option<Incarnation>,
     /// The last reading of the executor's clock, in milliseconds, and when the answer with this
@@ -110,6 +114,8 @@
         Self {
             id: target.id.clone(),
             target,
+            shares_address: false,
+            entry_read_at: Timestamp(0),
             capacity: Resources::default(),
             registration: None,
             is_recorded: false,
@@ -330,18 +336,20 @@
                 };
                 self.executors.push(Executor::new(target, self.now));
                 self.by_id.insert(id.clone(), x);
-                self.remove_others_at(x, &registration);
                 (x, registration)
             }
         };
+        self.executors[x].entry_read_at = self.now;
         // Entries are written about once a second, usually without a change.
         if self.executors[x].registration.as_ref() == Some(&registration) {
             self.hold_if_needed(x);
             return;
         }
         self.apply_capacity(x, registration.capacity);
+        if known.is_none() || self.executors[x].target.address != registration.address {
+            self.set_address(x, registration.address);
+        }
         let executor = &mut self.executors[x];
-        executor.target.address = registration.address;
         let must_record = !executor.is_recorded;
         let is_restarted = match (registration.incarnation, executor.incarnation) {
             (Some(registered), Some(known)) => registered > known,
@@ -365,23 +373,6 @@
         self.hold_if_needed(x);
     }
 
-    /// Drops executors with another id at the same address, with all their runs: they have been
-    /// replaced by executor `x`.
-    fn remove_others_at(&mut self, x: usize, registration: &Registration) {
-        let has_same_address = |other: &usize| {
-            *other != x && self.executors[*other].target.address == registration.address
-        };
-        let replaced: Vec<usize> = (0..self.executors.len()).filter(has_same_address).collect();
-        for other in replaced {
-            self.executors[other].registration = None;
-            let unproven = self.unproven_runs(other);
-            let lost = self.executors[other].runs.len();
-            self.mark_all_lost(other, LossReason::Reborn);
-            self.executor_replaced(other, x, unproven, lost);
-            self.mark_reconciled(other);
-        }
-    }
-
     /// Stops the long-running tasks on a draining executor, so that they restart elsewhere. Other
     /// tasks run on until they end or the executor stops.
     fn stop_long_running(&mut self, x: usize) {
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -257,6 +257,7 @@
             self.mark_reconciled(x);
         }
         self.clear_proven(x);
+        self.remove_replaced_by(x, sent);
         let executor = &mut self.executors[x];
         executor.last_acknowledged_end = executor
             .last_acknowledged_end
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::net::SocketAddr;
+
 use guavacart_jobs::{
     Decision, Effect, Event, HoldReport, Job, LossReason, OrderFailure, Schedule,
 };
-use guavacart_types::{Incarnation, Span, Timestamp};
+use guavacart_types::{Incarnation, Processors, Span, Timestamp};
 use support::{Harness, one_task_job};
 
 /// Guards against a lease that never expires for the owner because each unanswered hold extends it.
@@ -237,3 +239,96 @@
     next.run_for(2_000);
     next.next_start().expect("the task is started again");
 }
+
+/// Guards against an entry of another writer that takes the runs of the executor at its address.
+#[test]
+fn runs_continue_beside_an_entry_with_the_address_of_their_executor() {
+    let mut harness = Harness::new(&["a"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(100);
+    harness.next_start().expect("the task is started");
+    for _ in 0..3 {
+        harness.read_entry_of_nobody("x", harness.entry("a"));
+        harness.run_for(1_000);
+    }
+    let is_lost = |effect: &Effect| matches!(effect, Effect::Log(Decision::Lost { .. }));
+    assert!(
+        !harness.effects().iter().any(is_lost),
+        "the run was considered over"
+    );
+    harness.accept(2, one_task_job());
+    harness.run_for(100);
+    let second = harness.next_start().expect("the second task is started");
+    assert_eq!(second.executor.0, "a");
+}
+
+/// Guards against a takeover that waits for an executor that never was at the address of its entry.
+#[test]
+fn takeover_does_not_wait_for_an_entry_of_nobody() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.read_entry_of_nobody("x", harness.entry("a"));
+    harness.accept(1, one_task_job());
+    harness.run_for(1_000);
+    let first = harness.next_start().expect("the task is started");
+    let mut next = harness.take_over();
+    next.run_for(500);
+    next.accept(2, one_task_job());
+    next.run_for(500);
+    let second = next.next_start().expect("the second task is started");
+    assert_ne!(first.task, second.task);
+}
+
+/// Guards against tasks that wait for the lease of an executor that has been replaced.
+#[test]
+fn tasks_of_a_replaced_executor_restart_once_its_successor_answers() {
+    let mut harness = Harness::new(&["a"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(100);
+    let first = harness.next_start().expect("the task is started");
+    harness.replace(&first.executor, "c");
+    harness.run_for(500);
+    let second = harness.next_start().expect("the task is started again");
+    assert_eq!(second.executor.0, "c");
+}
+
+/// Guards against entries of other writers that touch what runs, whatever their fields say.
+#[test]
+fn entries_of_nobody_touch_no_run() {
+    let mut harness = Harness::new(&["a", "b"]);
+    for job in 1..=4 {
+        harness.accept(job, one_task_job());
+    }
+    harness.run_for(100);
+    let (one, other) = (harness.entry("a"), harness.entry("b"));
+    let somewhere: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let capacities = [0, 1, 8_000, u64::from(u32::MAX)];
+    let incarnations = [None, Some(0), Some(7), Some(8), Some(u64::MAX)];
+    let mut number = 0;
+    for address in [one.address, other.address, somewhere] {
+        for pool in ["pool", "other"] {
+            for is_draining in [false, true] {
+                for millicores in capacities {
+                    for incarnation in incarnations {
+                        let mut entry = harness.entry("a");
+                        entry.address = address;
+                        entry.pool = pool.into();
+                        entry.is_draining = is_draining;
+                        entry.capacity.processors = Processors(millicores);
+                        entry.incarnation = incarnation.map(Incarnation);
+                        number += 1;
+                        harness.read_entry_of_nobody(&format!("x{number}"), entry);
+                        harness.run_for(20);
+                    }
+                }
+            }
+        }
+    }
+    let is_lost = |effect: &Effect| matches!(effect, Effect::Log(Decision::Lost { .. }));
+    assert!(
+        !harness.effects().iter().any(is_lost),
+        "a run was considered over"
+    );
+    let started = harness.effects().iter();
+    let started = started.filter(|effect| matches!(effect, Effect::Start(..)));
+    assert_eq!(started.count(), 4, "a task was started again");
+}
--- a/crates/guavacart_jobs/tests/support/entries.rs
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -59,6 +59,22 @@
         restarted.unwrap_or(FIRST_INCARNATION)
     }
 
+    /// Lets the owner read an entry of an executor that does not exist.
+    pub(crate) fn read_entry_of_nobody(&mut self, id: &str, entry: Registration) {
+        self.unresponsive.insert(id.into());
+        self.read_entry(id, entry);
+    }
+
+    /// Replaces an executor by one with another id at its address, which the owner reads.
+    pub(crate) fn replace(&mut self, replaced: &ExecutorId, by: &str) {
+        let entry = self.entry(&replaced.0);
+        self.restart(&replaced.0);
+        self.unresponsive.insert(replaced.clone());
+        let index = self.executors.iter().position(|known| known == replaced);
+        self.executors[index.expect("an executor of the harness")] = by.into();
+        self.read_entry(by, entry);
+    }
+
     /// Returns a harness with the next owner, 1 s later; an executor has been replaced by another one
     /// at its address.
     pub(crate) fn take_over_after_replacement(&self, replaced: &ExecutorId, by: &str) -> Self {
