Keep idle connections that have answered since an answer was due

Dropping every idle connection to an address after a call without an answer cost an owner near its limit more than it gave: executors that leave some orders unanswered and answer others lost all their connections each time.

connection_that_answers_outlives_a_call_without_an_answer fails with the rule before (no connection left) and passes; the tests with silent connections pass.

--- a/crates/guavacart_platform/src/connection.rs
+++ b/crates/guavacart_platform/src/connection.rs
@@ -57,7 +57,23 @@
     open: Arc<AtomicU32>,
     /// Maximum number of open connections, set by the last caller that passed a limit.
     cap: u32,
-    idle: Vec<SendRequest<Full<Bytes>>>,
+    idle: Vec<IdleConnection>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// When its last response was complete, or the connection was opened.
+    since: Instant,
+}
+
+impl From<SendRequest<Full<Bytes>>> for IdleConnection {
+    fn from(sender: SendRequest<Full<Bytes>>) -> Self {
+        Self {
+            sender,
+            since: Instant::now(),
+        }
+    }
 }
 
 /// Counts one connection as open; dropped when the connection is closed.
@@ -103,21 +119,22 @@
             None => connect(&pool, address, deadline).await?,
         };
         if !may_send() {
-            lock(&pool).idle.push(sender);
+            lock(&pool).idle.push(sender.into());
             return Err(ExchangeError::NotSent(
                 "this instance lost the right to send the request before it was sent".into(),
             ));
         }
+        let sent = Instant::now();
         match timeout_at(deadline, send(sender, req)).await {
             Ok(Ok((response, sender))) => {
-                lock(&pool).idle.push(sender);
+                lock(&pool).idle.push(sender.into());
                 Ok(response)
             }
             Ok(Err(err)) => Err(err),
             Err(_elapsed) => {
-                // Connections that were open together tend to fail together, and each silent one
-                // costs a timeout.
-                lock(&pool).idle.clear();
+                // Connections that were open together tend to go silent together, and each costs a
+                // timeout. One that has answered since then has not.
+                lock(&pool).idle.retain(|idle| idle.since >= sent);
                 let cause = "the timeout passed before the response was complete";
                 Err(ExchangeError::Broken(cause.into()))
             }
@@ -143,7 +160,7 @@
 
 async fn take_ready_idle(pool: &Mutex<Pool>) -> Option<SendRequest<Full<Bytes>>> {
     loop {
-        let mut sender = lock(pool).idle.pop()?;
+        let mut sender = lock(pool).idle.pop()?.sender;
         if sender.ready().await.is_ok() {
             return Some(sender);
         }
