Refuse the write of a job that was cancelled while it was on its way

Cause: the cancel read that there was no such job and wrote nothing that a write on its way would meet. Ruled out: the owner starting the job despite a cancel (it had none to see), and the node that took the job writing again after its 504 (the record shows the first write carried out late).

Change: a job is written on the condition that it has no cancel; DELETE writes the cancel first, on the condition of that key alone, and then reads the job, so that "no such job" is final. A write without an answer is settled by reading its key. A repeat of a job that was cancelled first gets 503 with the retention as Retry-After. The owner removes cancels without a job after the retention; before, it kept them in memory for good.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -45,6 +45,8 @@
     Save(SaveOrder),
     /// Delete all stored records of these jobs.
     DeleteJobs(Vec<JobKey>),
+    /// Delete the cancels of these jobs, which are not stored.
+    DeleteTombstones(Vec<JobKey>),
     /// Ask the advice service which executors may run a step.
     AskAdvice {
         /// Step that is to be placed.
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod registration;
 mod replacement;
+mod retention;
 mod runs;
 mod saving;
 mod tails;
@@ -54,8 +55,6 @@
 /// Longest time between two events of an owner whose process runs; the node renews the ownership more
 /// often.
 const MAX_EVENT_INTERVAL: Span = Span::millis(500);
-/// Interval between checks for ended jobs whose retention has passed.
-const RETENTION_CHECK_INTERVAL: Span = Span::secs(10);
 
 /// Limits of the deployment that the reducer respects.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -174,7 +173,8 @@
     /// Queue rules of the current configuration, by queue name.
     rules: HashMap<QueueName, QueuePolicy>,
     jobs: BTreeMap<JobKey, JobEntry>,
-    cancelled: BTreeSet<JobKey>,
+    /// Jobs whose cancel is stored, and when this owner learned of it.
+    cancelled: BTreeMap<JobKey, Timestamp>,
     /// Steps whose dependencies are done and that have waiting tasks.
     ready: BTreeSet<StepKey>,
     /// All known executors. Other fields and most methods refer to an executor by its index, `x`.
@@ -212,6 +212,7 @@
 impl State {
     /// Creates the state of an owner that has read the store and has not sent an order yet.
     pub fn new(bounds: Bounds, snapshot: Snapshot, at: ClockReadings) -> (Self, Vec<Effect>) {
+        let cancelled = snapshot.cancelled.into_iter();
         let mut state = Self {
             epoch: snapshot.epoch,
             bounds,
@@ -225,7 +226,7 @@
             rules: rules_by_name(&snapshot.configuration),
             configuration: snapshot.configuration,
             jobs: BTreeMap::new(),
-            cancelled: snapshot.cancelled.into_iter().collect(),
+            cancelled: cancelled.map(|key| (key, at.now)).collect(),
             ready: BTreeSet::new(),
             executors: Vec::new(),
             by_id: HashMap::new(),
@@ -265,7 +266,7 @@
         for x in 0..state.executors.len() {
             state.hold_if_needed(x);
         }
-        state.set_timer(RETENTION_CHECK_INTERVAL, Timer::Retention);
+        state.schedule_retention_check();
         let effects = std::mem::take(&mut state.effects);
         (state, effects)
     }
@@ -411,7 +412,7 @@
             Timer::Place => self.needs_placement = true,
             Timer::OccurrenceDue(key, next) => self.begin_due_occurrences(key, next),
             Timer::AdviceRetry(step) => self.allow_advice_request(step),
-            Timer::Retention => self.remove_expired_jobs(),
+            Timer::Retention => self.remove_expired_records(),
             Timer::Maintenance => self.advance_maintenance(),
         }
     }
--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -5,7 +5,7 @@
 use guavacart_types::{Span, Timestamp};
 use smol_str::SmolStr;
 
-use super::{RETENTION_CHECK_INTERVAL, State, Timer};
+use super::{State, Timer};
 use crate::{
     Decision, Effect, EndedRun, ExecutorId, Job, JobKey, JobOutcome, JobProgress, QueuePolicy,
     RunNumber, RunOutcome, Step, StepKey, TaskKey, Ticket,
@@ -172,7 +172,7 @@
         };
         self.jobs.insert(key, entry);
         self.restore_suspects(key);
-        if self.cancelled.contains(&key) {
+        if self.cancelled.contains_key(&key) {
             self.cancel(key);
         }
         self.begin_due_occurrences(key, 0);
@@ -267,7 +267,7 @@
     }
 
     pub(super) fn cancel(&mut self, key: JobKey) {
-        self.cancelled.insert(key);
+        self.cancelled.entry(key).or_insert(self.now);
         let is_open = self.jobs.get(&key).is_some_and(|entry| !entry.is_over());
         if is_open {
             self.end_job(key, JobOutcome::Cancelled);
@@ -501,29 +501,6 @@
             );
         }
     }
-
-    /// Removes ended jobs whose retention has passed.
-    pub(super) fn remove_expired_jobs(&mut self) {
-        self.set_timer(RETENTION_CHECK_INTERVAL, Timer::Retention);
-        let keep = self.bounds.retention.0 + RETENTION_CHECK_INTERVAL.0;
-        let is_old = |entry: &JobEntry| {
-            entry.stored_outcome.is_some() && entry.progress.ended_unix_ms + keep < self.unix_ms
-        };
-        let old: Vec<JobKey> = self
-            .jobs
-            .iter()
-            .filter(|(_, entry)| is_old(entry))
-            .map(|(key, _)| *key)
-            .collect();
-        if old.is_empty() {
-            return;
-        }
-        for key in &old {
-            self.jobs.remove(key);
-            self.cancelled.remove(key);
-        }
-        self.effects.push(Effect::DeleteJobs(old));
-    }
 }
 
 /// Restores the state of a step from its durable record.
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -32,8 +32,8 @@
 const DEFAULT_TIMEOUT: Span = Span::secs(3);
 /// Longest timeout that a caller can set.
 const MAX_TIMEOUT: Span = Span::secs(60);
-/// Value of `Retry-After` for refused callers, in seconds; about the length of one take-over.
-const RETRY_AFTER_SECONDS: &str = "1";
+/// Value of `Retry-After` for refused callers; about the length of one take-over.
+const RETRY_AFTER: Span = Span::secs(1);
 /// Pause of the accept loop after an error, for example when no file descriptors are free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long the store must have failed before a node without an owner reports that it is not ready.
@@ -225,8 +225,13 @@
 
 /// 503 with `Retry-After`: nothing was stored, and the caller may try again.
 fn retry_later() -> HttpResponse {
+    retry_after(RETRY_AFTER)
+}
+
+/// 503: nothing was stored, and the caller may try again after that time, given in whole seconds.
+fn retry_after(wait: Span) -> HttpResponse {
     let mut response = response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-    let value = header::HeaderValue::from_static(RETRY_AFTER_SECONDS);
+    let value = header::HeaderValue::from(wait.0.div_ceil(1_000));
     response.headers_mut().insert(header::RETRY_AFTER, value);
     response
 }
@@ -362,7 +367,8 @@
     tracing::info!(event = "cancel", job = %key, store_failing_ms, ?outcome);
     match outcome {
         Outcome::Stored => json(b"{}".to_vec()),
-        Outcome::NoSuchJob => response(StatusCode::GONE, Bytes::new()),
+        // A cancel that is not stored as one has a tombstone.
+        Outcome::NoSuchJob | Outcome::Cancelled => response(StatusCode::GONE, Bytes::new()),
         Outcome::NotStored => retry_later(),
         Outcome::Unknown => response(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
     }
--- a/crates/guavacart_node/src/front/submission.rs
+++ b/crates/guavacart_node/src/front/submission.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, StatusCode, body::Incoming};
 use tokio::time;
 
-use super::{HttpResponse, Target, bad_job_id, json, no_queue, response, retry_later};
+use super::{HttpResponse, Target, bad_job_id, json, no_queue, response, retry_after, retry_later};
 use crate::{
     JobBody, Platform, clock,
     submit::{ConfigurationChanged, Outcome, Submitter},
@@ -69,6 +69,7 @@
             Ok(Outcome::Stored) => return json(b"{}".to_vec()),
             Ok(Outcome::NoSuchJob) => return response(StatusCode::GONE, Bytes::new()),
             Ok(Outcome::NotStored) => return retry_later(),
+            Ok(Outcome::Cancelled) => return retry_after(shared.settings.bounds.retention),
             Ok(Outcome::Unknown) => return response(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
         }
     }
--- a/crates/guavacart_node/src/links/tests.rs
+++ b/crates/guavacart_node/src/links/tests.rs
@@ -58,6 +58,7 @@
     reply_no_such_job: reply(Reply::Stored(Outcome::NoSuchJob)) => "ad020301";
     reply_not_stored: reply(Reply::Stored(Outcome::NotStored)) => "ad020302";
     reply_store_unknown: reply(Reply::Stored(Outcome::Unknown)) => "ad020303";
+    reply_cancelled: reply(Reply::Stored(Outcome::Cancelled)) => "ad020304";
     reply_not_owner: reply(Reply::NotOwner) => "ad0204";
 }
 
--- a/crates/guavacart_node/src/metrics.rs
+++ b/crates/guavacart_node/src/metrics.rs
@@ -70,6 +70,8 @@
     accepted;
     /// Cancels stored for submitters.
     cancelled;
+    /// Tombstones stored for cancels of jobs that the store does not have.
+    tombstones;
     /// Requests answered with 429 or 503.
     refused;
     /// Requests answered with 504: the outcome is not known.
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -347,7 +347,10 @@
                 }
                 None => tracing::error!(event = "unreadable_job", job = %key),
             },
-            Content::Record(Key::Cancel(key), Some(_)) => self.apply(Event::JobCancelled(key)),
+            Content::Record(Key::Cancel(key), Some(_)) => {
+                self.saved_revisions.record_cancel(key, item.revision);
+                self.apply(Event::JobCancelled(key));
+            }
             _ => {}
         }
     }
--- a/crates/guavacart_node/src/owner/effects.rs
+++ b/crates/guavacart_node/src/owner/effects.rs
@@ -81,6 +81,9 @@
             Effect::DeleteJobs(jobs) => {
                 task::spawn_local(async move { owner.delete_jobs(jobs).await });
             }
+            Effect::DeleteTombstones(jobs) => {
+                task::spawn_local(async move { owner.delete_tombstones(jobs).await });
+            }
             Effect::AskAdvice {
                 step,
                 executors,
--- a/crates/guavacart_node/src/owner/saving.rs
+++ b/crates/guavacart_node/src/owner/saving.rs
@@ -17,6 +17,9 @@
 /// Jobs removed by one write: each takes a condition and three keys.
 const MAX_DELETED_JOBS_PER_WRITE: usize = 7;
 
+/// Tombstones removed by one write: each takes two conditions and a key.
+const MAX_TOMBSTONES_PER_WRITE: usize = 10;
+
 /// Other records that one write has besides; with the condition of the ownership they use the
 /// remaining 8 entries.
 const MAX_OTHERS_PER_WRITE: usize = 3;
@@ -58,6 +61,26 @@
         }
     }
 
+    /// Records the revision of a cancel that was read.
+    pub(super) fn record_cancel(&self, key: JobKey, revision: Revision) {
+        let mut revisions = self.revisions.borrow_mut();
+        revisions.insert(Key::Cancel(key), revision);
+    }
+
+    /// Builds the removal of the tombstones among these cancels: those whose job is not stored.
+    fn tombstone_removal(&self, owner: Revision, cancels: &[JobKey]) -> Write {
+        let job = |key: &JobKey| self.condition(Key::Job(*key));
+        let is_tombstone = |key: &&JobKey| job(key).1 == Revision(0);
+        let tombstones: Vec<&JobKey> = cancels.iter().filter(is_tombstone).collect();
+        let conditions = tombstones.iter();
+        let conditions = conditions.flat_map(|key| [job(key), self.condition(Key::Cancel(**key))]);
+        Write {
+            expected: iter::once((Key::Owner, owner)).chain(conditions).collect(),
+            puts: Vec::new(),
+            removes: tombstones.iter().map(|key| Key::Cancel(**key)).collect(),
+        }
+    }
+
     /// Builds the removal of everything stored for ended jobs, on the same conditions.
     fn removal(&self, owner: Revision, jobs: &[JobKey]) -> Write {
         let keys = |key: &JobKey| [Key::Job(*key), Key::Cancel(*key), Key::Progress(*key)];
@@ -125,10 +148,13 @@
         true
     }
 
-    /// Repeats a write until it succeeds; `None` if the term has ended.
+    /// Repeats a write until it succeeds; `None` if the term has ended or nothing is left to write.
     async fn write_until_done(self: &Rc<Self>, make_write: impl Fn() -> Write) -> Option<Revision> {
         while self.is_active() {
             let write = make_write();
+            if write.is_empty() {
+                return None;
+            }
             let result = self.shared.platform.commit(write.clone()).await;
             self.shared.counters.store_writes.add(1);
             self.shared.health.record(&result);
@@ -175,6 +201,21 @@
             let mut revisions = self.saved_revisions.revisions.borrow_mut();
             for key in chunk {
                 revisions.remove(&Key::Progress(*key));
+                revisions.remove(&Key::Cancel(*key));
+            }
+        }
+    }
+
+    /// Removes cancels whose job is not stored.
+    pub(super) async fn delete_tombstones(self: Rc<Self>, cancels: Vec<JobKey>) {
+        for chunk in cancels.chunks(MAX_TOMBSTONES_PER_WRITE) {
+            let make_write = || self.saved_revisions.tombstone_removal(self.revision, chunk);
+            let removed = self.write_until_done(make_write).await;
+            tracing::info!(event = "tombstones_removed", cancels = chunk.len(), at = ?removed);
+            let mut revisions = self.saved_revisions.revisions.borrow_mut();
+            for key in chunk {
+                revisions.remove(&Key::Cancel(*key));
+                revisions.remove(&Key::Job(*key));
             }
         }
     }
--- a/crates/guavacart_node/src/owner/saving/tests.rs
+++ b/crates/guavacart_node/src/owner/saving/tests.rs
@@ -43,6 +43,31 @@
     assert!(write.expected.contains(&condition));
 }
 
+/// Guards against a removal of a tombstone that is carried out late and removes a newer one, or the
+/// cancel of a job that was submitted since.
+#[test]
+fn a_late_removal_of_a_tombstone_removes_no_other_cancel() {
+    let saved = SavedRevisions::new(Revisions::new());
+    saved.record_cancel(JobKey(1), Revision(5));
+    let write = saved.tombstone_removal(Revision(3), &[JobKey(1)]);
+    assert_eq!(write.removes, [Key::Cancel(JobKey(1))]);
+    for condition in [
+        (Key::Cancel(JobKey(1)), Revision(5)),
+        (Key::Job(JobKey(1)), Revision(0)),
+    ] {
+        assert!(write.expected.contains(&condition), "{condition:?}");
+    }
+}
+
+/// Guards against the removal of the cancel of a job that is stored.
+#[test]
+fn the_cancel_of_a_stored_job_is_no_tombstone() {
+    let known = [(Key::Job(JobKey(1)), Revision(4))];
+    let saved = SavedRevisions::new(known.into());
+    let write = saved.tombstone_removal(Revision(3), &[JobKey(1)]);
+    assert!(write.is_empty());
+}
+
 /// Guards against writes that the store refuses for their number of entries.
 #[test]
 fn writes_have_at_most_32_entries() {
@@ -55,4 +80,7 @@
     let jobs: Vec<_> = (0..MAX_DELETED_JOBS_PER_WRITE as u64).map(JobKey).collect();
     let write = saved.removal(Revision(3), &jobs);
     assert!(write.expected.len() + write.removes.len() <= 32);
+    let cancels: Vec<_> = (0..MAX_TOMBSTONES_PER_WRITE as u64).map(JobKey).collect();
+    let write = saved.tombstone_removal(Revision(3), &cancels);
+    assert!(write.expected.len() + write.removes.len() <= 32);
 }
--- a/crates/guavacart_node/src/owner/snapshot.rs
+++ b/crates/guavacart_node/src/owner/snapshot.rs
@@ -10,8 +10,8 @@
 /// Revisions of records in the store.
 pub(super) type Revisions = BTreeMap<Key, Revision>;
 
-/// Builds the snapshot of the stored state, and the revisions of the progress records; no snapshot
-/// without a configuration.
+/// Builds the snapshot of the stored state, and the revisions of the progress records and of the
+/// cancels; no snapshot without a configuration.
 pub(super) fn snapshot(
     epoch: Epoch,
     operator: Vec<Item>,
@@ -49,7 +49,10 @@
                 Some(job) => jobs.push((key, job, records_by_job.remove(&key).unwrap_or_default())),
                 None => tracing::error!(event = "unreadable_job", job = %key),
             },
-            Content::Record(Key::Cancel(key), Some(_)) => cancelled.push(key),
+            Content::Record(Key::Cancel(key), Some(_)) => {
+                revisions.insert(Key::Cancel(key), item.revision);
+                cancelled.push(key);
+            }
             _ => {}
         }
     }
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -189,6 +189,13 @@
     pub removes: Vec<Key>,
 }
 
+impl Write {
+    /// True if the write changes nothing.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.puts.is_empty() && self.removes.is_empty()
+    }
+}
+
 /// One record to write.
 #[derive(Clone, Debug)]
 pub struct Put {
--- a/crates/guavacart_node/src/submit.rs
+++ b/crates/guavacart_node/src/submit.rs
@@ -1,28 +1,28 @@
 //! Accepts jobs and cancels, and reports the states of jobs; each answer follows from what is
 //! stored.
 
+mod writes;
+
 use std::rc::Rc;
 
-use guavacart_jobs::{Configuration, Job, JobKey, JobProgress, JobState, QueueName};
+use guavacart_jobs::{Job, JobKey, JobProgress, JobState, QueueName};
 use guavacart_types::{Revision, Span, Timestamp};
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 use tokio::{task, time};
 
 use crate::{
-    Content, Item, Key, Platform, Put, StoreError, Value, Write, clock,
+    Content, Item, Key, Platform, StoreError, clock,
     links::{Links, PeerRequest, Reply},
     records,
     shared::Shared,
-    watching,
 };
+use writes::Submission;
+pub(crate) use writes::{ConfigurationChanged, store_cancel_once, store_job_once};
 
 /// Part of a caller's timeout that is left for the response to reach the caller.
 const RESPONSE_MARGIN: Span = Span::millis(150);
 /// Pause before a refused or unanswered call is tried again.
 const RETRY_PAUSE: Span = Span::millis(60);
-/// Longest time for a write that is made for another node.
-const MAX_COMMIT_TIME: Span = Span::secs(1);
 /// Refused calls after which the caller is asked to try again later.
 const MAX_REFUSALS: u32 = 2;
 
@@ -37,14 +37,11 @@
     NotStored,
     /// It may or may not have been stored.
     Unknown,
+    /// The job was cancelled before it was stored. It was not stored, and stays refused while the
+    /// store keeps the tombstone of the cancel.
+    Cancelled,
 }
 
-/// The configuration has changed since the request's queue was looked up in it. The job was not
-/// stored and will not be, since its write was conditional on the former configuration.
-#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("the configuration has changed; look the queue up again")]
-pub(crate) struct ConfigurationChanged;
-
 /// Accepts jobs and cancels for one node.
 pub(crate) struct Submitter<P> {
     pub(crate) shared: Rc<Shared<P>>,
@@ -62,8 +59,8 @@
         deadline: Timestamp,
     ) -> Result<Outcome, ConfigurationChanged> {
         let request_for_owner = || PeerRequest::Store(key, Box::new(job.clone()));
-        let write = job_write(key, &job, configuration);
-        let outcome = self.store(write, request_for_owner, deadline).await?;
+        let submission = Submission::job(key, &job, configuration);
+        let outcome = self.store(submission, request_for_owner, deadline).await?;
         if outcome == Outcome::Stored {
             self.shared.counters.accepted.add(1);
             self.notify_owner(PeerRequest::Accepted(key, Box::new(job)));
@@ -71,31 +68,32 @@
         Ok(outcome)
     }
 
-    /// Stores a cancel of an accepted job.
+    /// Stores the cancel of a job. If the job is not stored, it will not be: the cancel makes writes
+    /// of the job fail that are still on their way.
     pub(crate) async fn cancel(self: &Rc<Self>, key: JobKey, deadline: Timestamp) -> Outcome {
-        let found = self.read(Key::Job(key), deadline).await;
-        let item = match found {
-            Ok(Some(item)) => item,
-            Ok(None) => return Outcome::NoSuchJob,
-            Err(_) => return self.links.ask_to_store(PeerRequest::StoreCancel(key)).await,
-        };
-        let write = cancel_write(key, item.revision);
         let request_for_owner = || PeerRequest::StoreCancel(key);
-        let outcome = self.store(write, request_for_owner, deadline).await;
+        let submission = Submission::cancel(key);
+        let outcome = self.store(submission, request_for_owner, deadline).await;
         // A cancel is not conditional on the configuration.
         let outcome = outcome.unwrap_or(Outcome::NotStored);
-        if outcome == Outcome::Stored {
-            self.shared.counters.cancelled.add(1);
-            self.notify_owner(PeerRequest::Cancelled(key));
+        if outcome != Outcome::Stored {
+            return outcome;
         }
-        outcome
+        self.shared.counters.cancelled.add(1);
+        self.notify_owner(PeerRequest::Cancelled(key));
+        if !self.shared.health.is_serving() {
+            return outcome;
+        }
+        let remaining = (deadline - RESPONSE_MARGIN).since(clock::now());
+        writes::outcome_of_cancel(&self.shared, key, remaining).await
     }
 
-    /// Stores at most once, even if answers are lost: a conflict means that the write is already
-    /// stored. Where the store does not serve this node, the owner is asked once to write instead.
+    /// Stores at most once, even if answers are lost: a conflict, or a read that finds the key, means
+    /// that the write is already stored. Where the store does not serve this node, the owner is asked
+    /// once to write instead.
     async fn store(
         &self,
-        write: Write,
+        submission: Submission,
         request_for_owner: impl Fn() -> PeerRequest,
         deadline: Timestamp,
     ) -> Result<Outcome, ConfigurationChanged> {
@@ -119,7 +117,7 @@
                 return Ok(Outcome::NotStored);
             }
             let remaining = (deadline - RESPONSE_MARGIN).since(clock::now());
-            match commit_once(&self.shared, &write, remaining).await {
+            match submission.commit(&self.shared, remaining).await {
                 Err(ConfigurationChanged) if may_owner_store => return Ok(Outcome::Unknown),
                 Err(changed) => return Err(changed),
                 Ok(Outcome::NotStored) => refusals += 1,
@@ -134,9 +132,19 @@
                 return Ok(Outcome::Unknown);
             }
             time::sleep(RETRY_PAUSE.into()).await;
+            if is_unknown && self.is_stored(submission.key, deadline).await {
+                return Ok(Outcome::Stored);
+            }
         }
     }
 
+    /// Reads once whether a key is stored; false if no answer comes before the deadline.
+    async fn is_stored(&self, key: Key, deadline: Timestamp) -> bool {
+        let remaining = (deadline - RESPONSE_MARGIN).since(clock::now());
+        let found = writes::read_once(&self.shared, key, remaining).await;
+        matches!(found, Ok(Some(_)))
+    }
+
     /// Notifies the owner without waiting; if the message is lost, the owner finds the change in
     /// the store.
     fn notify_owner(self: &Rc<Self>, request: PeerRequest) {
@@ -199,149 +207,6 @@
     }
 }
 
-fn job_write(key: JobKey, job: &Job, configuration: Revision) -> Write {
-    Write {
-        expected: vec![
-            (Key::Job(key), Revision(0)),
-            (Key::Configuration, configuration),
-        ],
-        puts: vec![record_put(Key::Job(key), records::encode(job))],
-        removes: Vec::new(),
-    }
-}
-
-fn cancel_write(key: JobKey, job: Revision) -> Write {
-    Write {
-        expected: vec![(Key::Job(key), job)],
-        puts: vec![record_put(Key::Cancel(key), Vec::new())],
-        removes: Vec::new(),
-    }
-}
-
-/// Stores a job with a single write, for another node, if this node's configuration has the same
-/// rules for its queue.
-pub(crate) async fn store_job_once<P: Platform>(
-    shared: &Shared<P>,
-    key: JobKey,
-    job: &Job,
-) -> Outcome {
-    let Some((configuration, revision)) = shared.configuration.with_revision() else {
-        return Outcome::NotStored;
-    };
-    if !has_rules_of(&configuration, job) {
-        tracing::info!(
-            event = "queue_changed", job = %key, queue = %job.queue, version = configuration.version,
-        );
-        return Outcome::NotStored;
-    }
-    let write = job_write(key, job, revision);
-    let outcome = commit_if_serving(shared, &write).await;
-    outcome.unwrap_or(Outcome::NotStored)
-}
-
-fn has_rules_of(configuration: &Configuration, job: &Job) -> bool {
-    let mut queues = configuration.queues.iter();
-    queues.any(|queue| queue.name == job.queue && queue.rules == job.rules)
-}
-
-/// Stores a cancel with a single write, for another node.
-pub(crate) async fn store_cancel_once<P: Platform>(shared: &Shared<P>, key: JobKey) -> Outcome {
-    let found = shared.platform.get(Key::Job(key)).await;
-    shared.counters.store_reads.add(1);
-    shared.health.record(&found);
-    match found {
-        Ok(Some(item)) => {
-            let write = cancel_write(key, item.revision);
-            let outcome = commit_if_serving(shared, &write).await;
-            outcome.unwrap_or(Outcome::NotStored)
-        }
-        Ok(None) => Outcome::NoSuchJob,
-        Err(_) => Outcome::NotStored,
-    }
-}
-
-async fn commit_if_serving<P: Platform>(
-    shared: &Shared<P>,
-    write: &Write,
-) -> Result<Outcome, ConfigurationChanged> {
-    if !shared.health.is_serving() {
-        return Ok(Outcome::NotStored);
-    }
-    commit_once(shared, write, MAX_COMMIT_TIME).await
-}
-
-async fn commit_once<P: Platform>(
-    shared: &Shared<P>,
-    write: &Write,
-    timeout: Span,
-) -> Result<Outcome, ConfigurationChanged> {
-    let sent = clock::now();
-    let call = shared.platform.commit(write.clone());
-    let result = time::timeout(timeout.into(), call).await;
-    let result = result.unwrap_or(Err(StoreError::NoAnswer));
-    shared.counters.store_writes.add(1);
-    shared.health.record(&result);
-    let expected = write.expected.iter();
-    let mut expected = expected.filter(|(key, _)| *key == Key::Configuration);
-    if let Some((_, expected)) = expected.next() {
-        return outcome_under_configuration(shared, *expected, &result, sent);
-    }
-    Ok(match &result {
-        // The cancelled job's item has changed, so the cancel has been carried out.
-        Ok(_) | Err(StoreError::Conflict(_)) => Outcome::Stored,
-        Err(err) => outcome_of_failure(err),
-    })
-}
-
-/// The outcome of a write of a job that is conditional on the configuration with this revision.
-fn outcome_under_configuration<P: Platform>(
-    shared: &Shared<P>,
-    expected: Revision,
-    result: &Result<Revision, StoreError>,
-    sent: Timestamp,
-) -> Result<Outcome, ConfigurationChanged> {
-    let current = match result {
-        Ok(_) => {
-            shared.configuration.confirm(sent);
-            return Ok(Outcome::Stored);
-        }
-        Err(StoreError::Conflict(current)) => current,
-        Err(err) => return Ok(outcome_of_failure(err)),
-    };
-    let find = |wanted: fn(&Key) -> bool| {
-        let mut found = current.iter().filter(|(key, _)| wanted(key));
-        found.next().and_then(|(_, item)| item.as_ref())
-    };
-    let configuration = find(|key| *key == Key::Configuration);
-    watching::apply_configuration_item(shared, configuration, sent);
-    if find(|key| matches!(key, Key::Job(_))).is_some() {
-        return Ok(Outcome::Stored);
-    }
-    let revision = configuration.map_or(Revision(0), |item| item.revision);
-    if revision == expected {
-        // The conflict names neither key, so it does not tell whether the job is stored.
-        return Ok(Outcome::Unknown);
-    }
-    shared.counters.stale_submissions.add(1);
-    Err(ConfigurationChanged)
-}
-
-fn outcome_of_failure(err: &StoreError) -> Outcome {
-    if err.was_not_applied() {
-        Outcome::NotStored
-    } else {
-        Outcome::Unknown
-    }
-}
-
-fn record_put(key: Key, bytes: Vec<u8>) -> Put {
-    Put {
-        key,
-        value: Value::Record(bytes),
-        lease: None,
-    }
-}
-
 fn decode_progress(item: Item) -> Option<JobProgress> {
     match item.content {
         Content::Record(Key::Progress(_), Some(bytes)) => records::decode(&bytes),
