Report steps that find no room

Nothing told whether a step waits for room, for how long, or what is in its way. One line a second names the first such step in rank, its size, the free processors in all and at most on one executor, and on how many executors it would fit without the tasks that end by themselves.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects that the reducer returns: orders to executors, writes to the store and log lines.
 
-use guavacart_types::{Epoch, Incarnation, Resources, Span};
+use guavacart_types::{Epoch, Incarnation, Processors, Resources, Span};
 use smol_str::SmolStr;
 
 use crate::{
@@ -131,6 +131,26 @@
     pub epoch: Epoch,
 }
 
+/// Why the first step in rank that waits has found no room. Executors are those that can be given
+/// work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoomShortage {
+    /// Step that waits.
+    pub step: StepKey,
+    /// Time since the step became ready.
+    pub waited: Span,
+    /// Number of its tasks that wait.
+    pub tasks: usize,
+    /// Resources that each task reserves.
+    pub size: Resources,
+    /// Free processors of all executors together.
+    pub free: Processors,
+    /// Most free processors on one executor.
+    pub largest: Processors,
+    /// Executors that would have room without the tasks that end by themselves.
+    pub executors_without_short_tasks: usize,
+}
+
 /// A decision of the reducer, for the log.
 #[derive(Clone, Debug)]
 pub enum Decision {
@@ -147,6 +167,8 @@
         /// Time since the executor last reported.
         age: Span,
     },
+    /// A task that ends by itself has found no executor with room for a while.
+    NoRoom(RoomShortage),
     /// An executor reported the end of a run.
     Ended {
         /// Task of the run.
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -21,6 +21,7 @@
 mod registration;
 mod replacement;
 mod retention;
+mod room_shortage;
 mod runs;
 mod saving;
 mod tails;
@@ -206,6 +207,8 @@
     has_slack: bool,
     /// When steps that wait for headroom are tried again.
     next_headroom_retry: Timestamp,
+    /// When a step without room is reported again.
+    next_shortage_report: Timestamp,
     effects: Vec<Effect>,
 }
 
@@ -247,6 +250,7 @@
             next_demand_update: Timestamp(0),
             has_slack: false,
             next_headroom_retry: Timestamp(0),
+            next_shortage_report: Timestamp(0),
             effects: Vec::new(),
         };
         state.restore_learned(&snapshot.learned);
--- a/crates/guavacart_jobs/src/state/claims.rs
+++ b/crates/guavacart_jobs/src/state/claims.rs
@@ -197,11 +197,7 @@
     /// True if the executor has room for a task of this size once its tasks have ended that are no
     /// service tasks or are being stopped.
     fn will_have_room(&self, x: usize, size: &Resources) -> bool {
-        let executor = &self.executors[x];
-        let runs = executor.runs.iter();
-        let ending = runs.filter(|(task, run)| run.stop.is_some() || !self.is_long_running(**task));
-        let room = ending.fold(executor.free(), |room, (_, run)| room.plus(&run.size));
-        size.fits_in(&room)
+        size.fits_in(&self.room_beside_services(&self.executors[x]))
     }
 
     /// Gives up a claim of the step after one of its tasks was started on executor `x`. A task on an
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -101,17 +101,22 @@
         };
         let (before, after) = rest.split_at(start);
         let mut unplaced = 0;
+        let mut is_cut_short = false;
         for rank in ranks.iter().chain(after).chain(before) {
             self.place_step(rank.step);
             unplaced += usize::from(self.ready.contains(&rank.step));
             if unplaced >= MAX_UNPLACED_STEPS {
                 self.rotation_offset = start + MAX_UNPLACED_STEPS - STEPS_ALWAYS_TRIED;
                 self.set_timer(NEXT_PASS_DELAY, Timer::Place);
-                return;
+                is_cut_short = true;
+                break;
             }
         }
-        self.rotation_offset = 0;
-        self.schedule_headroom_retry();
+        self.report_room_shortage(ranks.iter().chain(&rest).map(|rank| rank.step));
+        if !is_cut_short {
+            self.rotation_offset = 0;
+            self.schedule_headroom_retry();
+        }
     }
 
     /// Schedules the next pass while best-effort tasks wait, since no event signals that headroom
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -20,6 +20,12 @@
             free_processors = free.processors.0, free_mib = free.memory.0 >> 20, age_ms = age.0,
             unconfirmed_ms = unconfirmed_for.0,
         ),
+        Decision::NoRoom(shortage) => info!(
+            event = "no_room", step = %shortage.step, epoch, waited_ms = shortage.waited.0,
+            tasks = shortage.tasks, size = %shortage.size, free = %shortage.free,
+            largest = %shortage.largest,
+            executors_without_short_tasks = shortage.executors_without_short_tasks,
+        ),
         Decision::Ended {
             task,
             run,
