Keep learned slopes in vectors

Change: slopes by image number, rows updated as slices, images that were never seen beside each other skipped. No decision changes; the existing tests cover it.

--- a/crates/guavacart_jobs/src/state/interference.rs
+++ b/crates/guavacart_jobs/src/state/interference.rs
@@ -37,8 +37,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Interference {
     images: HashMap<SmolStr, ImageId>,
-    /// Slopes of each service image.
-    by_service: HashMap<ImageId, Slopes>,
+    /// Slopes of each service image, by the number of the image; empty where none was learned.
+    by_service: Vec<Slopes>,
 }
 
 /// The slopes of one service image, by best-effort image, and their covariance.
@@ -49,6 +49,10 @@
 }
 
 impl Slopes {
+    fn is_empty(&self) -> bool {
+        self.means.is_empty()
+    }
+
     fn grow_to(&mut self, len: usize) {
         while self.means.len() < len {
             self.means.push(INITIAL_SLOPE);
@@ -94,7 +98,7 @@
 
     /// True if no slope has been learned.
     pub(super) fn is_empty(&self) -> bool {
-        self.by_service.is_empty()
+        self.by_service.iter().all(Slopes::is_empty)
     }
 
     /// The names of the images, by number.
@@ -108,7 +112,7 @@
 
     /// The learned slopes of a service image and their variances, by best-effort image.
     pub(super) fn slopes(&self, service: ImageId) -> Vec<(ImageId, Estimate)> {
-        let Some(slopes) = self.by_service.get(&service) else {
+        let Some(slopes) = self.by_service.get(service.index()) else {
             return Vec::new();
         };
         let is_learned = |variance: f32| variance < SLOPE_STD_DEV * SLOPE_STD_DEV;
@@ -128,7 +132,7 @@
         best_effort: ImageId,
         slope: Estimate,
     ) {
-        let slopes = self.by_service.entry(service).or_default();
+        let slopes = self.slopes_mut(service);
         slopes.grow_to(best_effort.index() + 1);
         slopes.means[best_effort.index()] = slope.mean;
         slopes.covariance[best_effort.index()][best_effort.index()] =
@@ -141,9 +145,15 @@
         self.images.get(name).copied().unwrap_or(ImageId(0))
     }
 
+    fn slopes_mut(&mut self, service: ImageId) -> &mut Slopes {
+        let len = self.by_service.len().max(service.index() + 1);
+        self.by_service.resize_with(len, Slopes::default);
+        &mut self.by_service[service.index()]
+    }
+
     /// Headroom that a service task loses per share of a best-effort image.
     pub(super) fn slope(&self, service: ImageId, best_effort: ImageId) -> f32 {
-        let slopes = self.by_service.get(&service);
+        let slopes = self.by_service.get(service.index());
         let slope = slopes.and_then(|slopes| slopes.means.get(best_effort.index()));
         slope.copied().unwrap_or(INITIAL_SLOPE).max(0.0)
     }
@@ -157,7 +167,7 @@
 
     /// Headroom that a service task loses to a share of one best-effort image, with its variance.
     pub(super) fn loss_from(&self, service: ImageId, best_effort: ImageId, share: f32) -> Estimate {
-        let slopes = self.by_service.get(&service);
+        let slopes = self.by_service.get(service.index());
         let row = slopes.and_then(|slopes| slopes.covariance.get(best_effort.index()));
         let variance = row.map_or(SLOPE_STD_DEV * SLOPE_STD_DEV, |row| {
             row[best_effort.index()]
@@ -194,7 +204,7 @@
         else {
             return;
         };
-        let slopes = self.by_service.entry(service).or_default();
+        let slopes = self.slopes_mut(service);
         slopes.grow_to(greatest + 1);
         let gains = slopes.gains(&shares);
         let loss_variance: f32 = shares
@@ -207,13 +217,18 @@
             .map(|(i, share)| slopes.means[i.index()] * share)
             .sum();
         let error = observed.mean - predicted;
-        for (i, gain) in gains.iter().enumerate() {
-            slopes.means[i] += gain * weight * error;
-            for (j, other) in gains.iter().enumerate() {
-                slopes.covariance[i][j] -= gain * weight * other;
+        let rows = slopes.covariance.iter_mut().enumerate();
+        for ((i, row), mean) in rows.zip(&mut slopes.means) {
+            let change = gains[i] * weight;
+            // Most images have never run beside each other, so that nothing is learned of them.
+            if change == 0.0 {
+                continue;
+            }
+            *mean += change * error;
+            for (covariance, gain) in row.iter_mut().zip(&gains) {
+                *covariance -= change * gain;
             }
-            let variance = &mut slopes.covariance[i][i];
-            *variance = variance.max(MIN_VARIANCE);
+            row[i] = row[i].max(MIN_VARIANCE);
         }
     }
 }
