Compare a step without room only with executors that have new room

Change: a step that found no room is compared with all executors at most every 100 ms, and in passes between with those that have new room: a run is over, the entry or capacity changed, they answer again. Ruled out as a cheaper way: fewer passes, which delay what does find room.

--- a/crates/guavacart_jobs/src/state/candidates.rs
+++ b/crates/guavacart_jobs/src/state/candidates.rs
@@ -1,5 +1,6 @@
 //! Keeps the work of a placement pass small: executors are compared once per step, steps that need
-//! no less than one that found no room are skipped, and passes are spaced by the work they take.
+//! no less than one that found no room are skipped, steps that found no room are compared with the
+//! executors that have new room, and passes are spaced by the work they take.
 
 use std::collections::BinaryHeap;
 
@@ -9,14 +10,27 @@
 use super::{
     State,
     interference::ImageId,
+    jobs::StepState,
     placement::{Requirements, Reservations, Score},
 };
-use crate::PoolName;
+use crate::{PoolName, StepKey};
 
 /// Comparisons of an executor with the requirements of a step that passes may make, on average,
 /// per millisecond.
 const CHECKS_PER_MS: u64 = 200;
 
+/// Longest time for which a step without room is compared only with executors that have new room.
+/// What else may give it room, such as the end of a penalty, is noticed after this time.
+const FULL_SEARCH_INTERVAL: Span = Span::millis(100);
+
+/// The executors that a step is compared with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Search {
+    All,
+    /// Those with room that the step has not been compared with.
+    NewRoom,
+}
+
 /// Executors that can run a task of one step, best first.
 #[derive(Debug)]
 pub(super) struct Candidates {
@@ -120,6 +134,10 @@
 }
 
 impl Candidates {
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_score.is_empty()
+    }
+
     /// The best executor, or the best apart from `avoid` if there is another.
     pub(super) fn best(&mut self, avoid: Option<usize>) -> Option<usize> {
         let (_, best) = *self.by_score.peek()?;
@@ -134,12 +152,37 @@
 }
 
 impl State {
-    /// Compares all executors with the requirements of a step.
-    pub(super) fn candidates(&mut self, requirements: &Requirements<'_>) -> Candidates {
-        self.pass_work.count(self.executors.len());
+    /// The executors to compare a step with in this pass.
+    pub(super) fn search_for(&self, state: &StepState) -> Search {
+        let is_due = |at: Timestamp| self.now.since(at) >= FULL_SEARCH_INTERVAL;
+        if state.searched_at.is_none_or(is_due) {
+            Search::All
+        } else {
+            Search::NewRoom
+        }
+    }
+
+    /// Records that no executor has room for the waiting tasks of a step.
+    pub(super) fn record_full_search(&mut self, key: StepKey) {
+        let now = self.now;
+        let entry = self.jobs.get_mut(&key.job);
+        if let Some(state) = entry.and_then(|entry| entry.state_mut(key)) {
+            state.searched_at = Some(now);
+        }
+    }
+
+    /// Compares executors with the requirements of a step.
+    pub(super) fn candidates(
+        &mut self,
+        requirements: &Requirements<'_>,
+        search: Search,
+    ) -> Candidates {
+        let is_searched = |x: &usize| search == Search::All || self.executors[*x].has_new_room;
+        let searched: Vec<usize> = (0..self.executors.len()).filter(is_searched).collect();
+        self.pass_work.count(searched.len());
         let nothing_reserved = Reservations::new();
-        let fitting =
-            (0..self.executors.len()).filter(|x| self.fits(*x, requirements, &nothing_reserved));
+        let fitting = searched.into_iter();
+        let fitting = fitting.filter(|x| self.fits(*x, requirements, &nothing_reserved));
         let scored = fitting.map(|x| (self.score(x, requirements.step, requirements.image), x));
         Candidates {
             by_score: scored.collect(),
--- a/crates/guavacart_jobs/src/state/claims.rs
+++ b/crates/guavacart_jobs/src/state/claims.rs
@@ -7,7 +7,7 @@
 
 use super::{
     State, Timer,
-    candidates::Candidates,
+    candidates::{Candidates, Search},
     executors::Executor,
     placement::{Requirements, Reservations},
 };
@@ -136,7 +136,7 @@
             self.claim_room(requirements, avoid, waiting) && self.now.since(not_before) < MAX_STALL;
         if !requirements.allows_penalized {
             requirements.allows_penalized = true;
-            *candidates = self.candidates(requirements);
+            *candidates = self.candidates(requirements, Search::All);
         }
         candidates
             .best(avoid)
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -94,6 +94,8 @@
     pub(super) lapsed_starts: BTreeMap<(TaskKey, RunNumber), Option<Timestamp>>,
     /// Resources that are reserved for runs.
     pub(super) used: Resources,
+    /// Tasks may fit here that did not fit in the last pass.
+    pub(super) has_new_room: bool,
     /// Runs whose size is not known, since their jobs are not known yet.
     runs_of_unknown_size: usize,
     /// Shares of the executor that its best-effort tasks use, by image.
@@ -156,6 +158,7 @@
             runs: BTreeMap::new(),
             lapsed_starts: BTreeMap::new(),
             used: Resources::default(),
+            has_new_room: true,
             runs_of_unknown_size: 0,
             best_effort_shares: Shares::new(),
             averaged_shares: Shares::new(),
@@ -289,6 +292,7 @@
     pub(super) fn remove(&mut self, now: Timestamp, task: TaskKey) -> Option<Run> {
         self.update_averaged_shares(now);
         let run = self.runs.remove(&task)?;
+        self.has_new_room = true;
         self.used = self.used.minus(&run.size).unwrap_or_default();
         self.runs_of_unknown_size -= usize::from(run.is_job_unknown);
         if run.is_best_effort {
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -249,7 +249,9 @@
         // The report that the starts wait for is the answer to an immediate hold.
         let has_waiting_starts =
             executor.immediate_hold.is_none() && std::mem::take(&mut executor.has_waiting_starts);
-        self.needs_placement |= is_reachable_again || is_new || has_waiting_starts;
+        let may_have_room = is_reachable_again || is_new || has_waiting_starts;
+        executor.has_new_room |= may_have_room;
+        self.needs_placement |= may_have_room;
         if has_waiting_starts && !self.may_start_on(x) {
             self.back_off(x, SLOW_REPORT_BACKOFF);
         }
@@ -284,7 +286,9 @@
         executor.last_acknowledged_end = executor
             .last_acknowledged_end
             .max(acknowledged.min(executor.last_stored_end));
-        self.needs_placement |= !had_room && executor.has_room_for_end();
+        let has_new_room = !had_room && executor.has_room_for_end();
+        executor.has_new_room |= has_new_room;
+        self.needs_placement |= has_new_room;
         self.set_paces(x);
         self.set_lease_timer(x);
     }
--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -57,6 +57,8 @@
     pub(super) tickets: BTreeMap<ExecutorId, (Ticket, Timestamp)>,
     /// Executors that the advice service was asked about.
     pub(super) asked: BTreeSet<ExecutorId>,
+    /// When all executors were last searched without finding room for the waiting tasks.
+    pub(super) searched_at: Option<Timestamp>,
     /// A request for advice is unanswered, or the delay after a request without advice has not
     /// passed.
     pub(super) is_request_pending: bool,
@@ -522,6 +524,7 @@
         ready_since: now,
         tickets: BTreeMap::new(),
         asked: BTreeSet::new(),
+        searched_at: None,
         is_request_pending: false,
     }
 }
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::{
-    State, Timer, executors::Executor, interference::ImageId, jobs::Task,
+    State, Timer, candidates::Search, executors::Executor, interference::ImageId, jobs::Task,
     pacing::has_enough_headroom,
 };
 use crate::{PoolName, RunNumber, Step, StepKey, Ticket};
@@ -81,6 +81,9 @@
         self.pass_work.begin();
         self.place_in_order();
         self.pass_work.end(self.now);
+        for executor in &mut self.executors {
+            executor.has_new_room = false;
+        }
     }
 
     fn place_in_order(&mut self) {
@@ -176,6 +179,7 @@
             return;
         };
         let waiting: Vec<u16> = state.waiting.iter().copied().collect();
+        let search = self.search_for(state);
         let rack = self.preferred_rack(key, &step, waiting.len());
         let Some(mut requirements) = self.requirements(key, &step, rack) else {
             return;
@@ -183,7 +187,10 @@
         if !step.is_long_running && self.pass_work.is_unmet(&requirements) {
             return;
         }
-        let mut candidates = self.candidates(&requirements);
+        let mut candidates = self.candidates(&requirements, search);
+        if candidates.is_empty() && search == Search::NewRoom {
+            return;
+        }
         let (count, mut placed) = (waiting.len(), 0);
         for index in waiting {
             let task =
@@ -195,6 +202,8 @@
             let is_suspect = self.crashes(key.task(index)) > 0;
             let chosen = if is_suspect {
                 self.executor_for_suspect(key.task(index), &requirements)
+            } else if step.is_long_running && search == Search::NewRoom {
+                candidates.best(avoid).filter(|x| Some(*x) != avoid)
             } else if step.is_long_running {
                 let waiting = count - placed;
                 let failed = (avoid, not_before);
@@ -206,7 +215,10 @@
                 continue;
             }
             let Some(x) = chosen else {
-                self.pass_work.record_unmet(&requirements);
+                if search == Search::All {
+                    self.pass_work.record_unmet(&requirements);
+                    self.record_full_search(key);
+                }
                 break;
             };
             if !self.check_start_on(x) {
--- a/crates/guavacart_jobs/src/state/registration.rs
+++ b/crates/guavacart_jobs/src/state/registration.rs
@@ -76,6 +76,7 @@
         let is_draining = registration.is_draining;
         executor.crash_watch.is_leaving = is_draining;
         executor.registration = Some(registration);
+        executor.has_new_room = true;
         if is_restarted {
             executor.has_seen_epoch = false;
             executor.failed_holds = 0;
--- a/crates/guavacart_jobs/tests/pass_work.rs
+++ b/crates/guavacart_jobs/tests/pass_work.rs
@@ -73,3 +73,44 @@
     let started = std::iter::from_fn(|| harness.next_start()).count();
     assert_eq!(started, 12);
 }
+
+/// Load: full executors, one step that fits on none, and a run that ends every few milliseconds.
+/// Guards against a comparison of all executors with the waiting step at each end.
+#[test]
+fn a_step_without_room_is_not_compared_with_executors_that_stay_full() {
+    let mut harness = harness_of(300);
+    harness.accept(1, job(vec![step(1_200)]));
+    let mut large = step(1);
+    large.resources.processors.0 = 9_000;
+    harness.accept(2, job(vec![large]));
+    harness.run_for(500);
+    let before = harness.placement_checks();
+    for _ in 0..200 {
+        let ended = harness.next_start().expect("the executors are full");
+        harness.complete_run(&ended);
+        harness.report_ends();
+        harness.run_for(5);
+    }
+    let checks = harness.placement_checks() - before;
+    assert!(checks <= 12 * 300, "{checks} comparisons in 1 s");
+}
+
+/// Guards against a waiting step that misses the room that a run's end leaves.
+#[test]
+fn a_step_without_room_starts_where_the_last_run_in_its_way_ends() {
+    let mut harness = harness_of(3);
+    harness.accept(1, job(vec![step(12)]));
+    let mut large = step(1);
+    large.resources.processors.0 = 4_000;
+    harness.accept(2, job(vec![large]));
+    harness.run_for(50);
+    let running: Vec<_> = std::iter::from_fn(|| harness.next_start()).collect();
+    assert_eq!(running.len(), 12);
+    let first = running[0].executor.clone();
+    let on_first = running.iter().filter(|run| run.executor == first).take(2);
+    on_first.for_each(|run| harness.complete_run(run));
+    harness.report_ends();
+    harness.run_for(10);
+    let started = harness.next_start().expect("two runs have ended");
+    assert_eq!(started.executor, first);
+}
