Order a pace again that a task does not keep

Seen (HARM): tasks beside a service over its target worked on for 4.5 s, although all of them are paused after a third of that bound. An older, faster pace then replaces the last one; the owner believes its own last answer, and since a pause cannot go lower, it never orders again.

Change: a best-effort run that uses clearly more processor time than its pace allows, in two reports in a row, counts as a run of unknown pace, so that the next plan is ordered. The harness reports use by pace, as executors do. Test: a_pace_that_is_carried_out_late_is_corrected, pace 100 before, 0 now. That the reporters saw this is suspected, not shown.

--- a/crates/guavacart_jobs/src/state/adoption.rs
+++ b/crates/guavacart_jobs/src/state/adoption.rs
@@ -97,6 +97,8 @@
             slowed_since: None,
             has_checkpoints: spec.is_some_and(|step| step.has_checkpoints),
             idle_reports: 0,
+            paced_at: Timestamp(0),
+            overuse_reports: 0,
             checkpoint: (!listed.checkpoint.is_empty()).then(|| listed.checkpoint.clone()),
             is_job_unknown: false,
         }
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -56,6 +56,8 @@
             slowed_since: None,
             has_checkpoints: step.has_checkpoints,
             idle_reports: 0,
+            paced_at: Timestamp(0),
+            overuse_reports: 0,
             checkpoint: None,
             is_job_unknown: false,
         };
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -49,6 +49,12 @@
 const MAX_MOVES_PER_REPORT: usize = 2;
 /// Load up to which best-effort tasks are moved to an executor, in thousandths of that executor.
 const MAX_MOVE_TARGET_LOAD: u64 = 1_500;
+/// Use of a best-effort task beyond what its pace allows that is not rounding, in percent of what
+/// the pace allows, and in percent of its demand.
+const TOLERATED_OVERUSE_PERCENT: u64 = 50;
+const TOLERATED_DEMAND_PERCENT: u64 = 10;
+/// Reports in a row with too much processor use after which the pace is ordered again.
+const MAX_OVERUSE_REPORTS: u32 = 2;
 /// Reports in a row without sufficient processor use after which a task counts as idle.
 const MAX_IDLE_REPORTS: u32 = 3;
 /// Time after its start before the processor use of a task is checked.
@@ -136,6 +142,18 @@
             run.over_since = exceeds_target.then(|| run.over_since.unwrap_or(over_from));
             return;
         }
+        // An earlier change of pace without an answer may be carried out after the last one.
+        if run.is_best_effort && now.since(run.paced_at) > USE_SETTLING_TIME {
+            run.overuse_reports = if uses_more_than_its_pace(run, usage) {
+                run.overuse_reports + 1
+            } else {
+                0
+            };
+            if run.overuse_reports >= MAX_OVERUSE_REPORTS {
+                run.overuse_reports = 0;
+                run.pace = unconfirmed_pace(run.pace);
+            }
+        }
         let is_settled = now.since(run.since) > USE_SETTLING_TIME;
         let should_use = run.processor_demand * u64::from(run.pace) / 100;
         if run.is_best_effort && is_settled && usage * 100 < should_use * MIN_USE_PERCENT {
@@ -315,6 +333,8 @@
                 continue;
             }
             run.pace = percent;
+            run.paced_at = now;
+            run.overuse_reports = 0;
             let is_slow = percent <= SLOW_PACE;
             run.slowed_since = is_slow.then(|| run.slowed_since.unwrap_or(now));
             changed += 1;
@@ -364,6 +384,13 @@
     }
 }
 
+/// True if a best-effort run uses clearly more processor time than its pace allows.
+fn uses_more_than_its_pace(run: &Run, usage: u64) -> bool {
+    let allowed = run.processor_demand * u64::from(run.pace);
+    let tolerated = allowed * TOLERATED_OVERUSE_PERCENT / 100;
+    usage * 100 > allowed + tolerated + run.processor_demand * TOLERATED_DEMAND_PERCENT
+}
+
 /// A pace next to `percent` for a run that may not work at `percent`. It differs from every planned
 /// pace, so that the next order is sent whatever its pace is.
 pub(super) fn unconfirmed_pace(percent: u8) -> u8 {
--- a/crates/guavacart_jobs/src/state/runs.rs
+++ b/crates/guavacart_jobs/src/state/runs.rs
@@ -45,6 +45,10 @@
     pub(super) has_checkpoints: bool,
     /// Reports in a row in which the run used too little processor time.
     pub(super) idle_reports: u32,
+    /// When the pace was last ordered.
+    pub(super) paced_at: Timestamp,
+    /// Reports in a row in which the run used more processor time than its pace allows.
+    pub(super) overuse_reports: u32,
     pub(super) checkpoint: Option<SmolStr>,
     /// The job is not known yet, and therefore the size of the run is not known either.
     pub(super) is_job_unknown: bool,
--- a/crates/guavacart_jobs/tests/colocation.rs
+++ b/crates/guavacart_jobs/tests/colocation.rs
@@ -9,6 +9,8 @@
 /// Headroom lost per executor for a pair of images with strong interference: one best-effort task
 /// on a quarter of an executor uses up all headroom.
 const STRONG_INTERFERENCE: f32 = 12.0;
+/// Headroom lost per executor for a pair of images that cannot work beside each other.
+const UNBEARABLE_INTERFERENCE: f32 = 200.0;
 /// Headroom lost per executor for a pair of images with weak interference.
 const WEAK_INTERFERENCE: f32 = 0.8;
 
@@ -53,6 +55,35 @@
         .collect()
 }
 
+fn task_beside(task: TaskKey, job: u64) -> TaskKey {
+    let job = guavacart_jobs::JobKey(job);
+    TaskKey {
+        step: guavacart_jobs::StepKey { job, ..task.step },
+        ..task
+    }
+}
+
+/// Guards against a service task that stays over its target since an older change of pace was
+/// carried out after the last one.
+#[test]
+fn a_pace_that_is_carried_out_late_is_corrected() {
+    let mut harness = Harness::new(&["a"]);
+    harness.set_interference("frail", "f", UNBEARABLE_INTERFERENCE);
+    harness.accept(2, job(vec![service_step("frail", "a", 1)]));
+    harness.run_for(4_000);
+    harness.accept(3, job(vec![best_effort_step("f", Some("a"), 1)]));
+    harness.run_for(3_000);
+    let (_, task) = drain_starts_of(&mut harness, 3).pop().expect("a start");
+    let is_paused = (0..100).any(|_| {
+        harness.run_for(100);
+        harness.pace("a", task) == 0
+    });
+    assert!(is_paused);
+    harness.pace_late("a", task, 100);
+    harness.run_for(3_000);
+    assert_eq!(harness.pace("a", task), 0, "the service is over its target");
+}
+
 /// Guards against tails over their target because best-effort tasks are not slowed, and against
 /// stopping these tasks where the target allows a slower pace.
 #[test]
@@ -63,14 +94,7 @@
     let (executor, task) = drain_starts_of(&mut harness, 3).pop().expect("a start");
     assert_eq!(executor, "b");
     let pace = harness.pace("b", task);
-    let service = TaskKey {
-        step: guavacart_jobs::StepKey {
-            job: guavacart_jobs::JobKey(2),
-            ..task.step
-        },
-        ..task
-    };
-    let ratio = harness.tail_over_target("b", service);
+    let ratio = harness.tail_over_target("b", task_beside(task, 2));
     assert!(
         ratio <= 1.0,
         "the tail is {ratio} of its target at a pace of {pace}%"
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -368,6 +368,12 @@
         self.paces.get(&key).copied().unwrap_or(100)
     }
 
+    /// Carries out a change of pace late, after newer ones.
+    pub(crate) fn pace_late(&mut self, executor: &str, task: TaskKey, percent: u8) {
+        self.paces
+            .insert((ExecutorId::from(executor), task), percent);
+    }
+
     fn step_of(&self, task: TaskKey) -> &Step {
         let job = self.jobs.iter().find(|(key, _)| *key == task.step.job);
         let (_, job) = job.expect("a job that was accepted");
@@ -570,7 +576,9 @@
                 run: *run,
                 checkpoint: "".into(),
                 percent: if tail.is_some() { 100 } else { 50 },
-                usage: Some(tail.unwrap_or(2_000)),
+                usage: Some(tail.unwrap_or_else(|| {
+                    step.resources.processors.0 * u64::from(self.pace(&id.0, *task)) / 100
+                })),
             }
         });
         let is_kept =
