Start urgent steps between passes

A pass puts off the next one by the comparisons that it made, so that an urgent job with room for it waited for the next pass, about 50 ms where 48 steps without room are compared with 200 executors. Steps that become ready are now tried at once if none that waits has a higher priority; their comparisons put the next pass off as well. A pass that is cut short tries them too.

Test: urgent_steps_start_before_the_next_pass, no start within 13 ms before, within 5 ms now.

--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -178,6 +178,8 @@
     cancelled: BTreeMap<JobKey, Timestamp>,
     /// Steps whose dependencies are done and that have waiting tasks.
     ready: BTreeSet<StepKey>,
+    /// Steps that became ready since the last pass.
+    new_steps: Vec<StepKey>,
     /// All known executors. Other fields and most methods refer to an executor by its index, `x`.
     executors: Vec<Executor>,
     /// Indexes in `executors`.
@@ -231,6 +233,7 @@
             jobs: BTreeMap::new(),
             cancelled: cancelled.map(|key| (key, at.now)).collect(),
             ready: BTreeSet::new(),
+            new_steps: Vec::new(),
             executors: Vec::new(),
             by_id: HashMap::new(),
             entry_age: EntryAge::new(&bounds, snapshot.store_available_since, at.now),
@@ -334,6 +337,7 @@
             self.needs_placement = false;
             self.place();
         } else if self.needs_placement {
+            self.place_between_passes();
             self.timers
                 .insert((self.pass_work.next_pass_at, Timer::Place));
         }
--- a/crates/guavacart_jobs/src/state/candidates.rs
+++ b/crates/guavacart_jobs/src/state/candidates.rs
@@ -118,6 +118,12 @@
         self.next_pass_at = now + Span(self.checks_in_pass / CHECKS_PER_MS);
     }
 
+    /// Ends the placement of some steps between two passes, and puts the next one off by its work.
+    pub(super) fn end_between_passes(&mut self) {
+        self.checks += self.checks_in_pass;
+        self.next_pass_at = self.next_pass_at + Span(self.checks_in_pass / CHECKS_PER_MS);
+    }
+
     pub(super) fn count(&mut self, checks: usize) {
         self.checks_in_pass += u64::try_from(checks).unwrap_or(u64::MAX);
     }
--- a/crates/guavacart_jobs/src/state/jobs.rs
+++ b/crates/guavacart_jobs/src/state/jobs.rs
@@ -259,11 +259,13 @@
             state.is_ready = true;
             state.ready_since = now;
             if !state.waiting.is_empty() {
-                self.ready.insert(StepKey {
+                let step = StepKey {
                     job: key,
                     occurrence,
                     step,
-                });
+                };
+                self.ready.insert(step);
+                self.new_steps.push(step);
             }
         }
     }
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -80,12 +80,41 @@
         }
         self.pass_work.begin();
         self.place_in_order();
+        self.try_new_steps();
         self.pass_work.end(self.now);
         for executor in &mut self.executors {
             executor.has_new_room = false;
         }
     }
 
+    /// Starts tasks of urgent new steps while the next pass is some time off.
+    pub(super) fn place_between_passes(&mut self) {
+        if self.new_steps.is_empty() || self.is_placement_suspended() {
+            return;
+        }
+        self.pass_work.begin();
+        self.try_new_steps();
+        self.pass_work.end_between_passes();
+    }
+
+    /// Starts tasks of the steps that became ready since this was last called, if none that waits is
+    /// more urgent. A pass that is cut short may not have come to them.
+    fn try_new_steps(&mut self) {
+        let new_steps = std::mem::take(&mut self.new_steps);
+        let priority = |key: &StepKey| {
+            let entry = self.jobs.get(&key.job)?;
+            Some(self.rules(entry).priority)
+        };
+        let most_urgent = self.ready.iter().filter_map(priority).min();
+        let is_urgent = |key: &StepKey| self.ready.contains(key) && priority(key) == most_urgent;
+        let urgent = new_steps.into_iter().filter(is_urgent);
+        let mut urgent: Vec<Rank> = urgent.filter_map(|key| self.rank(key)).collect();
+        urgent.sort_unstable();
+        for rank in urgent {
+            self.place_step(rank.step);
+        }
+    }
+
     fn place_in_order(&mut self) {
         self.update_expected_loads();
         self.place_claimed();
--- a/crates/guavacart_jobs/tests/pass_work.rs
+++ b/crates/guavacart_jobs/tests/pass_work.rs
@@ -114,3 +114,36 @@
     let started = harness.next_start().expect("two runs have ended");
     assert_eq!(started.executor, first);
 }
+
+/// Load: many steps without room, so that passes are far between, and urgent jobs for which there is
+/// room. Guards against urgent tasks that wait for the next pass.
+#[test]
+fn urgent_steps_start_before_the_next_pass() {
+    let mut harness = harness_of(200);
+    let sized = |count: u16, millicores: u64| {
+        let mut step = step(count);
+        step.resources.processors.0 = millicores;
+        job(vec![step])
+    };
+    let later = |count, millicores| {
+        let mut job = sized(count, millicores);
+        job.queue = "later".into();
+        job.rules.priority = 2;
+        job
+    };
+    harness.accept(1, later(800, 1_900));
+    // Each is smaller than those before it, so that it is compared although they found no room.
+    for key in 2..=60 {
+        harness.accept(key, later(1, 7_000 - key));
+    }
+    harness.run_for(1_000);
+    while harness.next_start().is_some() {}
+    for key in 100..120 {
+        let accepted_at = harness.now();
+        harness.accept(key, sized(1, 300));
+        harness.run_for(13);
+        let started = harness.next_start().expect("there is room");
+        let delay = started.started_at - accepted_at;
+        assert!(delay <= 5, "the start took {delay} ms");
+    }
+}
