--- a/crates/guavacart_node/src/links/tests.rs
+++ b/crates/guavacart_node/src/links/tests.rs
@@ -3,8 +3,10 @@
 //! A test fails if the encoded form of a message changes, since a node of an earlier build would
 //! then misread it. Values within one type differ, so that swapped fields are noticed.
 
+use std::time::Duration;
+
 use guavacart_jobs::JobOutcome;
-use tokio::runtime;
+use tokio::{net::TcpListener, runtime, task, time};
 
 use super::*;
 use crate::records::tests::{bytes, forms, full_job, hex, short_job};
@@ -88,3 +90,22 @@
 framed! {
     frame_on_a_link: reply(Reply::Waiting(305)) => "00000005ad0202b102";
 }
+
+/// Guards against requests that wait for good on a link that went silent.
+#[test]
+fn a_request_on_a_silent_link_ends_without_a_reply() {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let local = task::LocalSet::new();
+    local.block_on(&runtime, async {
+        // It accepts connections, and never reads from them.
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let link = Connection::open(address).await.expect("a link");
+        for request in [PeerRequest::State(KEY), PeerRequest::StoreCancel(KEY)] {
+            let reply = time::timeout(Duration::from_secs(2), link.ask(request)).await;
+            let reply = reply.expect("the wait for a reply is bounded");
+            assert_eq!(reply, Err(RequestError::NoReply));
+        }
+    });
+}
