--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -17,6 +17,7 @@
 mod orders;
 mod ownership;
 mod pacing;
+mod passes;
 mod placement;
 mod registration;
 mod replacement;
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -14,27 +14,10 @@
 /// A step waits for its preferred rack for at most its estimate times this factor.
 const RACK_WAIT_FACTOR: u64 = 2;
 
-/// Most steps that may stay without room in one pass; limits the time of a pass under overload.
-const MAX_UNPLACED_STEPS: usize = 48;
-/// Steps that each pass tries first, in order of rank.
-const STEPS_ALWAYS_TRIED: usize = 24;
-/// Delay before the next pass if a pass was cut short.
-const NEXT_PASS_DELAY: Span = Span::millis(50);
 /// Resolution at which the headroom losses on executors are compared for service tasks: number of
 /// intervals per unit of headroom.
 const HEADROOM_LOSS_RESOLUTION: f32 = 10.0;
 
-/// Position of a step in the order of starts; the lowest rank starts first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Rank {
-    priority: u32,
-    /// By the estimates, the step can no longer be on time. Steps that can be on time go first.
-    is_late: bool,
-    /// Latest start that is on time, in Unix milliseconds.
-    latest_start: u64,
-    step: StepKey,
-}
-
 /// How well an executor suits a task; the greatest is the best.
 pub(super) type Score = (i64, i64, i64);
 
@@ -60,8 +43,6 @@
 /// time they start where the most headroom is left, and are slowed there. Under load they wait
 /// without a limit.
 const MAX_HEADROOM_WAIT: Span = Span::millis(1_500);
-/// Delay until the next pass while steps wait for headroom of service tasks.
-const HEADROOM_RETRY_INTERVAL: Span = Span::millis(150);
 /// Headroom above which an executor is not preferred further for a best-effort task.
 const SUFFICIENT_HEADROOM: f32 = 1.7;
 /// Load, in thousandths of an executor, that counts as much as one unit of headroom below
@@ -73,123 +54,7 @@
 pub(super) type Reservations = BTreeMap<usize, (Resources, usize)>;
 
 impl State {
-    /// Starts the tasks that fit, in order of rank.
-    pub(super) fn place(&mut self) {
-        if self.ready.is_empty() || self.is_placement_suspended() {
-            return;
-        }
-        self.pass_work.begin();
-        self.place_in_order();
-        self.try_new_steps();
-        self.pass_work.end(self.now);
-        for executor in &mut self.executors {
-            executor.has_new_room = false;
-        }
-    }
-
-    /// Starts tasks of urgent new steps while the next pass is some time off.
-    pub(super) fn place_between_passes(&mut self) {
-        if self.new_steps.is_empty() || self.is_placement_suspended() {
-            return;
-        }
-        self.pass_work.begin();
-        self.try_new_steps();
-        self.pass_work.end_between_passes();
-    }
-
-    /// Starts tasks of the steps that became ready since this was last called, if none that waits is
-    /// more urgent. A pass that is cut short may not have come to them.
-    fn try_new_steps(&mut self) {
-        let new_steps = std::mem::take(&mut self.new_steps);
-        let priority = |key: &StepKey| {
-            let entry = self.jobs.get(&key.job)?;
-            Some(self.rules(entry).priority)
-        };
-        let most_urgent = self.ready.iter().filter_map(priority).min();
-        let is_urgent = |key: &StepKey| self.ready.contains(key) && priority(key) == most_urgent;
-        let urgent = new_steps.into_iter().filter(is_urgent);
-        let mut urgent: Vec<Rank> = urgent.filter_map(|key| self.rank(key)).collect();
-        urgent.sort_unstable();
-        for rank in urgent {
-            self.place_step(rank.step);
-        }
-    }
-
-    fn place_in_order(&mut self) {
-        self.update_expected_loads();
-        self.place_claimed();
-        let mut ranks: Vec<Rank> = self
-            .ready
-            .iter()
-            .filter_map(|key| self.rank(*key))
-            .collect();
-        ranks.sort_unstable();
-        // The first steps in rank are tried in each pass; the others are tried in rotation.
-        let rest = ranks.split_off(ranks.len().min(STEPS_ALWAYS_TRIED));
-        let start = if rest.is_empty() {
-            0
-        } else {
-            self.rotation_offset % rest.len()
-        };
-        let (before, after) = rest.split_at(start);
-        let mut unplaced = 0;
-        let mut is_cut_short = false;
-        for rank in ranks.iter().chain(after).chain(before) {
-            self.place_step(rank.step);
-            unplaced += usize::from(self.ready.contains(&rank.step));
-            if unplaced >= MAX_UNPLACED_STEPS {
-                self.rotation_offset = start + MAX_UNPLACED_STEPS - STEPS_ALWAYS_TRIED;
-                self.set_timer(NEXT_PASS_DELAY, Timer::Place);
-                is_cut_short = true;
-                break;
-            }
-        }
-        self.report_room_shortage(ranks.iter().chain(&rest).map(|rank| rank.step));
-        if !is_cut_short {
-            self.rotation_offset = 0;
-            self.schedule_headroom_retry();
-        }
-    }
-
-    /// Schedules the next pass while best-effort tasks wait, since no event signals that headroom
-    /// is available again.
-    fn schedule_headroom_retry(&mut self) {
-        if self.ready.is_empty() || self.next_headroom_retry > self.now {
-            return;
-        }
-        self.next_headroom_retry = self.now + HEADROOM_RETRY_INTERVAL;
-        self.set_timer(HEADROOM_RETRY_INTERVAL, Timer::Place);
-    }
-
-    /// The rank of a step; `None` while tasks of the job may still run under an earlier owner.
-    fn rank(&self, key: StepKey) -> Option<Rank> {
-        let entry = self.jobs.get(&key.job)?;
-        if entry.may_have_earlier_runs && !self.unreconciled.is_empty() {
-            return None;
-        }
-        let rules = self.rules(entry);
-        let longest = entry
-            .critical_paths
-            .iter()
-            .map(|path| path.0)
-            .max()
-            .unwrap_or_default();
-        let remaining = entry
-            .critical_paths
-            .get(usize::from(key.step))
-            .map_or(0, |path| path.0);
-        let due = entry.job.due_unix_ms(key.occurrence);
-        let from = due.unwrap_or(entry.job.accepted_unix_ms);
-        let stretched = (longest as f32 * rules.stretch) as u64;
-        let latest_start = (from + rules.base_time.0 + stretched).saturating_sub(remaining);
-        Some(Rank {
-            priority: rules.priority,
-            is_late: self.unix_ms > latest_start,
-            latest_start,
-            step: key,
-        })
-    }
-
+    /// Starts the tasks of a step for which there is room.
     pub(super) fn place_step(&mut self, key: StepKey) {
         let Some(entry) = self.jobs.get(&key.job) else {
             return;
