--- a/crates/guavacart_jobs/src/state/candidates.rs
+++ b/crates/guavacart_jobs/src/state/candidates.rs
@@ -26,6 +26,7 @@
 /// The executors that a step is compared with.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Search {
+    /// All of them.
     All,
     /// Those with room that the step has not been compared with.
     NewRoom,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -49,9 +49,10 @@
 const MAX_MOVES_PER_REPORT: usize = 2;
 /// Load up to which best-effort tasks are moved to an executor, in thousandths of that executor.
 const MAX_MOVE_TARGET_LOAD: u64 = 1_500;
-/// Use of a best-effort task beyond what its pace allows that is not rounding, in percent of what
-/// the pace allows, and in percent of its demand.
+/// Use of a best-effort task above what its pace allows that rough reports explain, in percent of
+/// what the pace allows.
 const TOLERATED_OVERUSE_PERCENT: u64 = 50;
+/// The part of its demand that such a task may use besides, in percent.
 const TOLERATED_DEMAND_PERCENT: u64 = 10;
 /// Reports in a row with too much processor use after which the pace is ordered again.
 const MAX_OVERUSE_REPORTS: u32 = 2;
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -367,7 +367,7 @@
     tracing::info!(event = "cancel", job = %key, store_failing_ms, ?outcome);
     match outcome {
         Outcome::Stored => json(b"{}".to_vec()),
-        // A cancel that is not stored as one has a tombstone.
+        // Only submissions end as `Cancelled`.
         Outcome::NoSuchJob | Outcome::Cancelled => response(StatusCode::GONE, Bytes::new()),
         Outcome::NotStored => retry_later(),
         Outcome::Unknown => response(StatusCode::GATEWAY_TIMEOUT, Bytes::new()),
--- a/crates/guavacart_node/src/submit/writes.rs
+++ b/crates/guavacart_node/src/submit/writes.rs
@@ -107,14 +107,14 @@
         current: &[(Key, Option<Item>)],
         sent: Timestamp,
     ) -> Result<Outcome, ConfigurationChanged> {
-        let find = |wanted: fn(&Key) -> bool| {
-            let mut found = current.iter().filter(|(key, _)| wanted(key));
-            found.next().and_then(|(_, item)| item.as_ref())
-        };
         let Some(expected) = self.configuration else {
             // The only condition of a cancel is that it is not stored.
             return Ok(Outcome::Stored);
         };
+        let find = |wanted: fn(&Key) -> bool| {
+            let mut found = current.iter().filter(|(key, _)| wanted(key));
+            found.next().and_then(|(_, item)| item.as_ref())
+        };
         let configuration = find(|key| *key == Key::Configuration);
         watching::apply_configuration_item(shared, configuration, sent);
         if find(|key| matches!(key, Key::Job(_))).is_some() {
