Log the lag of the event loop, and how long starts wait and take

The log could not tell an owner without processor time from a lack of room or from slow executors. owner_load, once a second while tasks start, gives the lag of the event loop, the longest wait of the most urgent queues and the time to the answers of starts; placed gives the wait of its task; the metrics have the lag, the answer time and the time until a start is sent. The lag is measured by the node, since the reducer's own timers run with any event and are never late.

--- a/crates/guavacart_jobs/src/configuration.rs
+++ b/crates/guavacart_jobs/src/configuration.rs
@@ -99,6 +99,12 @@
         matching.max_by_key(|(queue, _)| queue.prefix.len())
     }
 
+    /// The priority of the most urgent queues; 0 without queues.
+    pub fn most_urgent_priority(&self) -> u32 {
+        let priorities = self.queues.iter().map(|queue| queue.rules.priority);
+        priorities.min().unwrap_or_default()
+    }
+
     /// True if the pool exists and is not spare, so that its executors may get work.
     pub fn is_pool_active(&self, name: &PoolName) -> bool {
         self.pools
--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -60,6 +60,12 @@
     ListMachines,
     /// Take a machine down for maintenance. The answer is [`crate::Event::MaintenanceAnswered`].
     BeginMaintenance(MaintenanceOrder),
+    /// Measure the lag of the event loop: the time by which it is late with what is due after this
+    /// time. The answer is [`crate::Event::LagMeasured`].
+    MeasureLag {
+        /// Time until the measurement.
+        after: Span,
+    },
     /// Renew the ownership lease now. The answer is [`crate::Event::OwnershipConfirmed`].
     ConfirmOwnership,
     /// Stop acting as the owner, because an owner with a greater epoch exists.
@@ -151,6 +157,31 @@
     pub executors_without_short_tasks: usize,
 }
 
+/// Lag of the owner's event loop, and the starts in an interval of about a second.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Longest lag that was measured.
+    pub longest_lag: Span,
+    /// Tasks whose start was ordered.
+    pub starts: u32,
+    /// Longest time from when a step of the most urgent priority became ready until the start of one
+    /// of its tasks was ordered, apart from service tasks.
+    pub longest_urgent_wait: Span,
+    /// Orders to start that were answered.
+    pub answers: u32,
+    /// Sum of the times from these orders to their answers.
+    pub total_answer_time: Span,
+    /// Longest of these times.
+    pub longest_answer_time: Span,
+}
+
+impl LoadReport {
+    /// Mean time from an order to start a task to its answer; zero without answers.
+    pub fn mean_answer_time(&self) -> Span {
+        Span(self.total_answer_time.0 / u64::from(self.answers.max(1)))
+    }
+}
+
 /// A decision of the reducer, for the log.
 #[derive(Clone, Debug)]
 pub enum Decision {
@@ -166,7 +197,11 @@
         free: Resources,
         /// Time since the executor last reported.
         age: Span,
+        /// Time since the task's step became ready.
+        waited: Span,
     },
+    /// How far the owner was behind, and the starts since the last such report.
+    Load(LoadReport),
     /// A task that ends by itself has found no executor with room for a while.
     NoRoom(RoomShortage),
     /// An executor reported the end of a run.
--- a/crates/guavacart_jobs/src/event.rs
+++ b/crates/guavacart_jobs/src/event.rs
@@ -1,6 +1,6 @@
 //! Events that the reducer reacts to, and the reports of executors in them.
 
-use guavacart_types::{Incarnation, Timestamp};
+use guavacart_types::{Incarnation, Span, Timestamp};
 use smol_str::SmolStr;
 
 use crate::{
@@ -88,6 +88,8 @@
         /// Whether the executor carried out the order.
         result: Result<(), OrderFailure>,
     },
+    /// The lag of the event loop was measured: what was due has waited for this time.
+    LagMeasured(Span),
     /// The records of a save are stored.
     Saved {
         /// Number of the save, from its [`crate::SaveOrder`].
--- a/crates/guavacart_jobs/src/lib.rs
+++ b/crates/guavacart_jobs/src/lib.rs
@@ -20,7 +20,8 @@
 
 pub use configuration::{AdvicePolicy, Configuration, HttpLimits, Pool, Queue, QueuePolicy};
 pub use effect::{
-    Decision, Effect, HoldOrder, LossReason, MaintenanceOrder, RoomShortage, SaveOrder, StartOrder,
+    Decision, Effect, HoldOrder, LoadReport, LossReason, MaintenanceOrder, RoomShortage, SaveOrder,
+    StartOrder,
 };
 pub use event::{EndedRun, Event, HoldReport, ListedRun, OrderFailure, RefusalReason, RunOutcome};
 pub use executor::{ExecutorAddress, Registration};
--- a/crates/guavacart_jobs/src/state.rs
+++ b/crates/guavacart_jobs/src/state.rs
@@ -13,6 +13,7 @@
 mod interference;
 mod jobs;
 mod learned;
+mod load;
 mod maintenance;
 mod orders;
 mod ownership;
@@ -47,6 +48,7 @@
 use interference::Interference;
 use jobs::JobEntry;
 pub use jobs::MAX_UNCONFIRMED_ACCEPT_TIME;
+use load::Load;
 use maintenance::Maintenance;
 use ownership::{MAX_TICK_INTERVAL, Ownership};
 use saving::Saving;
@@ -138,6 +140,10 @@
     pub ready_steps: usize,
     /// Comparisons of an executor with the requirements of a step, since the owner began.
     pub placement_checks: u64,
+    /// Longest lag of the event loop in the last interval that was reported.
+    pub lag: Span,
+    /// Mean time from an order to start a task to its answer in that interval.
+    pub start_answer_time: Span,
 }
 
 /// What to do when a timer expires. A `usize` is the index of an executor in [`State::executors`].
@@ -174,6 +180,8 @@
     configuration: Configuration,
     /// Queue rules of the current configuration, by queue name.
     rules: HashMap<QueueName, QueuePolicy>,
+    /// Priority of the most urgent queues of the current configuration.
+    most_urgent_priority: u32,
     jobs: BTreeMap<JobKey, JobEntry>,
     /// Jobs whose cancel is stored, and when this owner learned of it.
     cancelled: BTreeMap<JobKey, Timestamp>,
@@ -202,6 +210,7 @@
     needs_placement: bool,
     pass_work: PassWork,
     claims: Claims,
+    load: Load,
     /// Where the next pass starts among the steps that are tried in rotation.
     rotation_offset: usize,
     /// When the best-effort load expected on each executor is computed again.
@@ -230,6 +239,7 @@
             now: at.now,
             unix_ms: at.unix_ms,
             rules: rules_by_name(&snapshot.configuration),
+            most_urgent_priority: snapshot.configuration.most_urgent_priority(),
             configuration: snapshot.configuration,
             jobs: BTreeMap::new(),
             cancelled: cancelled.map(|key| (key, at.now)).collect(),
@@ -250,6 +260,7 @@
             needs_placement: false,
             pass_work: PassWork::default(),
             claims: Claims::default(),
+            load: Load::default(),
             rotation_offset: 0,
             next_demand_update: Timestamp(0),
             has_slack: false,
@@ -324,6 +335,7 @@
                 result,
             } => self.on_pace_result(&executor, task, run, percent, result),
             Event::Saved { save } => self.on_saved(save),
+            Event::LagMeasured(lag) => self.on_lag_measured(lag),
             Event::AdviceAnswered { step, allowed } => self.on_advice(step, allowed),
             Event::WaveRequested(wave) => self.add_wave(wave),
             Event::MachinesListed { sent, machines } => self.on_machine_list(sent, machines),
@@ -385,12 +397,15 @@
                 .count(),
             ready_steps: self.ready.len(),
             placement_checks: self.pass_work.checks,
+            lag: self.load.last_report.longest_lag,
+            start_answer_time: self.load.last_report.mean_answer_time(),
         }
     }
 
     fn on_configuration(&mut self, configuration: Configuration) {
         if configuration.version > self.configuration.version {
             self.rules = rules_by_name(&configuration);
+            self.most_urgent_priority = configuration.most_urgent_priority();
             self.configuration = configuration;
             self.needs_placement = true;
         }
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -63,6 +63,11 @@
         };
         let checkpoint = self.task(task).and_then(|task| task.checkpoint.clone());
         let payload = self.jobs[&task.step.job].job.payload.clone();
+        let entry = &self.jobs[&task.step.job];
+        let ready_since = entry.state(task.step).map(|state| state.ready_since);
+        let waited = self.now.since(ready_since.unwrap_or(self.now));
+        let is_urgent = self.rules(entry).priority <= self.most_urgent_priority;
+        self.record_start(is_urgent && !step.is_long_running, waited);
         let executor = &mut self.executors[x];
         let decision = Decision::Placed {
             task,
@@ -70,6 +75,7 @@
             executor: executor.id.clone(),
             free: executor.free(),
             age: self.now.since(executor.last_report_at),
+            waited,
         };
         executor.add(self.now, task, new_run);
         self.effects.push(Effect::Log(decision));
@@ -132,6 +138,8 @@
         }
         let Err(failure) = result else {
             known.phase = Phase::Running(now);
+            let taken = now.since(known.since);
+            self.record_start_answer(taken);
             self.hold_if_needed(x);
             return;
         };
--- a/crates/guavacart_jobs/tests/model/owner.rs
+++ b/crates/guavacart_jobs/tests/model/owner.rs
@@ -3,7 +3,7 @@
 use guavacart_jobs::{
     Effect, Event, LearnedInterference, MAX_UNCONFIRMED_ACCEPT_TIME, Snapshot, State,
 };
-use guavacart_types::{Epoch, Incarnation, Timestamp};
+use guavacart_types::{Epoch, Incarnation, Span, Timestamp};
 use rand::Rng;
 
 use crate::{
@@ -13,6 +13,9 @@
     store::OWNER_LEASE_MS,
 };
 
+/// Lag of an owner's event loop in every second second.
+const BEHIND_MS: u64 = 60;
+
 pub(crate) struct Owner {
     state: State,
     pub(crate) epoch: Epoch,
@@ -167,6 +170,12 @@
             match effect {
                 Effect::Log(decision) => self.services.record_decision(&decision),
                 Effect::ConfirmOwnership => self.renew(owner),
+                Effect::MeasureLag { after } => {
+                    let is_behind = self.now / 1_000 % 2 == 1;
+                    let lag = Span(if is_behind { BEHIND_MS } else { 0 });
+                    let at = self.now + after.0 + lag.0;
+                    self.schedule(at, SimEvent::Deliver(owner, Event::LagMeasured(lag)));
+                }
                 Effect::StepDown => self.stop_owner(owner),
                 Effect::Save(_)
                 | Effect::Hold(..)
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -67,6 +67,8 @@
     /// True while the store does not confirm the ownership lease.
     is_store_unreachable: bool,
     next_renewal_at: u64,
+    /// Time that the owner's event loop takes to come to what is due.
+    loop_lag_ms: u64,
     /// Time by which the owner's time of day is behind.
     clock_lag_ms: u64,
     executors: Vec<ExecutorId>,
@@ -204,6 +206,7 @@
             now,
             is_store_unreachable: false,
             next_renewal_at: now,
+            loop_lag_ms: 0,
             clock_lag_ms,
             executors,
             unresponsive: BTreeSet::new(),
@@ -260,6 +263,11 @@
         self.unresponsive.remove(executor);
     }
 
+    /// Sets the time that the owner's event loop takes to come to what is due.
+    pub(crate) fn set_loop_lag(&mut self, ms: u64) {
+        self.loop_lag_ms = ms;
+    }
+
     /// Sets whether renewals of the ownership lease stay without an answer.
     pub(crate) fn set_store_unreachable(&mut self, is_store_unreachable: bool) {
         self.is_store_unreachable = is_store_unreachable;
@@ -456,6 +464,7 @@
             self.effects.push(effect.clone());
             let wait = match &effect {
                 Effect::Hold(_, order) => order.wait.0,
+                Effect::MeasureLag { after } => after.0 + self.loop_lag_ms,
                 _ => 0,
             };
             let at = (self.now + wait + ANSWER_DELAY_MS, self.effects.len());
@@ -468,6 +477,7 @@
         Some(match effect {
             Effect::ConfirmOwnership if self.is_store_unreachable => return None,
             Effect::ConfirmOwnership => Event::OwnershipConfirmed { at: sent },
+            Effect::MeasureLag { .. } => Event::LagMeasured(Span(self.loop_lag_ms)),
             Effect::Save(order) => {
                 if let Some(executors_with_runs) = order.executors_with_runs {
                     self.stored.executors_with_runs = executors_with_runs;
--- a/crates/guavacart_node/src/front.rs
+++ b/crates/guavacart_node/src/front.rs
@@ -121,6 +121,11 @@
                 "guavacart_placement_checks {}\n",
                 summary.placement_checks
             ));
+            text.push_str(&format!("guavacart_loop_lag_ms {}\n", summary.lag.0));
+            text.push_str(&format!(
+                "guavacart_start_answer_ms {}\n",
+                summary.start_answer_time.0
+            ));
             let usable = summary.usable_executors;
             text.push_str(&format!("guavacart_usable_executors {usable}\n"));
         }
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -15,10 +15,20 @@
             executor,
             free,
             age,
+            waited,
         } => info!(
             event = "placed", %task, run = run.0, %executor, epoch,
             free_processors = free.processors.0, free_mib = free.memory.0 >> 20, age_ms = age.0,
-            unconfirmed_ms = unconfirmed_for.0,
+            unconfirmed_ms = unconfirmed_for.0, waited_ms = waited.0,
+        ),
+        Decision::Load(load) => info!(
+            event = "owner_load",
+            epoch,
+            lag_ms = load.longest_lag.0,
+            starts = load.starts,
+            urgent_waited_ms = load.longest_urgent_wait.0,
+            answer_ms = load.mean_answer_time().0,
+            longest_answer_ms = load.longest_answer_time.0,
         ),
         Decision::NoRoom(shortage) => info!(
             event = "no_room", step = %shortage.step, epoch, waited_ms = shortage.waited.0,
--- a/crates/guavacart_node/src/metrics.rs
+++ b/crates/guavacart_node/src/metrics.rs
@@ -55,6 +55,8 @@
             $($(#[$doc])* pub $name: Counter,)*
             /// Time from the receipt of a request's head to its response.
             pub request_latency: Latency,
+            /// Time from the decision to start a task until its order is sent.
+            pub start_delay: Latency,
         }
 
         impl Counters {
@@ -122,12 +124,17 @@
     pub fn text(&self) -> String {
         let mut text = String::new();
         self.write(&mut text);
-        let latency = self.request_latency.0.borrow();
-        for (name, quantile) in [("p50", 0.5), ("p99", 0.99), ("max", 1.0)] {
-            let name = format!("request_latency_us_{name}");
-            write_line(&mut text, &name, latency.value_at_quantile(quantile));
+        for (name, latency) in [
+            ("request_latency", &self.request_latency),
+            ("start_delay", &self.start_delay),
+        ] {
+            let latency = latency.0.borrow();
+            for (quantile_name, quantile) in [("p50", 0.5), ("p99", 0.99), ("max", 1.0)] {
+                let name = format!("{name}_us_{quantile_name}");
+                write_line(&mut text, &name, latency.value_at_quantile(quantile));
+            }
         }
-        write_line(&mut text, "requests", latency.len());
+        write_line(&mut text, "requests", self.request_latency.0.borrow().len());
         text
     }
 }
--- a/crates/guavacart_node/src/owner/effects.rs
+++ b/crates/guavacart_node/src/owner/effects.rs
@@ -4,7 +4,10 @@
 
 use guavacart_jobs::{Decision, Effect, Event, ExecutorId, StepKey, Ticket};
 use guavacart_types::{Span, Timestamp};
-use tokio::task;
+use tokio::{
+    task,
+    time::{self, Instant},
+};
 
 use super::Owner;
 use crate::{Platform, clock, log};
@@ -94,6 +97,13 @@
                     owner.apply(Event::AdviceAnswered { step, allowed });
                 });
             }
+            Effect::MeasureLag { after } => {
+                task::spawn_local(async move {
+                    let due = Instant::now() + after.into();
+                    time::sleep_until(due).await;
+                    owner.apply(Event::LagMeasured(due.elapsed().into()));
+                });
+            }
             Effect::ListMachines => {
                 task::spawn_local(async move {
                     let sent = clock::now();
--- a/crates/guavacart_node/src/owner/orders.rs
+++ b/crates/guavacart_node/src/owner/orders.rs
@@ -68,7 +68,14 @@
         decided: Timestamp,
     ) {
         let (executor, task, run) = (target.id.clone(), order.task, order.run);
-        let may_send = || self.is_active() && clock::now().since(decided) <= MAX_START_DELAY;
+        let may_send = || {
+            let delay = clock::now().since(decided);
+            let may_send = self.is_active() && delay <= MAX_START_DELAY;
+            if may_send {
+                self.shared.counters.start_delay.record(delay.into());
+            }
+            may_send
+        };
         let answer = self.shared.platform.start(target, order, may_send);
         let result = self.answer_in_time(answer).await;
         self.apply(Event::StartAnswered {
