Send starts when they are decided

A start waited behind all that was due in the event loop when it was decided, and a job that another node had accepted waited there once more before it was applied. The first part of a start, up to the request on an open connection, now runs where the effect is executed; events that come from it are applied after the other effects. Requests of other nodes that need no write are answered by the task that reads the link.

a_start_is_sent_when_it_is_decided failed before (the start waits for the event loop). a_start_that_was_decided_before_a_suspension_is_not_sent relied on that wait; the machine is now suspended while the connection for the order is opened, which is as strict.

--- a/crates/guavacart_node/src/links.rs
+++ b/crates/guavacart_node/src/links.rs
@@ -293,18 +293,19 @@
         });
         while !writer_task.is_finished() {
             let Frame { number, body } = read_frame::<Frame<PeerRequest>>(&mut reader).await?;
+            if !body.writes_to_store() {
+                let body = self.reply(body);
+                // The requesting node may have closed the connection.
+                let _ = replies.send_async(Frame { number, body }).await;
+                continue;
+            }
             let links = Rc::clone(&self);
             let replies = replies.clone();
-            let handle_request = async move {
-                let body = if body.writes_to_store() {
-                    links.store_for_peer(body).await
-                } else {
-                    links.reply(body)
-                };
-                // The requesting node may have closed the connection.
+            task::spawn_local(async move {
+                let body = links.store_for_peer(body).await;
+                // As above.
                 let _ = replies.send_async(Frame { number, body }).await;
-            };
-            task::spawn_local(handle_request);
+            });
         }
         Ok(())
     }
--- a/crates/guavacart_node/src/owner.rs
+++ b/crates/guavacart_node/src/owner.rs
@@ -11,6 +11,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     rc::Rc,
 };
 
@@ -74,6 +75,9 @@
     unreported_job_at: Cell<Timestamp>,
     /// Jobs received while another node might already have been the owner.
     deferred: RefCell<Vec<(JobKey, Box<Job>)>>,
+    /// Events that came while an earlier one was applied or its effects were executed.
+    events: RefCell<VecDeque<Event>>,
+    is_applying: Cell<bool>,
     /// Signalled when the time of the next tick may have changed, or the term has ended.
     reschedule_tick: Notify,
     /// Signalled when the lease is to be renewed without waiting for the next regular renewal.
@@ -151,6 +155,8 @@
             // The other nodes do not know this owner yet, so the inbox is watched at first.
             unreported_job_at: Cell::new(clock::now()),
             deferred: RefCell::new(Vec::new()),
+            events: RefCell::default(),
+            is_applying: Cell::new(false),
             reschedule_tick: Notify::new(),
             renew_now: Notify::new(),
             ended: Notify::new(),
@@ -238,17 +244,31 @@
         }
     }
 
-    /// Applies an event to the reducer and executes the resulting effects.
+    /// Applies an event to the reducer and executes the resulting effects. An event that comes from
+    /// an effect is applied after the other effects of the same event.
     pub(crate) fn apply(self: &Rc<Self>, event: Event) {
-        if !self.is_active() {
+        self.events.borrow_mut().push_back(event);
+        if self.is_applying.replace(true) {
             return;
         }
-        let at = clock::current_times();
-        let effects = self.state.borrow_mut().apply(at, event);
-        self.execute(effects, at.now);
+        while let Some(event) = self.next_event() {
+            let at = clock::current_times();
+            let effects = self.state.borrow_mut().apply(at, event);
+            self.execute(effects, at.now);
+        }
+        self.is_applying.set(false);
         self.reschedule_tick.notify_one();
     }
 
+    /// The next event to apply; `None` without events, or once the term has ended.
+    fn next_event(&self) -> Option<Event> {
+        let mut events = self.events.borrow_mut();
+        if !self.is_active() {
+            events.clear();
+        }
+        events.pop_front()
+    }
+
     pub(crate) fn job_state(&self, key: JobKey) -> Option<JobState> {
         self.state.borrow().job_state(key)
     }
--- a/crates/guavacart_node/src/owner/effects.rs
+++ b/crates/guavacart_node/src/owner/effects.rs
@@ -1,6 +1,9 @@
 //! Executes the reducer's effects.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    task::{Context, Waker},
+};
 
 use guavacart_jobs::{Decision, Effect, Event, ExecutorId, StepKey, Ticket};
 use guavacart_types::{Span, Timestamp};
@@ -12,6 +15,16 @@
 use super::Owner;
 use crate::{Platform, clock, log};
 
+/// Spawns a task and carries out its first part at once, so that an order is sent before what the
+/// event loop has to do otherwise.
+fn spawn_begun(task: impl Future<Output = ()> + 'static) {
+    let mut task = Box::pin(task);
+    let mut cx = Context::from_waker(Waker::noop());
+    if task.as_mut().poll(&mut cx).is_pending() {
+        task::spawn_local(task);
+    }
+}
+
 impl<P: Platform> Owner<P> {
     /// Executes the effects of an event that was applied at `decided`.
     pub(super) fn execute(self: &Rc<Self>, effects: Vec<Effect>, decided: Timestamp) {
@@ -36,7 +49,7 @@
             }
             Effect::Start(target, order) => {
                 self.shared.counters.starts.add(1);
-                task::spawn_local(owner.start_run(target, order, decided));
+                spawn_begun(owner.start_run(target, order, decided));
             }
             Effect::Stop {
                 target,
--- a/crates/guavacart_node/src/owner/tests.rs
+++ b/crates/guavacart_node/src/owner/tests.rs
@@ -154,6 +154,7 @@
 fn a_start_that_was_decided_before_a_suspension_is_not_sent() {
     block_on(async {
         let (owner, platform) = working_owner().await;
+        platform.connect_time.set(START_TIME / 2);
         owner.apply(Event::JobAccepted(JobKey(2), job()));
         let runs = owner.summary().runs;
         assert_eq!(runs, 2, "the start is decided");
@@ -164,6 +165,18 @@
             1,
             "the start is sent 5 s after its decision"
         );
+        platform.connect_time.set(Duration::ZERO);
         wait_for_starts(&owner, &platform, 2).await;
     });
 }
+
+/// Guards against an urgent start that waits behind the other work of a busy owner.
+#[test]
+fn a_start_is_sent_when_it_is_decided() {
+    block_on(async {
+        let (owner, platform) = working_owner().await;
+        owner.apply(Event::JobAccepted(JobKey(2), job()));
+        assert_eq!(owner.summary().runs, 2, "the start is decided");
+        assert_eq!(platform.starts(), 2, "the start waits for the event loop");
+    });
+}
--- a/crates/guavacart_node/src/owner/tests/fake_platform.rs
+++ b/crates/guavacart_node/src/owner/tests/fake_platform.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     future,
     rc::Rc,
+    time::Duration,
 };
 
 use guavacart_jobs::{
@@ -30,6 +31,8 @@
     pub(super) started: Rc<RefCell<Vec<(TaskKey, RunNumber)>>>,
     /// Number of orders to take a machine down.
     pub(super) maintained: Rc<Cell<usize>>,
+    /// Time until the connection for an order is ready.
+    pub(super) connect_time: Rc<Cell<Duration>>,
 }
 
 impl FakePlatform {
@@ -38,6 +41,7 @@
             begun: Instant::now(),
             started: Rc::default(),
             maintained: Rc::default(),
+            connect_time: Rc::default(),
         }
     }
 
@@ -200,6 +204,10 @@
         order: StartOrder,
         may_send: impl Fn() -> bool,
     ) -> Result<u64, OrderFailure> {
+        let connect_time = self.connect_time.get();
+        if connect_time > Duration::ZERO {
+            time::sleep(connect_time).await;
+        }
         if !may_send() {
             return Err(OrderFailure::NotSent);
         }
