Start what can wait in batches while the event loop is behind

Its own time was no resource of the schedule. Tasks of the most urgent queues start at once as before; others start in batches of 24, the next one when a measured lag is at most 10 ms, or after 100 ms. Steps behind a batch keep their rank, and are not compared with executors meanwhile. A take-over, which ordered 4,600 to 6,100 starts in its first second, is ordered by the same rule.

an_owner_that_is_behind_starts_few_tasks_that_can_wait failed before (780 starts in 1 s), steps_that_wait_for_the_next_batch_are_not_compared_with_executors too (2,020 comparisons in 100 ms).

--- a/crates/guavacart_jobs/src/state/load.rs
+++ b/crates/guavacart_jobs/src/state/load.rs
@@ -1,4 +1,9 @@
-//! How far the owner is behind with what it has received, and how long its starts take.
+//! How far the owner is behind with what it has received, how long its starts take, and when it starts
+//! tasks that can wait.
+//!
+//! One thread receives, decides and sends. Tasks of the most urgent queues start at once. Others start
+//! in small batches, the next one when the event loop is no longer behind, so that an owner without
+//! processor time puts off what can wait and nothing else.
 
 use guavacart_types::{Span, Timestamp};
 
@@ -7,30 +12,46 @@
 
 /// How often the lag of the event loop is measured while tasks start.
 const MEASURE_INTERVAL: Span = Span::millis(50);
+/// How soon it is measured while tasks wait for the next batch.
+const BATCH_INTERVAL: Span = Span::millis(5);
+/// Tasks of one batch.
+const BATCH_SIZE: u32 = 24;
+/// Longest lag with which the next batch starts.
+const MAX_LAG: Span = Span::millis(10);
+/// Time after which the next batch starts whatever the lag is.
+const MAX_BATCH_DELAY: Span = Span::millis(100);
 /// Time between two reports while tasks start.
 const REPORT_INTERVAL: Span = Span::secs(1);
 
 /// Lag of the event loop, and the starts since the last report.
 #[derive(Debug, Default)]
 pub(super) struct Load {
-    /// A measurement of the lag has been requested and has not been answered.
-    is_measuring: bool,
+    /// When the lag that was requested last is due; `None` if its measurement has ended.
+    measured_at: Option<Timestamp>,
+    /// Tasks of the current batch that have not started.
+    batch_left: u32,
+    batch_begun_at: Timestamp,
+    /// Tasks wait for the next batch.
+    is_batch_awaited: bool,
     report_due: Timestamp,
     current: LoadReport,
     pub(super) last_report: LoadReport,
 }
 
 impl State {
-    /// Records the start of a task, `waited` after its step became ready.
-    pub(super) fn record_start(&mut self, is_urgent: bool, waited: Span) {
-        let report = &mut self.load.current;
-        report.starts += 1;
-        if is_urgent {
-            report.longest_urgent_wait = report.longest_urgent_wait.max(waited);
+    /// Records the start of a task of this priority, `waited` after its step became ready.
+    pub(super) fn record_start(&mut self, priority: u32, is_long_running: bool, waited: Span) {
+        let can_wait = self.can_wait(priority);
+        let load = &mut self.load;
+        load.current.starts += 1;
+        if can_wait {
+            load.batch_left = load.batch_left.saturating_sub(1);
+        } else if !is_long_running {
+            load.current.longest_urgent_wait = load.current.longest_urgent_wait.max(waited);
         }
-        if !self.load.is_measuring {
-            self.load.report_due = self.now + REPORT_INTERVAL;
-            self.measure_lag();
+        if load.measured_at.is_none() {
+            load.report_due = self.now + REPORT_INTERVAL;
+            self.measure_lag(MEASURE_INTERVAL);
         }
     }
 
@@ -42,18 +63,45 @@
         report.longest_answer_time = report.longest_answer_time.max(taken);
     }
 
-    fn measure_lag(&mut self) {
-        self.load.is_measuring = true;
-        self.effects.push(Effect::MeasureLag {
-            after: MEASURE_INTERVAL,
-        });
+    /// True if tasks of this priority start in batches.
+    fn can_wait(&self, priority: u32) -> bool {
+        priority > self.most_urgent_priority
     }
 
-    /// Records a measured lag. Measurements end with the first interval without starts.
+    /// True if a task of this priority may start now. If not, the next batch leads to a pass.
+    pub(super) fn may_start_priority(&mut self, priority: u32) -> bool {
+        if !self.can_wait(priority) || self.load.batch_left > 0 {
+            return true;
+        }
+        self.load.is_batch_awaited = true;
+        let measured_at = self.load.measured_at;
+        if measured_at.is_none_or(|at| at > self.now + BATCH_INTERVAL) {
+            self.measure_lag(BATCH_INTERVAL);
+        }
+        false
+    }
+
+    fn measure_lag(&mut self, after: Span) {
+        self.load.measured_at = Some(self.now + after);
+        self.effects.push(Effect::MeasureLag { after });
+    }
+
+    /// Applies a measured lag. Measurements end with the first interval without starts.
     pub(super) fn on_lag_measured(&mut self, lag: Span) {
         let load = &mut self.load;
-        load.is_measuring = false;
         load.current.longest_lag = load.current.longest_lag.max(lag);
+        // A measurement that was requested earlier for a later time says nothing about this one.
+        if load.measured_at.is_none_or(|at| at > self.now) {
+            return;
+        }
+        load.measured_at = None;
+        if lag <= MAX_LAG || self.now.since(load.batch_begun_at) >= MAX_BATCH_DELAY {
+            load.batch_left = BATCH_SIZE;
+            load.batch_begun_at = self.now;
+            self.needs_placement |= std::mem::take(&mut load.is_batch_awaited);
+        } else {
+            load.batch_left = 0;
+        }
         let mut has_started = true;
         if self.now >= load.report_due {
             load.report_due = self.now + REPORT_INTERVAL;
@@ -62,8 +110,10 @@
             has_started = report.starts > 0;
             self.effects.push(Effect::Log(Decision::Load(report)));
         }
-        if has_started {
-            self.measure_lag();
+        if self.load.is_batch_awaited {
+            self.measure_lag(BATCH_INTERVAL);
+        } else if has_started {
+            self.measure_lag(MEASURE_INTERVAL);
         }
     }
 }
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -66,8 +66,8 @@
         let entry = &self.jobs[&task.step.job];
         let ready_since = entry.state(task.step).map(|state| state.ready_since);
         let waited = self.now.since(ready_since.unwrap_or(self.now));
-        let is_urgent = self.rules(entry).priority <= self.most_urgent_priority;
-        self.record_start(is_urgent && !step.is_long_running, waited);
+        let priority = self.rules(entry).priority;
+        self.record_start(priority, step.is_long_running, waited);
         let executor = &mut self.executors[x];
         let decision = Decision::Placed {
             task,
--- a/crates/guavacart_jobs/src/state/passes.rs
+++ b/crates/guavacart_jobs/src/state/passes.rs
@@ -88,6 +88,9 @@
         let mut unplaced = 0;
         let mut is_cut_short = false;
         for rank in ranks.iter().chain(after).chain(before) {
+            if !self.may_start_priority(rank.priority) {
+                continue;
+            }
             self.place_step(rank.step);
             unplaced += usize::from(self.ready.contains(&rank.step));
             if unplaced >= MAX_UNPLACED_STEPS {
--- a/crates/guavacart_jobs/src/state/placement.rs
+++ b/crates/guavacart_jobs/src/state/placement.rs
@@ -61,7 +61,11 @@
         };
         let step = entry.step(key).clone();
         self.interference.register_image(step.image.as_ref());
-        let has_advice = self.rules(entry).advice.is_some();
+        let rules = self.rules(entry);
+        let (has_advice, priority) = (rules.advice.is_some(), rules.priority);
+        if !self.may_start_priority(priority) {
+            return;
+        }
         if has_advice {
             self.request_advice(key);
         }
@@ -115,7 +119,7 @@
                 }
                 break;
             };
-            if !self.check_start_on(x) {
+            if !self.check_start_on(x) || !self.may_start_priority(priority) {
                 break;
             }
             let run = self.next_run(last_run);
--- /dev/null
+++ b/crates/guavacart_jobs/tests/load.rs
@@ -0,0 +1,94 @@
+//! Tests of an owner whose event loop is behind.
+
+mod support;
+
+use guavacart_jobs::Job;
+use support::{Harness, job, step};
+
+/// Lag of an overloaded owner's event loop.
+const LONG_LAG_MS: u64 = 60;
+/// Most starts that can wait in 100 ms while the loop is behind: a quarter of what an owner starts in
+/// that time when it is not.
+const MAX_STARTS_WHEN_BEHIND: usize = 30;
+
+fn harness_of(executors: usize) -> Harness {
+    let ids: Vec<String> = (0..executors).map(|x| format!("e{x}")).collect();
+    Harness::new(&ids.iter().map(String::as_str).collect::<Vec<_>>())
+}
+
+/// A job of a queue that is less urgent than the others.
+fn patient_job(tasks: u16) -> Job {
+    let mut job = job(vec![step(tasks)]);
+    job.queue = "later".into();
+    job.rules.priority = 2;
+    job
+}
+
+fn starts(harness: &mut Harness) -> usize {
+    std::iter::from_fn(|| harness.next_start()).count()
+}
+
+/// Guards against urgent starts that wait behind hundreds of others at an owner without processor
+/// time.
+#[test]
+fn an_owner_that_is_behind_starts_few_tasks_that_can_wait() {
+    let mut harness = harness_of(200);
+    harness.set_loop_lag(LONG_LAG_MS);
+    for key in 1..=20 {
+        harness.accept(key, patient_job(39));
+    }
+    harness.run_for(1_000);
+    let started = starts(&mut harness);
+    assert!(started > 0, "nothing that can wait is started");
+    assert!(
+        started <= 10 * MAX_STARTS_WHEN_BEHIND,
+        "{started} starts in 1 s"
+    );
+}
+
+/// Guards against urgent tasks that wait for those that can.
+#[test]
+fn an_owner_that_is_behind_starts_urgent_tasks_at_once() {
+    let mut harness = harness_of(200);
+    harness.set_loop_lag(LONG_LAG_MS);
+    for key in 1..=20 {
+        harness.accept(key, patient_job(39));
+    }
+    harness.run_for(300);
+    starts(&mut harness);
+    harness.accept(100, job(vec![step(9)]));
+    harness.run_for(3);
+    assert!(starts(&mut harness) >= 9, "an urgent step waits");
+}
+
+/// Guards against a wait for batches that outlasts the overload.
+#[test]
+fn an_owner_that_has_caught_up_starts_all_that_waits() {
+    let mut harness = harness_of(200);
+    harness.set_loop_lag(LONG_LAG_MS);
+    for key in 1..=20 {
+        harness.accept(key, patient_job(39));
+    }
+    harness.run_for(300);
+    harness.set_loop_lag(0);
+    harness.run_for(1_000);
+    assert_eq!(starts(&mut harness), 780);
+}
+
+/// Guards against steps that are compared with all executors while nothing of them may start.
+#[test]
+fn steps_that_wait_for_the_next_batch_are_not_compared_with_executors() {
+    let mut harness = harness_of(200);
+    harness.set_loop_lag(LONG_LAG_MS);
+    for key in 1..=20 {
+        harness.accept(key, patient_job(39));
+    }
+    harness.run_for(300);
+    let before = harness.placement_checks();
+    for key in 100..110 {
+        harness.accept(key, patient_job(39));
+        harness.run_for(10);
+    }
+    let checks = harness.placement_checks() - before;
+    assert!(checks <= 3 * 200, "{checks} comparisons in 100 ms");
+}
