Read tails far below their targets less often while the event loop is behind

An owner that is behind now reads each report of a tail only where one is above 70% of its target or not known yet, and every second report elsewhere; the model of the pairs learns from both as before.

an_owner_that_is_behind_reads_tails_far_below_their_targets_less_often failed before (8 reads of calm tails in 4 s).

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -14,7 +14,7 @@
 
 /// Longest wait of a hold for a run end, and thus the interval between lease extensions.
 const HOLD_TIMEOUT: Span = Span::millis(1_000);
-/// The wait of a hold while the tail latency of a service task is watched. Executors report tail
+/// The wait of a hold while the tail latency of a service task is watched closely. Executors report tail
 /// latencies every half second.
 const TAIL_HOLD_TIMEOUT: Span = Span::millis(500);
 /// Delay between holds while run ends wait to be stored. The next hold is sent earlier if the save
@@ -82,14 +82,12 @@
         } else {
             None
         };
-        let watches_tails =
-            self.executors[x].has_service_tasks() && self.executors[x].best_effort_demand > 0;
-        let executor = &mut self.executors[x];
-        let wait = match (must_wait, watches_tails) {
+        let wait = match (must_wait, self.watches_tails_closely(x)) {
             (false, _) => Span::ZERO,
             (true, true) => TAIL_HOLD_TIMEOUT,
             (true, false) => HOLD_TIMEOUT,
         };
+        let executor = &mut self.executors[x];
         let acknowledged = executor.end_to_acknowledge(self.now);
         if must_wait {
             executor.long_poll_hold = Some(acknowledged);
--- a/crates/guavacart_jobs/src/state/load.rs
+++ b/crates/guavacart_jobs/src/state/load.rs
@@ -20,6 +20,8 @@
 const MAX_LAG: Span = Span::millis(10);
 /// Time after which the next batch starts whatever the lag is.
 const MAX_BATCH_DELAY: Span = Span::millis(100);
+/// Time since a lag above [`MAX_LAG`] in which the owner still counts as behind.
+const BEHIND_PERIOD: Span = Span::secs(1);
 /// Time between two reports while tasks start.
 const REPORT_INTERVAL: Span = Span::secs(1);
 
@@ -33,6 +35,8 @@
     batch_begun_at: Timestamp,
     /// Tasks wait for the next batch.
     is_batch_awaited: bool,
+    /// When a lag above [`MAX_LAG`] was last measured.
+    behind_at: Option<Timestamp>,
     report_due: Timestamp,
     current: LoadReport,
     pub(super) last_report: LoadReport,
@@ -81,6 +85,12 @@
         false
     }
 
+    /// True if the event loop is behind, or was a short time ago.
+    pub(super) fn is_behind(&self) -> bool {
+        let at = self.load.behind_at;
+        at.is_some_and(|at| self.now.since(at) < BEHIND_PERIOD)
+    }
+
     fn measure_lag(&mut self, after: Span) {
         self.load.measured_at = Some(self.now + after);
         self.effects.push(Effect::MeasureLag { after });
@@ -90,6 +100,9 @@
     pub(super) fn on_lag_measured(&mut self, lag: Span) {
         let load = &mut self.load;
         load.current.longest_lag = load.current.longest_lag.max(lag);
+        if lag > MAX_LAG {
+            load.behind_at = Some(self.now);
+        }
         // A measurement that was requested earlier for a later time says nothing about this one.
         if load.measured_at.is_none_or(|at| at > self.now) {
             return;
--- a/crates/guavacart_jobs/src/state/tails.rs
+++ b/crates/guavacart_jobs/src/state/tails.rs
@@ -17,6 +17,10 @@
 /// Lowest tail latency that is distinguished.
 const MIN_TAIL_MS: f32 = 0.5;
 
+/// Tail latency, in percent of its target, up to which an owner that is behind does not read each
+/// report of it.
+const CALM_TAIL_PERCENT: u64 = 70;
+
 /// Summary of the reports of the service tasks of one step on an executor.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StepReport {
@@ -70,6 +74,12 @@
         self.runs.values().filter_map(ratio).max().unwrap_or(0)
     }
 
+    /// True if all service tasks have reported tail latencies far below their targets.
+    fn has_calm_tails(&self) -> bool {
+        let mut services = self.runs.values().filter(|run| run.tail_target.is_some());
+        services.all(|run| run.tail_ms.is_some()) && self.worst_percent() <= CALM_TAIL_PERCENT
+    }
+
     /// Updates the averaged shares; called before best-effort tasks change and when tail latencies
     /// are read.
     pub(super) fn update_averaged_shares(&mut self, now: Timestamp) {
@@ -95,6 +105,15 @@
 }
 
 impl State {
+    /// True if each report of the executor's tail latencies is read, since best-effort tasks run
+    /// beside its service tasks.
+    pub(super) fn watches_tails_closely(&self, x: usize) -> bool {
+        let executor = &self.executors[x];
+        executor.has_service_tasks()
+            && executor.best_effort_demand > 0
+            && (!self.is_behind() || !executor.has_calm_tails())
+    }
+
     /// Learns from the tail latencies that an executor has just reported.
     pub(super) fn learn(&mut self, x: usize) {
         let now = self.now;
--- a/crates/guavacart_jobs/tests/colocation.rs
+++ b/crates/guavacart_jobs/tests/colocation.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use guavacart_jobs::{Step, TaskKey};
+use guavacart_jobs::{Effect, Step, TaskKey};
 use guavacart_types::Span;
 use support::{Harness, job, step};
 
@@ -154,3 +154,40 @@
     let found = started.find(|started| started.task.step.job.0 == key);
     found.expect("a start")
 }
+
+/// Returns how often an executor was asked for its tails in 4 s in which tasks start.
+fn reads_of_tails(harness: &mut Harness, executor: &str) -> usize {
+    let before = harness.effects().len();
+    for key in 0..8 {
+        harness.accept(100 + key, job(vec![step(1)]));
+        harness.run_for(500);
+    }
+    let is_read = |effect: &&Effect| match effect {
+        Effect::Hold(target, order) => target.id.0 == executor && order.wait > Span::ZERO,
+        _ => false,
+    };
+    harness.effects()[before..].iter().filter(is_read).count()
+}
+
+/// Guards against an owner without processor time that spends it on tails far below their targets.
+#[test]
+fn an_owner_that_is_behind_reads_tails_far_below_their_targets_less_often() {
+    let mut harness = Harness::new(&["calm", "tense"]);
+    harness.set_interference("calm", "f", WEAK_INTERFERENCE);
+    harness.set_interference("tense", "f", STRONG_INTERFERENCE / 2.0);
+    for (key, name) in [(1, "calm"), (2, "tense")] {
+        harness.accept(key, job(vec![service_step(name, name, 1)]));
+        harness.run_for(2_000);
+        harness.accept(10 + key, job(vec![best_effort_step("f", Some(name), 1)]));
+    }
+    harness.run_for(3_000);
+    harness.set_loop_lag(60);
+    harness.run_for(1_000);
+    let calm = reads_of_tails(&mut harness, "calm");
+    let tense = reads_of_tails(&mut harness, "tense");
+    assert!((3..=5).contains(&calm), "{calm} reads of calm tails in 4 s");
+    assert!(
+        tense >= 7,
+        "{tense} reads of tails near their targets in 4 s"
+    );
+}
