--- a/crates/guavacart/src/main.rs
+++ b/crates/guavacart/src/main.rs
@@ -18,6 +18,12 @@
 
 use std::{env, process::ExitCode};
 
+use tikv_jemallocator::Jemalloc;
+
+/// Calls allocate buffers of some kilobytes, for which the C library's allocator searches its lists.
+#[global_allocator]
+static ALLOCATOR: Jemalloc = Jemalloc;
+
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
     match cli::run(&args) {
