--- a/crates/guavacart_jobs/tests/model/faults.rs
+++ b/crates/guavacart_jobs/tests/model/faults.rs
@@ -51,6 +51,9 @@
     pub(crate) waves: usize,
     /// Number of times that three owners take over one shortly after the other.
     pub(crate) takeover_series: usize,
+    /// True if the event loops of owners are behind in every second second, and every second job can
+    /// wait.
+    pub(crate) owners_are_behind: bool,
 }
 
 /// The beginning of a fault. Executors are named by index.
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -339,6 +339,14 @@
         lost_answers: 0.05,
         ..Faults::default()
     };
+    invariants_hold_when_owners_are_behind: Faults {
+        owners_are_behind: true,
+        ..Faults::default()
+    };
+    invariants_hold_when_owners_are_behind_with_all_faults: Faults {
+        owners_are_behind: true,
+        ..all_faults_combined()
+    };
     invariants_hold_in_maintenance: maintenance_and(Faults::default());
     invariants_hold_in_maintenance_when_owners_crash: maintenance_and(Faults {
         owner_crashes: 3,
