Slow no owner that is not behind by batches

New room was also forgotten for steps that waited for the next batch. Batches are now 240 while the loop is not behind, and 24 once it is; executors keep the mark of new room while steps wait for a batch.

--- a/crates/guavacart_jobs/src/state/load.rs
+++ b/crates/guavacart_jobs/src/state/load.rs
@@ -14,8 +14,11 @@
 const MEASURE_INTERVAL: Span = Span::millis(50);
 /// How soon it is measured while tasks wait for the next batch.
 const BATCH_INTERVAL: Span = Span::millis(5);
-/// Tasks of one batch.
-const BATCH_SIZE: u32 = 24;
+/// Tasks of one batch while the event loop is behind.
+const SMALL_BATCH: u32 = 24;
+/// Tasks of one batch otherwise; a pass over a pool without room starts no more in the time that it
+/// takes.
+const LARGE_BATCH: u32 = 240;
 /// Longest lag with which the next batch starts.
 const MAX_LAG: Span = Span::millis(10);
 /// Time after which the next batch starts whatever the lag is.
@@ -85,6 +88,11 @@
         false
     }
 
+    /// True if steps wait for the next batch.
+    pub(super) fn is_batch_awaited(&self) -> bool {
+        self.load.is_batch_awaited
+    }
+
     /// True if the event loop is behind, or was a short time ago.
     pub(super) fn is_behind(&self) -> bool {
         let at = self.load.behind_at;
@@ -109,12 +117,15 @@
         }
         load.measured_at = None;
         if lag <= MAX_LAG || self.now.since(load.batch_begun_at) >= MAX_BATCH_DELAY {
-            load.batch_left = BATCH_SIZE;
+            let is_behind = self.is_behind();
+            let load = &mut self.load;
+            load.batch_left = if is_behind { SMALL_BATCH } else { LARGE_BATCH };
             load.batch_begun_at = self.now;
             self.needs_placement |= std::mem::take(&mut load.is_batch_awaited);
         } else {
             load.batch_left = 0;
         }
+        let load = &mut self.load;
         let mut has_started = true;
         if self.now >= load.report_due {
             load.report_due = self.now + REPORT_INTERVAL;
--- a/crates/guavacart_jobs/src/state/passes.rs
+++ b/crates/guavacart_jobs/src/state/passes.rs
@@ -35,8 +35,11 @@
         self.place_in_order();
         self.try_new_steps();
         self.pass_work.end(self.now);
-        for executor in &mut self.executors {
-            executor.has_new_room = false;
+        // Steps that wait for the next batch have not been compared with the new room.
+        if !self.is_batch_awaited() {
+            for executor in &mut self.executors {
+                executor.has_new_room = false;
+            }
         }
     }
 
--- a/crates/guavacart_jobs/tests/load.rs
+++ b/crates/guavacart_jobs/tests/load.rs
@@ -92,3 +92,25 @@
     let checks = harness.placement_checks() - before;
     assert!(checks <= 3 * 200, "{checks} comparisons in 100 ms");
 }
+
+/// Load: many steps without room, so that passes are far between. Guards against small batches that
+/// slow an owner that is not behind.
+#[test]
+fn batches_do_not_slow_an_owner_that_is_not_behind() {
+    let mut harness = harness_of(200);
+    let sized = |count: u16, millicores: u64| {
+        let mut job = patient_job(count);
+        job.steps[0].resources.processors.0 = millicores;
+        job
+    };
+    harness.accept(1, sized(800, 1_900));
+    // Each is smaller than those before it, so that it is compared although they found no room.
+    for key in 2..=60 {
+        harness.accept(key, sized(1, 7_000 - key));
+    }
+    harness.run_for(1_000);
+    starts(&mut harness);
+    harness.accept(100, sized(180, 300));
+    harness.run_for(150);
+    assert_eq!(starts(&mut harness), 180);
+}
