Count measurements of the lag that are under way

Whether another measurement decides on the next batch was told by two clocks alone: one that came before its time would have ended the measurements, and with them the batches. No such case was seen. The number of measurements under way now tells it.

--- a/crates/guavacart_jobs/src/state/load.rs
+++ b/crates/guavacart_jobs/src/state/load.rs
@@ -31,8 +31,10 @@
 /// Lag of the event loop, and the starts since the last report.
 #[derive(Debug, Default)]
 pub(super) struct Load {
-    /// When the lag that was requested last is due; `None` if its measurement has ended.
-    measured_at: Option<Timestamp>,
+    /// Measurements of the lag that were requested and have not ended.
+    pending_measurements: u32,
+    /// When the measurement that was requested last is due.
+    measured_at: Timestamp,
     /// Tasks of the current batch that have not started.
     batch_left: u32,
     batch_begun_at: Timestamp,
@@ -56,7 +58,7 @@
         } else if !is_long_running {
             load.current.longest_urgent_wait = load.current.longest_urgent_wait.max(waited);
         }
-        if load.measured_at.is_none() {
+        if load.pending_measurements == 0 {
             load.report_due = self.now + REPORT_INTERVAL;
             self.measure_lag(MEASURE_INTERVAL);
         }
@@ -81,8 +83,8 @@
             return true;
         }
         self.load.is_batch_awaited = true;
-        let measured_at = self.load.measured_at;
-        if measured_at.is_none_or(|at| at > self.now + BATCH_INTERVAL) {
+        let load = &self.load;
+        if load.pending_measurements == 0 || load.measured_at > self.now + BATCH_INTERVAL {
             self.measure_lag(BATCH_INTERVAL);
         }
         false
@@ -100,7 +102,8 @@
     }
 
     fn measure_lag(&mut self, after: Span) {
-        self.load.measured_at = Some(self.now + after);
+        self.load.pending_measurements += 1;
+        self.load.measured_at = self.now + after;
         self.effects.push(Effect::MeasureLag { after });
     }
 
@@ -111,11 +114,11 @@
         if lag > MAX_LAG {
             load.behind_at = Some(self.now);
         }
-        // A measurement that was requested earlier for a later time says nothing about this one.
-        if load.measured_at.is_none_or(|at| at > self.now) {
+        load.pending_measurements = load.pending_measurements.saturating_sub(1);
+        // Another measurement was requested later and decides on the next batch.
+        if load.pending_measurements > 0 && load.measured_at > self.now {
             return;
         }
-        load.measured_at = None;
         if lag <= MAX_LAG || self.now.since(load.batch_begun_at) >= MAX_BATCH_DELAY {
             let is_behind = self.is_behind();
             let load = &mut self.load;
--- a/crates/guavacart_node/src/links.rs
+++ b/crates/guavacart_node/src/links.rs
@@ -303,7 +303,7 @@
             let replies = replies.clone();
             task::spawn_local(async move {
                 let body = links.store_for_peer(body).await;
-                // As above.
+                // The requesting node may have closed the connection.
                 let _ = replies.send_async(Frame { number, body }).await;
             });
         }
