Repeat no more orders of a wave than machines may be down

A new owner continued every order that earlier owners had recorded, all in one step. A recorded order is now sent only while fewer other machines of the wave are ordered down, or may still go down by an order without an answer, than the wave allows.

--- a/crates/guavacart_jobs/src/state/maintenance/draining.rs
+++ b/crates/guavacart_jobs/src/state/maintenance/draining.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{State, runs::Run},
-    LIST_DELAY,
+    LIST_DELAY, LIST_INTERVAL,
     wave::{self, Phase, Recording},
 };
 use crate::{
@@ -66,6 +66,9 @@
             Recording::Stored if not_before > self.now => {
                 self.list_machines_by(not_before.since(self.now));
             }
+            Recording::Stored if !self.may_order_down(number, id) => {
+                self.list_machines_by(LIST_INTERVAL);
+            }
             Recording::Stored => self.order_down(number, id),
         }
     }
@@ -88,6 +91,20 @@
         self.executors[x].runs.is_empty() || (has_time_passed && !runs.any(may_last))
     }
 
+    /// True if the wave allows one more machine to be down. Earlier owners may have recorded more
+    /// orders than that, since one that was refused stays recorded.
+    fn may_order_down(&self, number: WaveNumber, id: &MachineId) -> bool {
+        let wave = &self.maintenance.waves[&number];
+        let is_in_doubt = wave.machines[id].is_in_doubt;
+        let may_be_down = |other: &MachineId| {
+            let in_waves = self.maintenance.waves.values();
+            let mut in_waves = in_waves.filter_map(|wave| wave.machines.get(other));
+            in_waves.any(|m| m.is_ordered_down() || (m.is_in_doubt && !is_in_doubt))
+        };
+        let others = wave.machines.keys().filter(|other| *other != id);
+        others.filter(|other| may_be_down(other)).count() < wave.max_down
+    }
+
     /// Orders a machine down, unless a successor may have begun.
     fn order_down(&mut self, number: WaveNumber, id: &MachineId) {
         let now = self.now;
--- a/crates/guavacart_jobs/src/state/maintenance/wave.rs
+++ b/crates/guavacart_jobs/src/state/maintenance/wave.rs
@@ -90,6 +90,11 @@
         !is_idle
     }
 
+    /// True while the machine is ordered down or not seen up again.
+    pub(super) fn is_ordered_down(&self) -> bool {
+        matches!(self.phase, Phase::Ordered | Phase::Begun(_))
+    }
+
     fn order_state(&self) -> OrderState {
         match self.phase {
             Phase::Pending | Phase::Draining(_) | Phase::Ordered => OrderState::Ordered,
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -237,6 +237,17 @@
     run_seed(443, maintenance_and(overlaps));
 }
 
+/// Guards against a new owner that repeats more orders of earlier owners at once than may be down.
+#[test]
+fn a_new_owner_repeats_no_more_orders_than_machines_may_be_down() {
+    let faults = Faults {
+        takeover_series: 1,
+        ..all_faults_and_partitions()
+    };
+    run_seed(440_005, maintenance_and(faults));
+    run_seed(900_370, maintenance_and(faults));
+}
+
 /// Guards against the stop of a service task while another of its step is on a crashed executor.
 #[test]
 fn a_service_task_on_a_silent_executor_is_unavailable() {
