--- a/crates/guavacart_jobs/src/state/maintenance/draining.rs
+++ b/crates/guavacart_jobs/src/state/maintenance/draining.rs
@@ -99,7 +99,7 @@
         let may_be_down = |other: &MachineId| {
             let in_waves = self.maintenance.waves.values();
             let mut in_waves = in_waves.filter_map(|wave| wave.machines.get(other));
-            in_waves.any(|m| m.is_ordered_down() || (m.is_in_doubt && !is_in_doubt))
+            in_waves.any(|m| m.is_ordered_down() || (m.may_be_carried_out() && !is_in_doubt))
         };
         let others = wave.machines.keys().filter(|other| *other != id);
         others.filter(|other| may_be_down(other)).count() < wave.max_down
--- a/crates/guavacart_jobs/src/state/maintenance/wave.rs
+++ b/crates/guavacart_jobs/src/state/maintenance/wave.rs
@@ -95,6 +95,11 @@
         matches!(self.phase, Phase::Ordered | Phase::Begun(_))
     }
 
+    /// True while an order without an answer may still take the machine down.
+    pub(super) fn may_be_carried_out(&self) -> bool {
+        self.is_in_doubt && matches!(self.phase, Phase::Draining(_))
+    }
+
     fn order_state(&self) -> OrderState {
         match self.phase {
             Phase::Pending | Phase::Draining(_) | Phase::Ordered => OrderState::Ordered,
