Let no backlog outlast the urgent work at an owner that stays behind

There the holds alone keep the event loop behind, so that what can wait started at 240 tasks a second for good. Small batches now start at 600 a second whatever the lag is, and without an urgent start within the last second the batches are large, since there is nothing that they would delay.

--- a/crates/guavacart_jobs/src/state/load.rs
+++ b/crates/guavacart_jobs/src/state/load.rs
@@ -21,10 +21,13 @@
 const LARGE_BATCH: u32 = 240;
 /// Longest lag with which the next batch starts.
 const MAX_LAG: Span = Span::millis(10);
-/// Time after which the next batch starts whatever the lag is.
-const MAX_BATCH_DELAY: Span = Span::millis(100);
+/// Time in which a small batch starts whatever the lag is. An owner may be behind for other reasons
+/// than starts, such as the holds of thousands of executors.
+const MAX_BATCH_DELAY: Span = Span::millis(40);
 /// Time since a lag above [`MAX_LAG`] in which the owner still counts as behind.
 const BEHIND_PERIOD: Span = Span::secs(1);
+/// Time since the last start of an urgent task in which there is urgent work.
+const URGENT_PERIOD: Span = Span::secs(1);
 /// Time between two reports while tasks start.
 const REPORT_INTERVAL: Span = Span::secs(1);
 
@@ -42,6 +45,8 @@
     is_batch_awaited: bool,
     /// When a lag above [`MAX_LAG`] was last measured.
     behind_at: Option<Timestamp>,
+    /// When an urgent task that is no service task last started.
+    urgent_at: Option<Timestamp>,
     report_due: Timestamp,
     current: LoadReport,
     pub(super) last_report: LoadReport,
@@ -56,6 +61,7 @@
         if can_wait {
             load.batch_left = load.batch_left.saturating_sub(1);
         } else if !is_long_running {
+            load.urgent_at = Some(self.now);
             load.current.longest_urgent_wait = load.current.longest_urgent_wait.max(waited);
         }
         if load.pending_measurements == 0 {
@@ -101,6 +107,25 @@
         at.is_some_and(|at| self.now.since(at) < BEHIND_PERIOD)
     }
 
+    /// Number of tasks that may start now that the loop has this lag. Without urgent work there is
+    /// nothing that a batch would delay.
+    fn next_batch(&self, lag: Span) -> u32 {
+        let urgent_at = self.load.urgent_at;
+        let has_urgent_work = urgent_at.is_some_and(|at| self.now.since(at) < URGENT_PERIOD);
+        if !self.is_behind() || !has_urgent_work {
+            return LARGE_BATCH;
+        }
+        if lag <= MAX_LAG {
+            return SMALL_BATCH;
+        }
+        let elapsed = self.now.since(self.load.batch_begun_at);
+        if elapsed < MAX_BATCH_DELAY {
+            return 0;
+        }
+        let size = u64::from(SMALL_BATCH) * elapsed.0 / MAX_BATCH_DELAY.0;
+        u32::try_from(size).map_or(LARGE_BATCH, |size| size.min(LARGE_BATCH))
+    }
+
     fn measure_lag(&mut self, after: Span) {
         self.load.pending_measurements += 1;
         self.load.measured_at = self.now + after;
@@ -119,16 +144,13 @@
         if load.pending_measurements > 0 && load.measured_at > self.now {
             return;
         }
-        if lag <= MAX_LAG || self.now.since(load.batch_begun_at) >= MAX_BATCH_DELAY {
-            let is_behind = self.is_behind();
-            let load = &mut self.load;
-            load.batch_left = if is_behind { SMALL_BATCH } else { LARGE_BATCH };
+        let batch = self.next_batch(lag);
+        let load = &mut self.load;
+        load.batch_left = batch;
+        if batch > 0 {
             load.batch_begun_at = self.now;
             self.needs_placement |= std::mem::take(&mut load.is_batch_awaited);
-        } else {
-            load.batch_left = 0;
         }
-        let load = &mut self.load;
         let mut has_started = true;
         if self.now >= load.report_due {
             load.report_due = self.now + REPORT_INTERVAL;
