--- a/crates/guavacart_jobs/src/state/load.rs
+++ b/crates/guavacart_jobs/src/state/load.rs
@@ -2,8 +2,8 @@
 //! tasks that can wait.
 //!
 //! One thread receives, decides and sends. Tasks of the most urgent queues start at once. Others start
-//! in small batches, the next one when the event loop is no longer behind, so that an owner without
-//! processor time puts off what can wait and nothing else.
+//! in batches, which are small and wait for a short event loop while it is behind and there is urgent
+//! work, so that an owner without processor time puts off what can wait and nothing else.
 
 use guavacart_types::{Span, Timestamp};
 
@@ -107,8 +107,8 @@
         at.is_some_and(|at| self.now.since(at) < BEHIND_PERIOD)
     }
 
-    /// Number of tasks that may start now that the loop has this lag. Without urgent work there is
-    /// nothing that a batch would delay.
+    /// Size of the batch that begins now; 0 while it has to wait. Without urgent work there is nothing
+    /// that a large batch would delay.
     fn next_batch(&self, lag: Span) -> u32 {
         let urgent_at = self.load.urgent_at;
         let has_urgent_work = urgent_at.is_some_and(|at| self.now.since(at) < URGENT_PERIOD);
@@ -132,7 +132,8 @@
         self.effects.push(Effect::MeasureLag { after });
     }
 
-    /// Applies a measured lag. Measurements end with the first interval without starts.
+    /// Applies a measured lag, and begins the next batch if it is due. Measurements end with the first
+    /// report without starts, unless steps wait for a batch.
     pub(super) fn on_lag_measured(&mut self, lag: Span) {
         let load = &mut self.load;
         load.current.longest_lag = load.current.longest_lag.max(lag);
