--- a/crates/guavacart_jobs/src/state/load.rs
+++ b/crates/guavacart_jobs/src/state/load.rs
@@ -16,8 +16,7 @@
 const BATCH_INTERVAL: Span = Span::millis(5);
 /// Tasks of one batch while the event loop is behind.
 const SMALL_BATCH: u32 = 24;
-/// Tasks of one batch otherwise; a pass over a pool without room starts no more in the time that it
-/// takes.
+/// Tasks of one batch otherwise.
 const LARGE_BATCH: u32 = 240;
 /// Longest lag with which the next batch starts.
 const MAX_LAG: Span = Span::millis(10);
