--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -18,6 +18,8 @@
     match case {
         "crashes" => Some(crashes(record, has_trouble)),
         "isolation" => Some(isolation(record, has_trouble)),
+        "kind" => Some(kind(record, has_trouble)),
+        "gang" => Some(gang(record, has_trouble)),
         "penalty" => Some(penalty(record, has_trouble)),
         "waiting" => Some(waiting(record, has_trouble)),
         "rack" => Some(rack(record, has_trouble)),
@@ -228,3 +230,69 @@
     cluster.executors[6].set_refuses(false);
     is_broken
 }
+
+/// ROUTE: a task starts on an executor without the label in `requires`.
+fn kind(record: Arc<Record>, has_trouble: bool) -> bool {
+    let queues = [Queue { prefix: "/recode/", priority: 0, max_attempts: 2 }];
+    let mut kinds = kinds(7, 8_000);
+    kinds[4..].iter_mut().for_each(|kind| kind.label = "b".into());
+    let cluster = Cluster::start(record, &queues, kinds, 3);
+    sleep(2_000);
+    let mut is_broken = false;
+    for (round, x) in [(0, 6), (1, 5)] {
+        let executor = &cluster.executors[x];
+        if has_trouble {
+            executor.crash();
+            sleep(1_000);
+            executor.set_label("a");
+            executor.come_up(&cluster.store).expect("the executor starts again");
+            sleep(60);
+        }
+        let needs = with(step(1, 1_000, 256, 300), "requires", s("b"));
+        let job = cluster.submit(1, "/recode/", 10 + round, "done 300 1000", &[needs]);
+        for _ in 0..100 {
+            sleep(20);
+            for executor in &cluster.executors {
+                if executor.label() != "b" && executor.running().iter().any(|task| task.starts_with(&job)) {
+                    let (id, label) = (&executor.kind.id, executor.label());
+                    cluster.record.line(&format!("{job}, which requires kind b, runs on {id} of kind {label}"));
+                    is_broken = true;
+                }
+            }
+        }
+        if is_broken {
+            break;
+        }
+    }
+    is_broken
+}
+
+/// UNASKED: the members of a gang are started with different checkpoints.
+fn gang(record: Arc<Record>, has_trouble: bool) -> bool {
+    let queues = [Queue { prefix: "/recode/", priority: 0, max_attempts: 4 }];
+    let cluster = Cluster::start(record, &queues, kinds(7, 8_000), 3);
+    sleep(2_000);
+    let members = with(step(7, 5_000, 256, 6_000), "gang", Json::Bool(true));
+    let members = with(members, "checkpointing", Json::Bool(true));
+    let job = cluster.submit(1, "/recode/", 2, "done 6000 5000 gang 7", &[members]);
+    sleep(2_200);
+    if has_trouble {
+        // One of seven executors crashes; the gang waits for its room. Then one node is killed.
+        cluster.crash(6, Duration::from_millis(4_000));
+        sleep(1_500);
+        cluster.kill_last_writer();
+    }
+    let end = Instant::now() + Duration::from_secs(30);
+    while Instant::now() < end && cluster.record.ends_of(&job, "done") == 0 {
+        sleep(500);
+    }
+    let mut is_broken = false;
+    for (run, starts) in cluster.record.checkpoints_of(&job) {
+        let first = &starts[0].1;
+        if starts.iter().any(|(_, checkpoint)| checkpoint != first) {
+            cluster.record.line(&format!("the members of run {run} were started with {starts:?}"));
+            is_broken = true;
+        }
+    }
+    is_broken
+}
--- a/review/standin-2/src/cluster.rs
+++ b/review/standin-2/src/cluster.rs
@@ -32,7 +32,7 @@
     pub executors: Vec<Arc<Executor>>,
     pub nodes: Vec<Node>,
     folder: PathBuf,
-    _store_server: Server,
+    _store_servers: Vec<Server>,
 }
 
 pub struct Node {
@@ -66,7 +66,9 @@
 impl Cluster {
     /// Starts everything, and waits until the nodes are ready and have run a job.
     pub fn start(record: Arc<Record>, queues: &[Queue], kinds: Vec<Kind>, nodes: usize) -> Cluster {
-        let (store, server) = Store::start().expect("the store starts");
+        let store = Store::start();
+        let serve = |node| store.serve(node).expect("the store starts");
+        let servers: Vec<Server> = (0..nodes).map(serve).collect();
         let routes = queues.iter().enumerate().map(|(index, queue)| {
             map([
                 ("name", s(&format!("r-{index}"))),
@@ -103,11 +105,12 @@
             ("limits", limits),
         ]);
         store.write("op/config", &config.to_string());
-        let started = kinds.into_iter().map(|kind| Executor::start(kind, &store, &record).expect("an executor starts"));
+        let gangs = Arc::default();
+        let started = kinds.into_iter().map(|kind| Executor::start(kind, &store, &gangs, &record).expect("an executor starts"));
         let executors = started.collect();
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
-        let mut cluster = Cluster { record, store, executors, nodes: Vec::new(), folder, _store_server: server };
+        let mut cluster = Cluster { record, store, executors, nodes: Vec::new(), folder, _store_servers: servers };
         for index in 0..nodes {
             let node = cluster.start_node(index);
             cluster.nodes.push(node);
@@ -129,7 +132,7 @@
     fn start_node(&self, index: usize) -> Node {
         let ip = ip(11 + index);
         let (front, ready, control, link) = (free_port(&ip), free_port(&ip), free_port(&ip), free_port(&ip));
-        let store = self._store_server.address;
+        let store = self._store_servers[index].address;
         let text = format!(
             r#"node = "front-a-{index}"
 role = "node"
@@ -265,6 +268,14 @@
         (status == 200).then(|| Json::parse(&body)?.get("waiting").num()).flatten()
     }
 
+    /// Kills the node that last wrote to the store under a condition.
+    pub fn kill_last_writer(&self) -> usize {
+        let node = self.store.last_writer().expect("a node has written");
+        let _ = self.nodes[node].child.lock().unwrap().kill();
+        self.record.line(&format!("node {node} is killed, which last wrote to the store under a condition"));
+        node
+    }
+
     /// Lets an executor crash, and start again after that time.
     pub fn crash(&self, executor: usize, down: Duration) {
         self.executors[executor].crash();
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -25,6 +25,8 @@
 const LASTING_MS: u64 = 3_600_000;
 /// Time from the start of a task that lasts until it is at work.
 const STARTUP: Duration = Duration::from_millis(300);
+/// How long a member of a gang waits for the others.
+const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 #[derive(Clone)]
 pub struct Kind {
@@ -44,6 +46,44 @@
     fails: bool,
     /// Thousandths of a core in use.
     cpu: u64,
+    saves: bool,
+    /// Work that earlier runs had done at the checkpoint that this run began with.
+    base: Duration,
+    /// The step and the run, for a member of a gang.
+    gang: Option<GangKey>,
+}
+
+type GangKey = (String, u64);
+
+/// One run of a gang.
+#[derive(Debug)]
+struct Gang {
+    members: usize,
+    present: usize,
+    /// When all members were present.
+    since: Option<Instant>,
+    over: Option<&'static str>,
+}
+
+/// Runs of gangs on all executors.
+#[derive(Default)]
+pub struct Gangs(Mutex<BTreeMap<GangKey, Gang>>);
+
+impl Run {
+    /// Work done so far; members of a gang work from when all are present.
+    fn progress(&self, gangs: &Gangs) -> Duration {
+        let since = match &self.gang {
+            None => Some(self.began),
+            Some(key) => gangs.0.lock().unwrap().get(key).and_then(|gang| gang.since),
+        };
+        self.base + since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// The newest checkpoint, `ms:` and the work that it holds; one is made with each half second.
+    fn saved(&self, gangs: &Gangs) -> String {
+        let ms = self.progress(gangs).as_millis() / 500 * 500;
+        if self.saves && ms > 0 { format!("ms:{ms}") } else { String::new() }
+    }
 }
 
 /// One life of an executor.
@@ -55,19 +95,32 @@
     running: BTreeMap<String, Run>,
     /// Greatest run that was stopped or ended here, by task.
     over: BTreeMap<String, u64>,
-    ended: Vec<(u64, String, u64, &'static str)>,
+    ended: Vec<(u64, String, u64, &'static str, String)>,
     last_end: u64,
 }
 
+impl Run {
+    /// The other members end, too.
+    fn leave_gang(&self, gangs: &Gangs, how: &'static str) {
+        if let Some(key) = &self.gang {
+            if let Some(gang) = gangs.0.lock().unwrap().get_mut(key) {
+                gang.over.get_or_insert(how);
+            }
+        }
+    }
+}
+
 impl Life {
     fn clock(&self) -> u64 {
         self.began.elapsed().as_millis() as u64 + 1
     }
 
-    fn end(&mut self, task: &str, how: &'static str) {
+    fn end(&mut self, task: &str, how: &'static str, gangs: &Gangs) {
         if let Some(run) = self.running.remove(task) {
             self.last_end += 1;
-            self.ended.push((self.last_end, task.to_owned(), run.run, how));
+            let saved = if how == "done" { String::new() } else { run.saved(gangs) };
+            self.ended.push((self.last_end, task.to_owned(), run.run, how, saved));
+            run.leave_gang(gangs, if how == "done" { "done" } else { "broken" });
             let over = self.over.entry(task.to_owned()).or_default();
             *over = (*over).max(run.run);
         }
@@ -82,6 +135,9 @@
     server: Mutex<Option<Server>>,
     /// While set, the executor answers 503 to starts and does nothing for them.
     refuses: Mutex<bool>,
+    /// The kind's label of the current life.
+    label: Mutex<String>,
+    gangs: Arc<Gangs>,
     record: Arc<Record>,
 }
 
@@ -98,7 +154,7 @@
 }
 
 impl Executor {
-    pub fn start(kind: Kind, store: &Arc<Store>, record: &Arc<Record>) -> std::io::Result<Arc<Executor>> {
+    pub fn start(kind: Kind, store: &Arc<Store>, gangs: &Arc<Gangs>, record: &Arc<Record>) -> std::io::Result<Arc<Executor>> {
         // The port is chosen once; the executor comes back at its address.
         let address = Server::start(format!("{}:0", ip(1)).parse().unwrap(), |_| None).map(|server| {
             server.stop();
@@ -106,12 +162,14 @@
         })?;
         thread::sleep(Duration::from_millis(10));
         let executor = Arc::new(Executor {
+            label: Mutex::new(kind.label.clone()),
             kind,
             address,
             life: Mutex::new(None),
             changed: Condvar::new(),
             server: Mutex::new(None),
             refuses: Mutex::new(false),
+            gangs: Arc::clone(gangs),
             record: Arc::clone(record),
         });
         executor.come_up(store)?;
@@ -158,7 +216,7 @@
         let serving = Arc::clone(self);
         let server = Server::start(self.address, move |req| serving.respond(req))?;
         *self.server.lock().unwrap() = Some(server);
-        self.record.line(&format!("executor {} is up at {}", self.kind.id, self.address));
+        self.record.line(&format!("executor {} is up at {}, kind {}", self.kind.id, self.address, self.label()));
         self.beat(store);
         Ok(())
     }
@@ -170,6 +228,9 @@
             server.stop();
         }
         self.changed.notify_all();
+        for run in lost.iter().flat_map(|life| life.running.values()) {
+            run.leave_gang(&self.gangs, "broken");
+        }
         let lost: Vec<String> = lost.into_iter().flat_map(|life| life.running.into_keys()).collect();
         self.record.line(&format!("executor {} crashes, with {lost:?}", self.kind.id));
     }
@@ -179,6 +240,15 @@
         self.record.line(&format!("executor {} refuses starts with 503: {refuses}", self.kind.id));
     }
 
+    /// Sets the label of the lives from now on.
+    pub fn set_label(&self, label: &str) {
+        *self.label.lock().unwrap() = label.to_owned();
+    }
+
+    pub fn label(&self) -> String {
+        self.label.lock().unwrap().clone()
+    }
+
     /// The tasks that run here.
     pub fn running(&self) -> Vec<String> {
         let life = self.life.lock().unwrap();
@@ -201,7 +271,7 @@
             ("state", s("ready")),
             ("cold-remaining-ms", n(0)),
             ("capacity", capacity),
-            ("labels", Json::List(vec![s(&kind.label), s(&kind.rack)])),
+            ("labels", Json::List(vec![s(&self.label()), s(&kind.rack)])),
             ("clock-ms", n(life.clock())),
             ("born", n(life.born)),
             ("seq-no", n(life.clock())),
@@ -215,13 +285,21 @@
             return;
         };
         let has_lapsed = life.clock() > life.deadline;
-        let over = |run: &Run| run.began.elapsed() >= run.takes;
+        let over = |run: &Run| run.progress(&self.gangs) >= run.takes;
+        let of_gang = |run: &Run| {
+            let gangs = self.gangs.0.lock().unwrap();
+            let gang = gangs.get(run.gang.as_ref()?)?;
+            let is_alone = gang.since.is_none() && run.began.elapsed() >= GANG_TIMEOUT;
+            gang.over.or(is_alone.then_some("alone"))
+        };
         let ends: Vec<(String, &'static str)> = life
             .running
             .iter()
             .filter_map(|(task, run)| {
                 let how = if has_lapsed {
                     "lapsed"
+                } else if let Some(how) = of_gang(run) {
+                    how
                 } else if !over(run) {
                     return None;
                 } else if run.fails {
@@ -234,7 +312,7 @@
             .collect();
         for (task, how) in ends {
             let run = life.running[&task].run;
-            life.end(&task, how);
+            life.end(&task, how, &self.gangs);
             self.record.line(&format!("run {task} {run} ends {how} on {}", self.kind.id));
             self.record.end(&task, how);
             self.changed.notify_all();
@@ -279,14 +357,42 @@
                 }
                 let spec = body.get("spec").str().unwrap_or("");
                 let (takes, fails, cpu) = work(spec);
-                life.running.insert(task.clone(), Run { run, began: Instant::now(), takes, fails, cpu });
-                self.record.line(&format!("run {task} {run} starts on {}, spec {spec:?}, fence {fence}", self.kind.id));
-                self.record.start(&task);
+                let checkpoint = body.get("checkpoint").str().unwrap_or("");
+                let base = checkpoint.strip_prefix("ms:").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+                // A spec of a gang ends with `gang` and the number of its members.
+                let members = spec.split_once(" gang ").and_then(|(_, count)| count.parse().ok());
+                let gang = members.map(|members| {
+                    let key = (task.rsplit_once('.').map_or("", |(step, _)| step).to_owned(), run);
+                    let mut gangs = self.gangs.0.lock().unwrap();
+                    let none = Gang { members, present: 0, since: None, over: None };
+                    let gang = gangs.entry(key.clone()).or_insert(none);
+                    gang.present += 1;
+                    if gang.present == gang.members {
+                        gang.since = Some(Instant::now());
+                    }
+                    key
+                });
+                let new = Run {
+                    run,
+                    began: Instant::now(),
+                    takes,
+                    fails,
+                    cpu,
+                    saves: gang.is_some(),
+                    base: Duration::from_millis(base),
+                    gang,
+                };
+                life.running.insert(task.clone(), new);
+                self.record.line(&format!(
+                    "run {task} {run} starts on {}, spec {spec:?}, checkpoint {checkpoint:?}, fence {fence}",
+                    self.kind.id
+                ));
+                self.record.start(&task, run, checkpoint);
                 ok
             }
             "/-/run-stop" => {
                 if life.running.get(&task).is_some_and(|known| known.run <= run) {
-                    life.end(&task, "stopped");
+                    life.end(&task, "stopped", &self.gangs);
                     self.record.line(&format!("run {task} {run} is stopped on {}", self.kind.id));
                 }
                 let over = life.over.entry(task).or_default();
@@ -304,7 +410,7 @@
                     let life = guard.as_mut().filter(|life| life.born == born)?;
                     let left = end.saturating_duration_since(Instant::now());
                     if !life.ended.is_empty() || left.is_zero() {
-                        return Some((200, lists(life).to_string()));
+                        return Some((200, lists(life, &self.gangs).to_string()));
                     }
                     guard = self.changed.wait_timeout(guard, left).unwrap().0;
                 }
@@ -315,7 +421,7 @@
     }
 }
 
-fn lists(life: &Life) -> Json {
+fn lists(life: &Life, gangs: &Gangs) -> Json {
     let running = life.running.iter().map(|(task, run)| {
         let (elapsed, takes) = (run.began.elapsed().as_millis() as u64, run.takes.as_millis() as u64);
         let percent = if takes < LASTING_MS {
@@ -323,10 +429,10 @@
         } else {
             (elapsed * 100 / STARTUP.as_millis() as u64).min(100)
         };
-        Json::List(vec![s(task), n(run.run), s(""), n(percent), n(run.cpu)])
+        Json::List(vec![s(task), n(run.run), s(&run.saved(gangs)), n(percent), n(run.cpu)])
     });
-    let ended = life.ended.iter().take(500).map(|(number, task, run, how)| {
-        Json::List(vec![n(*number), s(task), n(*run), s(how), s("")])
+    let ended = life.ended.iter().take(500).map(|(number, task, run, how, saved)| {
+        Json::List(vec![n(*number), s(task), n(*run), s(how), s(saved)])
     });
     map([
         ("clock-ms", n(life.clock())),
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -36,6 +36,8 @@
 pub struct Store {
     data: Mutex<Data>,
     changed: Condvar,
+    /// The node that last wrote under a condition.
+    last_writer: Mutex<Option<usize>>,
 }
 
 fn item_json(key: &str, item: &Item) -> Json {
@@ -86,7 +88,7 @@
 }
 
 impl Store {
-    pub fn start() -> std::io::Result<(Arc<Store>, Server)> {
+    pub fn start() -> Arc<Store> {
         let data = Data {
             rev: 1,
             items: BTreeMap::new(),
@@ -94,10 +96,23 @@
             last_lease: 0,
             history: Vec::new(),
         };
-        let store = Arc::new(Store { data: Mutex::new(data), changed: Condvar::new() });
-        let serving = Arc::clone(&store);
-        let server = Server::start(format!("{}:0", ip(1)).parse().unwrap(), move |req| serving.respond(req))?;
-        Ok((store, server))
+        Arc::new(Store { data: Mutex::new(data), changed: Condvar::new(), last_writer: Mutex::default() })
+    }
+
+    /// Serves one node, at a port of its own.
+    pub fn serve(self: &Arc<Self>, node: usize) -> std::io::Result<Server> {
+        let serving = Arc::clone(self);
+        let address = format!("{}:0", ip(1)).parse().unwrap();
+        Server::start(address, move |req| {
+            if req.path == "/-/kv-txn" {
+                *serving.last_writer.lock().unwrap() = Some(node);
+            }
+            serving.respond(req)
+        })
+    }
+
+    pub fn last_writer(&self) -> Option<usize> {
+        *self.last_writer.lock().unwrap()
     }
 
     /// Writes as the operator or an executor.
