--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -105,8 +105,9 @@
                 (idle_since[index], last_run[index]) = (None, now);
                 continue;
             }
-            // The rule holds from 6 s after the last run, for 3 s after 4 s that were calm as well.
-            let is_judged = now.saturating_duration_since(calm_since) >= seconds(4)
+            // The rule holds from 6 s after the last run, for 3 s after 4 s that were calm as well. Calm is
+            // counted from `contact-ms` (3 s) and 2 s more after the last executor was up again.
+            let is_judged = now.saturating_duration_since(calm_since) >= seconds(3 + 2 + 4)
                 && now.saturating_duration_since(last_run[index]) >= seconds(6);
             if !is_judged {
                 continue;
--- a/review/standin-2/src/cluster.rs
+++ b/review/standin-2/src/cluster.rs
@@ -38,9 +38,12 @@
 pub struct Node {
     pub front: SocketAddr,
     ready: SocketAddr,
-    child: Mutex<Child>,
+    child: Arc<Mutex<Child>>,
 }
 
+/// Longest time of a run; the nodes are ended then.
+const MAX_RUN: Duration = Duration::from_secs(100);
+
 impl Drop for Cluster {
     fn drop(&mut self) {
         for node in &self.nodes {
@@ -221,9 +224,18 @@
             .stderr(Stdio::from(copy))
             .spawn()
             .expect("target/release/guavacart starts");
+        let child = Arc::new(Mutex::new(child));
+        let (overdue, record) = (Arc::clone(&child), Arc::clone(&self.record));
+        thread::spawn(move || {
+            thread::sleep(MAX_RUN);
+            let _ = overdue.lock().unwrap().kill();
+            record.line("the run took too long");
+            thread::sleep(Duration::from_secs(1));
+            std::process::exit(2);
+        });
         self.record.line(&format!("node {index} started, submitters at {ip}:{front}"));
         let address = |port: u16| format!("{ip}:{port}").parse().expect("an address");
-        Node { front: address(front), ready: address(ready), child: Mutex::new(child) }
+        Node { front: address(front), ready: address(ready), child }
     }
 
     /// Calls a node as a client; retries after no answer, 429 or 503, by other nodes in turn.
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -322,12 +322,12 @@
     fn respond(&self, req: &Request) -> Reply {
         let body = Json::parse(&req.body).unwrap_or(Json::Null);
         if req.headers.get("x-target-instance").is_some_and(|id| *id != self.kind.id) {
-            return Some((421, "{}".into()));
+            return Some((421, String::new()));
         }
         if req.path == "/-/run-start" && *self.refuses.lock().unwrap() {
             let task = body.get("task").str().unwrap_or("");
             self.record.line(&format!("start of {task} refused with 503 by {}", self.kind.id));
-            return Some((503, "{}".into()));
+            return Some((503, String::new()));
         }
         let mut guard = self.life.lock().unwrap();
         let life = guard.as_mut()?;
@@ -416,7 +416,7 @@
                 }
             }
             "/-/pace" => ok,
-            _ => Some((404, "{}".into())),
+            _ => Some((404, String::new())),
         }
     }
 }
