Log when and on which belief an executor's lease is considered expired

The log told neither the incarnation, the age of the last report and order, nor whether the incarnation had been shown to have started the runs, so that the hypotheses of docs/incidents/lease-given-by-a-restarted-executor.md could not be told apart. lease_expired tells them once for each executor, and clock_mismatch tells when the answer to a start comes from another incarnation than the known one. No change of decisions.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -226,6 +226,35 @@
         /// Evidence that the run is over.
         why: LossReason,
     },
+    /// An executor's lease has expired by the owner's reckoning, so that runs there are over.
+    LeaseExpired {
+        /// Executor whose lease has expired.
+        executor: ExecutorId,
+        /// Incarnation that the executor has reported last, if any.
+        incarnation: Option<Incarnation>,
+        /// Runs that are considered over.
+        runs: usize,
+        /// Those of them that this incarnation has not been shown to have started.
+        unconfirmed_runs: usize,
+        /// Time since the executor last reported.
+        since_report: Span,
+        /// Time since the last order that may have extended the lease.
+        since_order: Span,
+        /// The answer to a start had a clock reading that does not fit this incarnation.
+        is_clock_suspect: bool,
+    },
+    /// The answer to a start has a clock reading that does not fit the known incarnation of its
+    /// executor.
+    ClockMismatch {
+        /// Executor that answered.
+        executor: ExecutorId,
+        /// Incarnation that the executor has reported last, if any.
+        incarnation: Option<Incarnation>,
+        /// The reading that this incarnation would have given, in milliseconds.
+        expected_ms: u64,
+        /// The reading in the answer, in milliseconds.
+        reading_ms: u64,
+    },
     /// An executor restarted under the same id; its runs are over and it has seen no epoch.
     ExecutorRestarted {
         /// Executor that restarted.
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -62,6 +62,8 @@
     pub(super) first_report_at: Option<Timestamp>,
     /// Latest deadline that the executor may have been given, on its clock.
     pub(super) lease_end_ms: u64,
+    /// When the last order with a deadline was decided.
+    pub(super) lease_extended_at: Timestamp,
     /// When the lease is checked next; the time of the executor's `LeaseExpiry` timer.
     pub(super) lease_check_at: Option<Timestamp>,
     /// Number of the last run end that was received.
@@ -143,6 +145,7 @@
             epoch_seen_at: now,
             first_report_at: None,
             lease_end_ms: 0,
+            lease_extended_at: now,
             lease_check_at: None,
             last_received_end: 0,
             last_stored_end: 0,
@@ -203,17 +206,25 @@
         Some(reading + now.since(read_at).0)
     }
 
-    /// Compares a reading of the executor's clock with the expected one. A large difference means
-    /// that another incarnation answered.
-    pub(super) fn check_clock(&mut self, now: Timestamp, reading: u64) {
-        let Some((earlier, read_at)) = self.clock else {
-            return;
-        };
+    /// The expected reading of the executor's clock, unless `reading` is close to it. A large
+    /// difference means that another incarnation answered.
+    fn clock_mismatch(&self, now: Timestamp, reading: u64) -> Option<u64> {
+        let (earlier, read_at) = self.clock?;
         let passed = now.since(read_at).0;
         let tolerated = passed * (100 - SLOWEST_CLOCK_PERCENT) / 100 + CLOCK_TOLERANCE.0;
-        if reading.abs_diff(earlier + passed) > tolerated {
-            self.is_clock_suspect = true;
-        }
+        let expected = earlier + passed;
+        (reading.abs_diff(expected) > tolerated).then_some(expected)
+    }
+
+    /// True if the known incarnation has started the run: it has listed the run, or has answered a
+    /// hold that was sent after the answer to the run's start.
+    pub(super) fn has_confirmed(&self, run: &Run) -> bool {
+        let is_listed = run.listed_by.is_some() && run.listed_by == self.incarnation;
+        let answered_at = match run.phase {
+            Phase::Running(answered_at) => Some(answered_at),
+            Phase::Sent | Phase::Unanswered => None,
+        };
+        is_listed || answered_at.is_some_and(|at| at < self.last_report_sent)
     }
 
     /// The last stored run end, if the next hold is to acknowledge it; else 0.
@@ -221,19 +232,13 @@
     /// The executor's next incarnation numbers its run ends from 1 again, so that an
     /// acknowledgement that reaches it would drop ends that were never read. Ends are therefore
     /// acknowledged only once, and only if the known incarnation has just answered and no start can have
-    /// reached a later one: it has listed each run, or has answered a hold that was sent after the
-    /// answer to the run's start.
+    /// reached a later one.
     pub(super) fn end_to_acknowledge(&self, now: Timestamp) -> u64 {
-        let is_listed = |run: &Run| run.listed_by.is_some() && run.listed_by == self.incarnation;
-        let has_answered_since = |run: &Run| matches!(run.phase, Phase::Running(confirmed) if confirmed < self.last_report_sent);
         let may_acknowledge = self.failed_holds == 0
             && now.since(self.last_report_at) <= MAX_ACKNOWLEDGED_REPORT_AGE
             && self.has_seen_epoch
             && !self.is_clock_suspect
-            && self
-                .runs
-                .values()
-                .all(|run| is_listed(run) || has_answered_since(run));
+            && self.runs.values().all(|run| self.has_confirmed(run));
         if may_acknowledge && self.last_stored_end > self.last_acknowledged_end {
             self.last_stored_end
         } else {
@@ -334,9 +339,27 @@
         let executor = &mut self.executors[x];
         let deadline = executor.clock_at(self.now)? + lease.0;
         executor.lease_end_ms = executor.lease_end_ms.max(deadline);
+        executor.lease_extended_at = self.now;
         Some(deadline)
     }
 
+    /// Compares the clock reading in the answer to a start with the expected one.
+    pub(super) fn check_clock(&mut self, x: usize, reading_ms: u64) {
+        let executor = &mut self.executors[x];
+        let Some(expected_ms) = executor.clock_mismatch(self.now, reading_ms) else {
+            return;
+        };
+        let is_new = !std::mem::replace(&mut executor.is_clock_suspect, true);
+        if is_new {
+            self.effects.push(Effect::Log(Decision::ClockMismatch {
+                executor: executor.id.clone(),
+                incarnation: executor.incarnation,
+                expected_ms,
+                reading_ms,
+            }));
+        }
+    }
+
     /// True if the executor can be given work and has no penalty.
     pub(super) fn is_usable(&self, x: usize) -> bool {
         self.executors[x].penalty_until <= self.now && self.accepts_work(x)
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -140,6 +140,7 @@
             self.set_lease_timer(x);
             return;
         }
+        self.log_lease_expiry(x);
         self.keep_lapsed_runs(x);
         self.keep_lapsed_starts(x);
         self.mark_all_lost(x, LossReason::Lapsed);
@@ -149,6 +150,24 @@
         }
     }
 
+    fn log_lease_expiry(&mut self, x: usize) {
+        let executor = &self.executors[x];
+        if executor.runs.is_empty() {
+            return;
+        }
+        let runs = executor.runs.values();
+        let unconfirmed = runs.filter(|run| !executor.has_confirmed(run));
+        self.effects.push(Effect::Log(Decision::LeaseExpired {
+            executor: executor.id.clone(),
+            incarnation: executor.incarnation,
+            runs: executor.runs.len(),
+            unconfirmed_runs: unconfirmed.count(),
+            since_report: self.now.since(executor.last_report_at),
+            since_order: self.now.since(executor.lease_extended_at),
+            is_clock_suspect: executor.is_clock_suspect,
+        }));
+    }
+
     /// Applies the result of a hold that was sent at `sent`; `is_long_poll` is true for
     /// a long-poll hold and false for an immediate one.
     pub(super) fn on_hold_result(
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -128,7 +128,7 @@
         };
         let now = self.now;
         if let Ok(clock_ms) = result {
-            self.executors[x].check_clock(now, clock_ms);
+            self.check_clock(x, clock_ms);
         }
         let Some(known) = self.executors[x].runs.get_mut(&task) else {
             return;
--- a/crates/guavacart_node/src/log.rs
+++ b/crates/guavacart_node/src/log.rs
@@ -51,6 +51,28 @@
             event = "lost", %task, run = run.0, %executor, epoch, ?why,
             unconfirmed_ms = unconfirmed_for.0,
         ),
+        Decision::LeaseExpired {
+            executor,
+            incarnation,
+            runs,
+            unconfirmed_runs,
+            since_report,
+            since_order,
+            is_clock_suspect,
+        } => warn!(
+            event = "lease_expired", %executor, epoch, incarnation = incarnation.map(|known| known.0),
+            runs, unconfirmed_runs, since_report_ms = since_report.0,
+            since_order_ms = since_order.0, is_clock_suspect,
+        ),
+        Decision::ClockMismatch {
+            executor,
+            incarnation,
+            expected_ms,
+            reading_ms,
+        } => warn!(
+            event = "clock_mismatch", %executor, epoch, incarnation = incarnation.map(|known| known.0),
+            expected_ms, reading_ms,
+        ),
         Decision::ExecutorRestarted {
             executor,
             incarnation,
