A task starts again while its run goes on in an unknown incarnation (fails)

The harness gets executors whose clock begins anew, and when the lease that they have granted ends at the slowest clock. An executor restarts unseen, gets the order to start a task and is cut off: the owner considers the run over 4.77 s after the start, while the lease lasts 6.12 s.

--- a/crates/guavacart_jobs/tests/support/entries.rs
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -1,9 +1,12 @@
 //! Changes of executors' entries and incarnations, and takeovers before all jobs are read.
 
-use guavacart_jobs::{Event, ExecutorId, JobKey, Registration};
+use guavacart_jobs::{Effect, Event, ExecutorId, JobKey, Registration};
 use guavacart_types::{ByteSize, Incarnation, Processors, Resources, Timestamp};
 
-use super::{FIRST_INCARNATION, Harness, StartedRun, registration};
+use super::{FIRST_INCARNATION, Harness, StartedRun, registration, site::MAX_LEASE_MS};
+
+/// Slowest rate of an executor's clock that the platform allows, in percent of true time.
+const SLOWEST_CLOCK_PERCENT: u64 = 98;
 
 impl Harness {
     /// Returns the entry that the executor writes.
@@ -54,6 +57,40 @@
         self.incarnations.insert(id, next);
     }
 
+    /// Restarts an executor like `restart`, with a clock that begins anew.
+    pub(crate) fn restart_with_new_clock(&mut self, executor: &str) {
+        self.restart(executor);
+        self.clock_starts.insert(executor.into(), self.now);
+        self.lease_ends.remove(&ExecutorId::from(executor));
+    }
+
+    /// Reading of an executor's clock.
+    pub(super) fn clock(&self, executor: &ExecutorId) -> u64 {
+        self.now - self.clock_starts.get(executor).copied().unwrap_or(0)
+    }
+
+    /// Extends the lease of the executor that an order reaches at once.
+    pub(super) fn grant_lease(&mut self, order: &Effect) {
+        let (target, deadline_ms) = match order {
+            Effect::Hold(target, order) => (target, order.deadline_ms),
+            Effect::Start(target, order) => (target, Some(order.deadline_ms)),
+            _ => return,
+        };
+        let Some(deadline_ms) = deadline_ms.filter(|_| !self.unresponsive.contains(&target.id))
+        else {
+            return;
+        };
+        let lease = deadline_ms.saturating_sub(self.clock(&target.id));
+        let end = self.now + lease.min(MAX_LEASE_MS) * 100 / SLOWEST_CLOCK_PERCENT;
+        let known = self.lease_ends.entry(target.id.clone()).or_default();
+        *known = end.max(*known);
+    }
+
+    /// When what runs on an executor has ended if no further order reaches it.
+    pub(crate) fn lease_end(&self, executor: &ExecutorId) -> u64 {
+        self.lease_ends.get(executor).copied().unwrap_or(0)
+    }
+
     pub(super) fn incarnation(&self, id: &ExecutorId) -> Incarnation {
         let restarted = self.incarnations.get(id).copied();
         restarted.unwrap_or(FIRST_INCARNATION)
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -77,6 +77,10 @@
     is_store_down: bool,
     /// Incarnations of executors that have restarted.
     incarnations: BTreeMap<ExecutorId, Incarnation>,
+    /// When the clocks of executors began that have restarted unseen.
+    clock_starts: BTreeMap<ExecutorId, u64>,
+    /// When the runs on executors that got no further order have ended, by the slowest clock.
+    lease_ends: BTreeMap<ExecutorId, u64>,
     start_failures: BTreeMap<ExecutorId, OrderFailure>,
     running: BTreeMap<(ExecutorId, TaskKey), RunNumber>,
     /// Paces that were ordered, in percent of full speed.
@@ -212,6 +216,8 @@
             unresponsive: BTreeSet::new(),
             is_store_down: false,
             incarnations: BTreeMap::new(),
+            clock_starts: BTreeMap::new(),
+            lease_ends: BTreeMap::new(),
             start_failures: BTreeMap::new(),
             running,
             paces: BTreeMap::new(),
@@ -298,6 +304,11 @@
         self.start_failures.insert(executor.into(), failure);
     }
 
+    /// Lets all starts succeed from now on.
+    pub(crate) fn succeed_starts(&mut self) {
+        self.start_failures.clear();
+    }
+
     /// Length of the owner's state as text, which grows with what the state holds.
     pub(crate) fn state_len(&self) -> usize {
         format!("{:?}", self.state).len()
@@ -462,6 +473,7 @@
     fn schedule_answers(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             self.effects.push(effect.clone());
+            self.grant_lease(&effect);
             let wait = match &effect {
                 Effect::Hold(_, order) => order.wait.0,
                 Effect::MeasureLag { after } => after.0 + self.loop_lag_ms,
@@ -500,6 +512,7 @@
             },
             Effect::Start(target, order) => {
                 let failure = self.start_failure(&target.id);
+                let clock_ms = self.clock(&target.id);
                 if failure.is_none() {
                     let key = (target.id.clone(), order.task);
                     self.running.insert(key, order.run);
@@ -514,7 +527,7 @@
                     executor: target.id,
                     task: order.task,
                     run: order.run,
-                    result: failure.map_or(Ok(self.now), Err),
+                    result: failure.map_or(Ok(clock_ms), Err),
                 }
             }
             Effect::Stop {
@@ -599,7 +612,7 @@
         ended.truncate(MAX_ENDS_PER_LIST);
         Ok(HoldReport {
             incarnation: self.incarnation(id),
-            clock_ms: self.now,
+            clock_ms: self.clock(id),
             running: running.collect(),
             ended,
             has_more_ends,
