Request an executor's list at once when the answer to a start has another clock

Seen: for up to 1 s after a start on an executor that had restarted unseen, the owner sent it more starts and a hold with deadlines on the former clock, each of which extended the new incarnation's lease to the longest.

Cause: a clock reading that does not fit only held acknowledgements back. The next hold waited for an end, so that its list, which names the incarnation, came a second later.

Change: such a reading requests a list at once, and until a list that was requested after it nothing starts there and holds have no deadline. A list that was requested before no longer clears the suspicion.

Evidence: three tests of unseen_restart fail on the code before (no restart learned within 10 ms, four starts, a hold with a deadline) and pass.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -80,8 +80,9 @@
     pub(super) immediate_hold: Option<UnansweredHold>,
     /// Another immediate hold is sent once the current one is answered.
     pub(super) repeats_immediate_hold: bool,
-    /// An answer contained a clock reading that does not fit the known incarnation.
-    pub(super) is_clock_suspect: bool,
+    /// When an answer last contained a clock reading that does not fit the known incarnation, unless
+    /// a report was requested since.
+    pub(super) clock_suspect_since: Option<Timestamp>,
     /// Failed holds in a row.
     pub(super) failed_holds: u32,
     /// When the last answer to a hold was applied.
@@ -153,7 +154,7 @@
             long_poll_hold: None,
             immediate_hold: None,
             repeats_immediate_hold: false,
-            is_clock_suspect: false,
+            clock_suspect_since: None,
             failed_holds: 0,
             last_report_at: now,
             last_report_sent: Timestamp(0),
@@ -210,7 +211,7 @@
         let may_acknowledge = self.failed_holds == 0
             && now.since(self.last_report_at) <= MAX_ACKNOWLEDGED_REPORT_AGE
             && self.has_seen_epoch
-            && !self.is_clock_suspect
+            && self.clock_suspect_since.is_none()
             && self.runs.values().all(|run| self.has_confirmed(run));
         if may_acknowledge && self.last_stored_end > self.last_acknowledged_end {
             self.last_stored_end
@@ -321,6 +322,7 @@
             && executor.failed_holds == 0
             && executor.backoff_until <= self.now
             && executor.clock.is_some()
+            && executor.clock_suspect_since.is_none()
     }
 
     /// True if the executor has no entry, and nothing that it may run is known.
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -78,12 +78,11 @@
     }
 
     fn send_hold(&mut self, x: usize, must_wait: bool) {
-        // The lease of an executor that does not answer must be allowed to expire.
-        let deadline_ms = if self.executors[x].failed_holds == 0 {
-            self.extend_lease(x)
-        } else {
-            None
-        };
+        // The lease of an executor that does not answer must be allowed to expire, and a deadline must
+        // not reach another incarnation than the one on whose clock it is.
+        let executor = &self.executors[x];
+        let may_extend = executor.failed_holds == 0 && executor.clock_suspect_since.is_none();
+        let deadline_ms = may_extend.then(|| self.extend_lease(x)).flatten();
         let wait = match (must_wait, self.watches_tails_closely(x)) {
             (false, _) => Span::ZERO,
             (true, true) => TAIL_HOLD_TIMEOUT,
@@ -207,7 +206,7 @@
         }
         executor.last_report_at = self.now;
         executor.last_report_sent = executor.last_report_sent.max(sent);
-        executor.is_clock_suspect = false;
+        executor.clock_suspect_since.take_if(|since| *since <= sent);
         let is_reachable_again = std::mem::take(&mut executor.failed_holds) > 0;
         let is_new = !std::mem::replace(&mut executor.has_seen_epoch, true);
         if is_new {
--- a/crates/guavacart_jobs/src/state/leases.rs
+++ b/crates/guavacart_jobs/src/state/leases.rs
@@ -100,14 +100,14 @@
         Some(deadline)
     }
 
-    /// Compares the clock reading in the answer to a start with the expected one.
+    /// Compares the clock reading in the answer to a start with the expected one. If they differ, a
+    /// report is requested that names the incarnation.
     pub(super) fn check_clock(&mut self, x: usize, reading_ms: u64) {
         let executor = &mut self.executors[x];
         let Some(expected_ms) = executor.clock_mismatch(self.now, reading_ms) else {
             return;
         };
-        let is_new = !std::mem::replace(&mut executor.is_clock_suspect, true);
-        if is_new {
+        if executor.clock_suspect_since.replace(self.now).is_none() {
             self.effects.push(Effect::Log(Decision::ClockMismatch {
                 executor: executor.id.clone(),
                 incarnation: executor.incarnation,
@@ -115,6 +115,7 @@
                 reading_ms,
             }));
         }
+        self.hold_immediately(x);
     }
 
     /// Makes sure that the executor's lease is checked when it has expired by the slowest allowed
@@ -199,7 +200,7 @@
             unconfirmed_runs: unconfirmed.count(),
             since_report: self.now.since(executor.last_report_at),
             since_order: self.now.since(executor.lease_extended_at),
-            is_clock_suspect: executor.is_clock_suspect,
+            is_clock_suspect: executor.clock_suspect_since.is_some(),
         }));
     }
 }
--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use guavacart_jobs::{Effect, ExecutorId, OrderFailure};
-use support::{Harness, one_task_job};
+use guavacart_jobs::{Decision, Effect, ExecutorId, HoldOrder, OrderFailure};
+use support::{Harness, job, one_task_job, step};
 
 /// What the owner can see of the executor's next incarnation before that is cut off.
 #[derive(Clone, Copy, PartialEq)]
@@ -76,3 +76,65 @@
     a_run_is_not_considered_over_early_after_a_hold_without_an_answer: 20_000, 900, Seen::Answer;
     a_run_is_not_considered_over_early_after_a_hold_where_the_clock_hides_the_restart: 900, 900, Seen::Answer;
 }
+
+/// Restarts both executors unseen, and starts a task on one of them.
+fn started_after_restarts() -> Harness {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.run_for(20_000);
+    harness.restart_with_new_clock("a");
+    harness.restart_with_new_clock("b");
+    harness.accept(1, one_task_job());
+    harness
+}
+
+/// The holds that were sent to an executor since the effect with that number.
+fn holds_since(harness: &Harness, since: usize, executor: &ExecutorId) -> Vec<HoldOrder> {
+    let effects = harness.effects()[since..].iter();
+    let holds = effects.filter_map(|effect| match effect {
+        Effect::Hold(target, order) if target.id == *executor => Some(order.clone()),
+        _ => None,
+    });
+    holds.collect()
+}
+
+/// Guards against a restart that stays unknown until the hold after a start returns, 1 s later.
+#[test]
+fn a_restart_is_learned_at_once_from_the_clock_in_the_answer_to_a_start() {
+    let mut harness = started_after_restarts();
+    harness.run_for(10);
+    let executor = first_target(&harness).expect("the task is started at once");
+    let is_restart = |effect: &Effect| {
+        matches!(effect, Effect::Log(Decision::ExecutorRestarted { executor: restarted, .. })
+            if *restarted == executor)
+    };
+    assert!(harness.effects().iter().any(is_restart));
+}
+
+/// Guards against starts, with the clock of the former incarnation, on an executor that has restarted.
+#[test]
+fn nothing_starts_on_an_executor_whose_clock_does_not_fit() {
+    let mut harness = started_after_restarts();
+    let executor = first_target(&harness).expect("the task is started at once");
+    harness.run_for(3);
+    harness.accept(2, job(vec![step(8)]));
+    let starts = harness
+        .effects()
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Start(target, _) if target.id == executor));
+    assert_eq!(starts.count(), 1, "a start before the list");
+}
+
+/// Guards against a lease of the longest length that a hold to an unknown incarnation extends.
+#[test]
+fn holds_to_an_unknown_incarnation_have_no_deadline() {
+    let mut harness = started_after_restarts();
+    let executor = first_target(&harness).expect("the task is started at once");
+    let since = harness.effects().len();
+    harness.run_for(3);
+    let holds = holds_since(&harness, since, &executor);
+    assert!(!holds.is_empty(), "no hold after the answer to the start");
+    assert!(
+        holds.iter().all(|order| order.deadline_ms.is_none()),
+        "{holds:?}"
+    );
+}
