--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -138,3 +138,19 @@
         "{holds:?}"
     );
 }
+
+/// Guards against the same after an entry with the next incarnation was read.
+#[test]
+fn holds_after_an_entry_of_the_next_incarnation_have_no_deadline() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.run_for(20_000);
+    harness.restart_with_new_clock("a");
+    let since = harness.effects().len();
+    harness.read_entry("a", harness.entry("a"));
+    let holds = holds_since(&harness, since, &"a".into());
+    assert!(!holds.is_empty(), "no hold after the entry");
+    assert!(
+        holds.iter().all(|order| order.deadline_ms.is_none()),
+        "{holds:?}"
+    );
+}
