Request an executor's list at once when its entry shows a restart

Seen: an executor with runs restarted, its new entry was read within milliseconds, and its list was requested only up to 1.35 s later.

Cause: the hold that waits for an end of the former incarnation was unanswered, and no other one is sent beside it.

Change: an entry with a later incarnation requests the list at once, beside the waiting hold.

Evidence: a_restart_is_learned_at_once_from_an_entry_while_a_hold_is_unanswered fails on the code before and passes.

crashes_count_across_owners relied on the delay: with the restart learned at once, the suspect starts a third time before the takeover, and the test never crashed the executor of that start. It does now, and counts it as before; it passes on the code before and after.

--- a/crates/guavacart_jobs/src/state/registration.rs
+++ b/crates/guavacart_jobs/src/state/registration.rs
@@ -89,7 +89,11 @@
             self.stop_long_running(x);
         }
         self.needs_placement = true;
-        self.hold_if_needed(x);
+        if is_restarted {
+            self.hold_immediately(x);
+        } else {
+            self.hold_if_needed(x);
+        }
     }
 
     /// Stops the long-running tasks on a draining executor, so that they restart elsewhere. Other
--- a/crates/guavacart_jobs/tests/crash_blame.rs
+++ b/crates/guavacart_jobs/tests/crash_blame.rs
@@ -81,7 +81,12 @@
     }
     harness.run_for(100);
     let mut next = harness.take_over();
-    starts += new_starts(&mut harness).len() + run_with_crashes(&mut next, 40_000);
+    let running = new_starts(&mut harness);
+    let running: Vec<ExecutorId> = running.into_iter().map(|run| run.executor).collect();
+    if !running.is_empty() {
+        next.crash(&running);
+    }
+    starts += running.len() + run_with_crashes(&mut next, 40_000);
     assert!(starts <= 4, "{starts} starts");
     assert_eq!(next.outcome(CRASHING), Some(JobOutcome::Failed));
 }
--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -97,17 +97,21 @@
     holds.collect()
 }
 
+fn has_learned_restart(harness: &Harness, executor: &ExecutorId) -> bool {
+    let is_restart = |effect: &Effect| {
+        matches!(effect, Effect::Log(Decision::ExecutorRestarted { executor: restarted, .. })
+            if restarted == executor)
+    };
+    harness.effects().iter().any(is_restart)
+}
+
 /// Guards against a restart that stays unknown until the hold after a start returns, 1 s later.
 #[test]
 fn a_restart_is_learned_at_once_from_the_clock_in_the_answer_to_a_start() {
     let mut harness = started_after_restarts();
     harness.run_for(10);
     let executor = first_target(&harness).expect("the task is started at once");
-    let is_restart = |effect: &Effect| {
-        matches!(effect, Effect::Log(Decision::ExecutorRestarted { executor: restarted, .. })
-            if *restarted == executor)
-    };
-    assert!(harness.effects().iter().any(is_restart));
+    assert!(has_learned_restart(&harness, &executor));
 }
 
 /// Guards against starts, with the clock of the former incarnation, on an executor that has restarted.
@@ -154,3 +158,16 @@
         "{holds:?}"
     );
 }
+
+/// Guards against a restart that stays unknown, although an entry shows it, until a hold for the former
+/// incarnation has failed.
+#[test]
+fn a_restart_is_learned_at_once_from_an_entry_while_a_hold_is_unanswered() {
+    let mut harness = Harness::new(&["a"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(2_100);
+    harness.restart_with_new_clock("a");
+    harness.read_entry("a", harness.entry("a"));
+    harness.run_for(10);
+    assert!(has_learned_restart(&harness, &"a".into()));
+}
