Count orders for a former incarnation that arrive after the first list of the next one

Seen in a test: an executor restarts, its first list is read, and then a hold that was sent to the former incarnation arrives, with a deadline far ahead of the new clock. The executor grants its longest lease from then on; the owner assumed the lease since the list, and considered the runs over 0.63 s early.

Cause: with a new incarnation the assumed lease was replaced, and orders still on their way were not counted.

Change: the answer or failure of an order with a deadline that was sent before the restart was seen extends the assumed lease to the longest one from then on.

Evidence: a_run_is_not_considered_over_early_after_a_late_hold_for_the_former_incarnation fails on the code before (28,695 ms where the run may last until 29,323 ms) and passes.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -52,6 +52,8 @@
     pub(super) entry_read_at: Timestamp,
     pub(super) capacity: Resources,
     pub(super) incarnation: Option<Incarnation>,
+    /// When the executor was last found to have restarted; 0 if it was not.
+    pub(super) restart_seen_at: Timestamp,
     /// The last reading of the executor's clock, in milliseconds, and when the answer with this
     /// reading was received.
     pub(super) clock: Option<(u64, Timestamp)>,
@@ -66,6 +68,9 @@
     /// Latest time at which an order with a deadline may have reached the executor, in any
     /// incarnation.
     pub(super) lease_extended_at: Timestamp,
+    /// Latest time at which an order with a deadline on the clock of an earlier incarnation may have
+    /// reached the known one; 0 if there is none.
+    pub(super) stray_order_at: Timestamp,
     /// When the lease is checked next; the time of the executor's `LeaseExpiry` timer.
     pub(super) lease_check_at: Option<Timestamp>,
     /// Number of the last run end that was received.
@@ -141,12 +146,14 @@
             registration: None,
             is_recorded: false,
             incarnation: None,
+            restart_seen_at: Timestamp(0),
             clock: None,
             has_seen_epoch: false,
             epoch_seen_at: now,
             first_report_at: None,
             lease_end_ms: 0,
             lease_extended_at: now,
+            stray_order_at: Timestamp(0),
             lease_check_at: None,
             last_received_end: 0,
             last_stored_end: 0,
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -145,6 +145,9 @@
                 self.hold_failed(x, failure);
             }
         }
+        if hold.is_some_and(|hold| hold.has_deadline) {
+            self.executors[x].record_stray_order(self.now, sent);
+        }
         if repeats_immediate_hold && self.executors[x].failed_holds == 0 {
             self.hold_immediately(x);
         } else if self.executors[x].failed_holds == 0 {
@@ -162,6 +165,7 @@
             return;
         }
         self.apply_report(x, sent, 0, report);
+        self.executors[x].record_stray_order(self.now, sent);
         self.hold_if_needed(x);
     }
 
@@ -282,6 +286,8 @@
         let executor = &mut self.executors[x];
         executor.clock = None;
         executor.lease_end_ms = 0;
+        executor.stray_order_at = executor.lease_extended_at;
+        executor.restart_seen_at = self.now;
         executor.last_received_end = 0;
         executor.last_stored_end = 0;
         executor.last_acknowledged_end = 0;
--- a/crates/guavacart_jobs/src/state/leases.rs
+++ b/crates/guavacart_jobs/src/state/leases.rs
@@ -56,11 +56,24 @@
         self.lease_extended_at = self.lease_extended_at.max(at);
     }
 
+    /// Notes that an order with a deadline that was sent at `sent` may have reached the executor until
+    /// `now`. If the executor was found to have restarted in between, the deadline may have been on the
+    /// clock of the earlier incarnation.
+    pub(super) fn record_stray_order(&mut self, now: Timestamp, sent: Timestamp) {
+        if sent < self.restart_seen_at {
+            self.stray_order_at = self.stray_order_at.max(now);
+        }
+    }
+
     /// When the lease of the known incarnation has expired; `None` if no incarnation is known.
-    fn lease_expires_at(&self) -> Option<Timestamp> {
+    fn lease_expires_at(&self, max_lease: Span) -> Option<Timestamp> {
         let (reading, read_at) = self.clock?;
         let left = self.lease_end_ms.saturating_sub(reading);
-        Some(read_at + by_slowest_clock(Span(left)))
+        let expires_at = read_at + by_slowest_clock(Span(left));
+        if self.stray_order_at == Timestamp(0) {
+            return Some(expires_at);
+        }
+        Some(expires_at.max(self.stray_order_at + by_slowest_clock(max_lease)))
     }
 
     /// When a run is over if the executor does not report any more.
@@ -69,7 +82,7 @@
     /// A run that the known incarnation may not have started lasts that long after the last order with a
     /// deadline.
     fn run_expires_at(&self, run: &Run, max_lease: Span) -> Option<Timestamp> {
-        let expires_at = self.lease_expires_at()?;
+        let expires_at = self.lease_expires_at(max_lease)?;
         if self.has_confirmed(run) {
             return Some(expires_at);
         }
@@ -124,7 +137,7 @@
         let at = if self.executors[x].clock.is_none() && self.unreconciled.contains(&x) {
             Some(self.next_check_of_earlier_leases())
         } else {
-            self.executors[x].lease_expires_at()
+            self.executors[x].lease_expires_at(self.bounds.max_lease)
         };
         if let Some(at) = at {
             self.check_lease_at(x, at);
@@ -151,7 +164,8 @@
         let is_over = if executor.clock.is_none() {
             self.have_earlier_leases_expired()
         } else {
-            executor.lease_expires_at().is_some_and(|at| self.now >= at)
+            let expires_at = executor.lease_expires_at(self.bounds.max_lease);
+            expires_at.is_some_and(|at| self.now >= at)
         };
         if !is_over {
             self.set_lease_timer(x);
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -132,7 +132,12 @@
             Err(OrderFailure::NotSent | OrderFailure::OtherIncarnation)
         );
         if !is_not_sent {
-            self.executors[x].record_extension(now);
+            let executor = &mut self.executors[x];
+            executor.record_extension(now);
+            let sent = executor.runs.get(&task).filter(|known| known.run == run);
+            if let Some(sent) = sent.map(|known| known.since) {
+                executor.record_stray_order(now, sent);
+            }
         }
         if let Ok(clock_ms) = result {
             self.check_clock(x, clock_ms);
--- a/crates/guavacart_jobs/tests/support/entries.rs
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -86,6 +86,11 @@
         *known = end.max(*known);
     }
 
+    /// True time for which the slowest executor grants the longest lease, in milliseconds.
+    pub(crate) fn longest_lease() -> u64 {
+        MAX_LEASE_MS * 100 / SLOWEST_CLOCK_PERCENT
+    }
+
     /// When what runs on an executor has ended if no further order reaches it.
     pub(crate) fn lease_end(&self, executor: &ExecutorId) -> u64 {
         self.lease_ends.get(executor).copied().unwrap_or(0)
--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -171,3 +171,34 @@
     harness.run_for(10);
     assert!(has_learned_restart(&harness, &"a".into()));
 }
+
+/// Guards against a lease that a hold for the former incarnation extends after the first list of the
+/// next one.
+#[test]
+fn a_run_is_not_considered_over_early_after_a_late_hold_for_the_former_incarnation() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.run_for(20_000);
+    harness.accept(1, job(vec![step(8)]));
+    harness.run_for(2_100);
+    let starts = std::iter::from_fn(|| harness.next_start());
+    let elsewhere: Vec<_> = starts.filter(|start| start.executor.0 == "b").collect();
+    assert_eq!(elsewhere.len(), 4, "both executors are full");
+    harness.restart_with_new_clock("a");
+    harness.read_entry("a", harness.entry("a"));
+    harness.run_for(800);
+    let late = harness.now();
+    harness.stop_answering(&"a".into());
+    for started in &elsewhere {
+        harness.complete_run(started);
+    }
+    harness.run_for(15_000);
+    let mut starts = std::iter::from_fn(|| harness.next_start());
+    let again = starts.find(|start| start.executor.0 == "b" && start.started_at > late);
+    let again = again.expect("a task is started again");
+    let end = late + Harness::longest_lease();
+    assert!(
+        again.started_at >= end,
+        "the run may last until {end} ms, its task was started again at {} ms",
+        again.started_at
+    );
+}
