Wait out starts of an earlier owner after an executor's first list

Seen in a test: a new owner has one list of an executor, requests the second one 0.3 s or more later, since a start of the earlier owner may still arrive, and the executor is cut off in between. The owner took it for reconciled when the lease of the first list had run out, and started tasks of earlier jobs while a run of its predecessor could go on there for 0.23 s, or for up to 1.4 s after a predecessor with a confirmed lease.

Cause: the bound counted from the first list, not from the last start that it waits for elsewhere.

Change: an executor that has reported and is not reconciled counts as such one longest lease after the last start of an earlier owner may have reached it.

--- a/crates/guavacart_jobs/src/state/leases.rs
+++ b/crates/guavacart_jobs/src/state/leases.rs
@@ -172,12 +172,27 @@
             return;
         }
         self.expire_runs(x);
+        let earlier_expire_at = self.earlier_runs_expire_at(x);
+        if earlier_expire_at > self.now {
+            self.check_lease_at(x, earlier_expire_at);
+            return;
+        }
         self.mark_reconciled(x);
         if self.executors[x].registration.is_none() && self.executors[x].is_recorded {
             self.saving.must_record_executors = true;
         }
     }
 
+    /// When all runs are over that earlier owners may have started on an executor after its first list.
+    /// They may be in an incarnation that is not known.
+    fn earlier_runs_expire_at(&self, x: usize) -> Timestamp {
+        let executor = &self.executors[x];
+        if executor.clock.is_none() || !self.unreconciled.contains(&x) {
+            return self.now;
+        }
+        self.earlier_starts_end_at(x) + by_slowest_clock(self.bounds.max_lease)
+    }
+
     /// Marks the runs lost whose leases have expired, and checks the others when the next of them
     /// expires.
     fn expire_runs(&mut self, x: usize) {
--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -6,6 +6,10 @@
 use guavacart_jobs::{Decision, Effect, ExecutorId, HoldOrder, OrderFailure};
 use support::{Harness, job, one_task_job, step};
 
+/// Time after the first list in which a start of an earlier owner may reach an executor, in
+/// milliseconds.
+const LAST_EARLIER_START_MS: u64 = 290;
+
 /// What the owner can see of the executor's next incarnation before that is cut off.
 #[derive(Clone, Copy, PartialEq)]
 enum Seen {
@@ -202,3 +206,27 @@
         again.started_at
     );
 }
+
+/// Guards against a new owner that takes an executor's first list for all that the earlier owner may
+/// start there, if the executor is cut off before the second one.
+#[test]
+fn a_start_of_an_earlier_owner_after_the_first_list_is_waited_out() {
+    let mut earlier = Harness::new(&["a", "b"]);
+    for executor in ["a", "b"] {
+        earlier.fail_starts_on(executor, OrderFailure::Unhealthy);
+    }
+    earlier.accept(1, one_task_job());
+    earlier.run_for(500);
+    let mut next = earlier.take_over();
+    next.run_for(5);
+    let listed = next.now();
+    next.stop_answering(&"a".into());
+    next.run_for(15_000);
+    let start = next.next_start().expect("the task is started");
+    let end = listed + LAST_EARLIER_START_MS + Harness::longest_lease();
+    assert!(
+        start.started_at >= end,
+        "a run of the earlier owner may last until {end} ms, its task was started at {} ms",
+        start.started_at
+    );
+}
