Orders name the incarnation that they are meant for

An order named the executor's id and address only, and its lives have both in common. OrderTarget adds the incarnation that the executor has reported last. The adapter does not use it yet. No change of behaviour.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -5,21 +5,21 @@
 
 use crate::{
     ExecutorAddress, ExecutorId, JobKey, JobOutcome, JobProgress, LearnedInterference, MachineId,
-    MaintenanceRecord, MaintenanceWaveState, OrderFailure, RunNumber, RunOutcome, StepKey, TaskKey,
-    Ticket, WaveNumber,
+    MaintenanceRecord, MaintenanceWaveState, OrderFailure, OrderTarget, RunNumber, RunOutcome,
+    StepKey, TaskKey, Ticket, WaveNumber,
 };
 
 /// An action that the node carries out for the reducer.
 #[derive(Clone, Debug)]
 pub enum Effect {
     /// Extend an executor's lease, acknowledge ended runs and fetch the executor's lists of runs.
-    Hold(ExecutorAddress, HoldOrder),
+    Hold(OrderTarget, HoldOrder),
     /// Start a run on an executor.
-    Start(ExecutorAddress, StartOrder),
+    Start(OrderTarget, StartOrder),
     /// Stop a run on an executor.
     Stop {
         /// Executor that has the run.
-        target: ExecutorAddress,
+        target: OrderTarget,
         /// Task of the run.
         task: TaskKey,
         /// Number of the run.
@@ -30,7 +30,7 @@
     /// Pace a run, so that the run works at a share of its full speed.
     Pace {
         /// Executor that has the run.
-        target: ExecutorAddress,
+        target: OrderTarget,
         /// Task of the run.
         task: TaskKey,
         /// Number of the run.
--- a/crates/guavacart_jobs/src/executor.rs
+++ b/crates/guavacart_jobs/src/executor.rs
@@ -35,7 +35,7 @@
     }
 }
 
-/// Id and address of the executor that an order goes to.
+/// Id and address of an executor.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ExecutorAddress {
     /// Id of the executor.
@@ -43,3 +43,14 @@
     /// Address that the executor receives orders at.
     pub address: SocketAddr,
 }
+
+/// The executor, and the incarnation of it, that an order is meant for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OrderTarget {
+    /// Id of the executor.
+    pub id: ExecutorId,
+    /// Address that the executor receives orders at.
+    pub address: SocketAddr,
+    /// The incarnation that the executor has reported last; `None` if it has not reported yet.
+    pub incarnation: Option<Incarnation>,
+}
--- a/crates/guavacart_jobs/src/lib.rs
+++ b/crates/guavacart_jobs/src/lib.rs
@@ -24,7 +24,7 @@
     StartOrder,
 };
 pub use event::{EndedRun, Event, HoldReport, ListedRun, OrderFailure, RefusalReason, RunOutcome};
-pub use executor::{ExecutorAddress, Registration};
+pub use executor::{ExecutorAddress, OrderTarget, Registration};
 pub use ids::{
     ExecutorId, JobKey, JobKeyError, MachineId, PoolName, QueueName, RunNumber, StepKey, TaskKey,
     Ticket, WaveNumber,
--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -12,7 +12,8 @@
     runs::{Phase, Run, ServiceImage},
 };
 use crate::{
-    Decision, Effect, ExecutorAddress, ExecutorId, LossReason, Registration, RunNumber, TaskKey,
+    Decision, Effect, ExecutorAddress, ExecutorId, LossReason, OrderTarget, Registration,
+    RunNumber, TaskKey,
 };
 
 /// Part of the longest lease that an order requests, in percent; the rest allows for a slow answer.
@@ -179,6 +180,15 @@
         }
     }
 
+    /// The target of an order to the known incarnation.
+    pub(super) fn order_target(&self) -> OrderTarget {
+        OrderTarget {
+            id: self.target.id.clone(),
+            address: self.target.address,
+            incarnation: self.incarnation,
+        }
+    }
+
     /// True if service tasks run on the executor.
     pub(super) fn has_service_tasks(&self) -> bool {
         !self.service_images.is_empty()
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -101,7 +101,7 @@
             wait,
         };
         self.effects
-            .push(Effect::Hold(executor.target.clone(), order));
+            .push(Effect::Hold(executor.order_target(), order));
         self.set_lease_timer(x);
     }
 
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -80,7 +80,7 @@
         executor.add(self.now, task, new_run);
         self.effects.push(Effect::Log(decision));
         self.effects.push(Effect::Start(
-            self.executors[x].target.clone(),
+            self.executors[x].order_target(),
             StartOrder {
                 epoch: self.epoch,
                 task,
@@ -237,6 +237,7 @@
     pub(super) fn stop_lapsed_starts(&mut self, x: usize) {
         let now = self.now;
         let executor = &mut self.executors[x];
+        let target = executor.order_target();
         let runs = &executor.runs;
         let is_adopted = |(task, run)| runs.get(&task).is_some_and(|known: &Run| known.run == run);
         executor.lapsed_starts.retain(|key, _| !is_adopted(*key));
@@ -246,7 +247,7 @@
             }
             *sent = Some(now);
             self.effects.push(Effect::Stop {
-                target: executor.target.clone(),
+                target: target.clone(),
                 task: *task,
                 run: *run,
                 epoch: self.epoch,
@@ -258,7 +259,7 @@
         let executor = &self.executors[x];
         if let Some(run) = executor.runs.get(&task) {
             self.effects.push(Effect::Stop {
-                target: executor.target.clone(),
+                target: executor.order_target(),
                 task,
                 run: run.run,
                 epoch: self.epoch,
--- a/crates/guavacart_jobs/src/state/pacing.rs
+++ b/crates/guavacart_jobs/src/state/pacing.rs
@@ -322,6 +322,7 @@
         let now = self.now;
         let executor = &mut self.executors[x];
         executor.update_averaged_shares(now);
+        let target = executor.order_target();
         let mut changed = 0;
         let mut least = 100;
         for (task, run) in &mut executor.runs {
@@ -341,7 +342,7 @@
             changed += 1;
             least = least.min(percent);
             self.effects.push(Effect::Pace {
-                target: executor.target.clone(),
+                target: target.clone(),
                 task: *task,
                 run: run.run,
                 percent,
--- a/crates/guavacart_jobs/tests/model/network.rs
+++ b/crates/guavacart_jobs/tests/model/network.rs
@@ -1,8 +1,6 @@
 //! The network between owners and executors: delays, losses and partitions of orders.
 
-use guavacart_jobs::{
-    Effect, Event, ExecutorAddress, OrderFailure, RunNumber, RunOutcome, TaskKey,
-};
+use guavacart_jobs::{Effect, Event, OrderFailure, OrderTarget, RunNumber, RunOutcome, TaskKey};
 use guavacart_types::{Span, Timestamp};
 use rand::Rng;
 
@@ -219,7 +217,7 @@
     }
 }
 
-pub(crate) fn target_of(order: &Effect) -> Option<&ExecutorAddress> {
+pub(crate) fn target_of(order: &Effect) -> Option<&OrderTarget> {
     match order {
         Effect::Hold(target, _) | Effect::Start(target, _) => Some(target),
         Effect::Stop { target, .. } | Effect::Pace { target, .. } => Some(target),
--- a/crates/guavacart_node/src/owner/orders.rs
+++ b/crates/guavacart_node/src/owner/orders.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, rc::Rc};
 
 use guavacart_jobs::{
-    Event, ExecutorAddress, HoldOrder, MaintenanceOrder, OrderFailure, RefusalReason, StartOrder,
+    Event, HoldOrder, MaintenanceOrder, OrderFailure, OrderTarget, RefusalReason, StartOrder,
 };
 use guavacart_types::{Span, Timestamp};
 use tokio::time::{self, Instant};
@@ -22,7 +22,7 @@
 impl<P: Platform> Owner<P> {
     /// Sends a hold and applies its answer. A hold without an answer in time counts as failed, but
     /// its answer is applied when it comes: the executor has reported the run ends in it.
-    pub(super) async fn hold(self: Rc<Self>, target: ExecutorAddress, order: HoldOrder) {
+    pub(super) async fn hold(self: Rc<Self>, target: OrderTarget, order: HoldOrder) {
         let executor = target.id.clone();
         let (sent, started) = (clock::now(), Instant::now());
         let wait = order.wait;
@@ -63,7 +63,7 @@
     /// first byte, and applies its answer.
     pub(super) async fn start_run(
         self: Rc<Self>,
-        target: ExecutorAddress,
+        target: OrderTarget,
         order: StartOrder,
         decided: Timestamp,
     ) {
--- a/crates/guavacart_node/src/owner/tests/fake_platform.rs
+++ b/crates/guavacart_node/src/owner/tests/fake_platform.rs
@@ -8,8 +8,8 @@
 };
 
 use guavacart_jobs::{
-    Bounds, Configuration, ExecutorAddress, ExecutorId, HoldOrder, HoldReport, HttpLimits,
-    JobState, ListedRun, Machine, MaintenanceOrder, OrderFailure, Pool, Registration, RunNumber,
+    Bounds, Configuration, ExecutorId, HoldOrder, HoldReport, HttpLimits, JobState, ListedRun,
+    Machine, MaintenanceOrder, OrderFailure, OrderTarget, Pool, Registration, RunNumber,
     StartOrder, StepKey, TaskKey, Ticket,
 };
 use guavacart_types::{
@@ -180,7 +180,7 @@
         Ok(())
     }
 
-    async fn hold(&self, _: ExecutorAddress, order: HoldOrder) -> Result<HoldReport, OrderFailure> {
+    async fn hold(&self, _: OrderTarget, order: HoldOrder) -> Result<HoldReport, OrderFailure> {
         time::sleep(order.wait.into()).await;
         let running = |(task, run): &(TaskKey, RunNumber)| ListedRun {
             task: *task,
@@ -200,7 +200,7 @@
 
     async fn start(
         &self,
-        _: ExecutorAddress,
+        _: OrderTarget,
         order: StartOrder,
         may_send: impl Fn() -> bool,
     ) -> Result<u64, OrderFailure> {
@@ -217,7 +217,7 @@
 
     async fn stop(
         &self,
-        _: ExecutorAddress,
+        _: OrderTarget,
         _: TaskKey,
         _: RunNumber,
         _: Epoch,
@@ -227,7 +227,7 @@
 
     async fn pace(
         &self,
-        _: ExecutorAddress,
+        _: OrderTarget,
         _: TaskKey,
         _: RunNumber,
         _: u8,
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -3,8 +3,8 @@
 use std::{fmt, future::Future, net::SocketAddr};
 
 use guavacart_jobs::{
-    Configuration, ExecutorAddress, ExecutorId, HoldOrder, HoldReport, JobKey, JobState, Machine,
-    MaintenanceOrder, MaintenanceWave, MaintenanceWaveState, OrderFailure, Registration, RunNumber,
+    Configuration, ExecutorId, HoldOrder, HoldReport, JobKey, JobState, Machine, MaintenanceOrder,
+    MaintenanceWave, MaintenanceWaveState, OrderFailure, OrderTarget, Registration, RunNumber,
     Schedule, StartOrder, Step, StepKey, TaskKey, Ticket, WaveNumber,
 };
 use guavacart_types::{Epoch, Revision, Span};
@@ -56,21 +56,21 @@
     /// orders wait for the answer for up to [`LATE_ANSWER_TIMEOUT`].
     fn hold(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         order: HoldOrder,
     ) -> impl Future<Output = Result<HoldReport, OrderFailure>>;
     /// Starts a run; returns the executor's monotonic clock in milliseconds. `may_send` is called
     /// right before the order is sent; if it returns false, nothing is sent.
     fn start(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         order: StartOrder,
         may_send: impl Fn() -> bool,
     ) -> impl Future<Output = Result<u64, OrderFailure>>;
     /// Stops a run.
     fn stop(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         task: TaskKey,
         run: RunNumber,
         epoch: Epoch,
@@ -78,7 +78,7 @@
     /// Limits a run to a percentage of its full speed.
     fn pace(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         task: TaskKey,
         run: RunNumber,
         percent: u8,
