An answer to a hold for a former incarnation counts as an acknowledgement of the next one's ends

A hold that is in flight when its executor restarts carries the number of an acknowledged end of the former incarnation. When its answer came from the next incarnation, whose lists another report had shown before, that number counted as acknowledged there. The ends up to it were then not acknowledged until a further run ended, and each hold returned at once.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -333,6 +333,9 @@
         executor.last_received_end = 0;
         executor.last_stored_end = 0;
         executor.last_acknowledged_end = 0;
+        // What these holds acknowledge are ends of the earlier incarnation.
+        executor.long_poll_hold = executor.long_poll_hold.map(|_| 0);
+        executor.immediate_hold = executor.immediate_hold.map(|_| 0);
         executor.failures = 0;
         executor.has_seen_epoch = false;
         // Start orders may have reached the new incarnation, or may still reach it. Its lists show
--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -34,7 +34,7 @@
 /// Time between two confirmations of the ownership lease.
 const RENEWAL_INTERVAL_MS: u64 = 300;
 /// Incarnation of executors that have not restarted.
-const FIRST_INCARNATION: Incarnation = Incarnation(7);
+pub(crate) const FIRST_INCARNATION: Incarnation = Incarnation(7);
 /// Most ended runs in one list of an executor.
 const MAX_ENDS_PER_LIST: usize = 500;
 /// Longest time between two ticks of the owner.
