An order that is meant for a former life of an executor is carried out by the next

By the same way a stop, a pace, a lease or an acknowledgement reached a life that it was not meant for.

Cause: an order names its executor by id and address, which the lives have in common, and X-Target-Instance carries the id. The pooled connections of the former life are closed when it ends, so the next order opens a connection to the next life, which carries it out.

A connection does not outlive the process at its other end. Each connection to an executor now has the incarnation that a hold's answer has named on it, and an order with a known incarnation is sent only over a connection with the same one; others are dropped from the pool. On a new connection a hold that changes nothing (no deadline, ack-cursor 0, no wait) is sent first. If another incarnation answers, the order is not sent: a hold returns the lists that were read, with nothing extended or acknowledged, and other orders fail with OtherIncarnation, after which the reducer backs off and asks for lists. A refusal of that first hold is the order's result, so that a greater epoch is reported. may_send of a start is asked after it, right before the start. The timeout covers both calls. Holds that change nothing are sent over any connection and name its incarnation.

Cost: one call for each new connection that an order opens, none on pooled ones.

--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -54,6 +54,10 @@
 
     /// Extends an executor's lease, and lists its runs and the ends of runs. This and the other
     /// orders wait for the answer for up to [`LATE_ANSWER_TIMEOUT`].
+    ///
+    /// An order is carried out only by the incarnation in its target, if the target names one. If
+    /// another one is there, a hold returns that one's lists, with nothing extended or acknowledged,
+    /// and other orders fail with [`OrderFailure::OtherIncarnation`].
     fn hold(
         &self,
         target: OrderTarget,
