--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -12,7 +12,8 @@
     runs::{Run, ServiceImage},
 };
 use crate::{
-    Decision, Effect, ExecutorAddress, ExecutorId, LossReason, Registration, RunNumber, TaskKey,
+    Decision, Effect, ExecutorAddress, ExecutorId, LossReason, OrderTarget, Registration,
+    RunNumber, TaskKey,
 };
 
 /// Runs and unacknowledged ends of one executor up to which it gets work; less than the 500 ends of
@@ -187,6 +188,15 @@
         }
     }
 
+    /// The target of an order to the known incarnation.
+    pub(super) fn order_target(&self) -> OrderTarget {
+        OrderTarget {
+            id: self.target.id.clone(),
+            address: self.target.address,
+            incarnation: self.incarnation,
+        }
+    }
+
     /// True if service tasks run on the executor.
     pub(super) fn has_service_tasks(&self) -> bool {
         !self.service_images.is_empty()
--- a/crates/guavacart_node/src/ports.rs
+++ b/crates/guavacart_node/src/ports.rs
@@ -3,8 +3,8 @@
 use std::{fmt, future::Future, net::SocketAddr};
 
 use guavacart_jobs::{
-    Configuration, ExecutorAddress, ExecutorId, HoldOrder, HoldReport, JobKey, JobState, Machine,
-    MaintenanceOrder, MaintenanceWave, MaintenanceWaveState, OrderFailure, Registration, RunNumber,
+    Configuration, ExecutorId, HoldOrder, HoldReport, JobKey, JobState, Machine, MaintenanceOrder,
+    MaintenanceWave, MaintenanceWaveState, OrderFailure, OrderTarget, Registration, RunNumber,
     Schedule, StartOrder, Step, StepKey, TaskKey, Ticket, WaveNumber,
 };
 use guavacart_types::{Epoch, Revision, Span};
@@ -54,23 +54,27 @@
 
     /// Extends an executor's lease, and lists its runs and the ends of runs. This and the other
     /// orders wait for the answer for up to [`LATE_ANSWER_TIMEOUT`].
+    ///
+    /// An order is carried out only by the incarnation in its target, if the target names one. If
+    /// another one is there, a hold returns that one's lists, with nothing extended or acknowledged,
+    /// and other orders fail with [`OrderFailure::OtherIncarnation`].
     fn hold(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         order: HoldOrder,
     ) -> impl Future<Output = Result<HoldReport, OrderFailure>>;
     /// Starts a run; returns the executor's monotonic clock in milliseconds. `may_send` is called
     /// right before the order is sent; if it returns false, nothing is sent.
     fn start(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         order: StartOrder,
         may_send: impl Fn() -> bool,
     ) -> impl Future<Output = Result<u64, OrderFailure>>;
     /// Stops a run.
     fn stop(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         task: TaskKey,
         run: RunNumber,
         epoch: Epoch,
@@ -78,7 +82,7 @@
     /// Limits a run to a percentage of its full speed.
     fn pace(
         &self,
-        target: ExecutorAddress,
+        target: OrderTarget,
         task: TaskKey,
         run: RunNumber,
         percent: u8,
