--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -292,8 +292,10 @@
         executor.last_stored_end = 0;
         executor.last_acknowledged_end = 0;
         // What these holds acknowledge are ends of the earlier incarnation.
-        executor.long_poll_hold = executor.long_poll_hold.map(|_| 0);
-        executor.immediate_hold = executor.immediate_hold.map(|_| 0);
+        let in_flight = executor.long_poll_hold.iter_mut();
+        for hold in in_flight.chain(&mut executor.immediate_hold) {
+            hold.acknowledged = 0;
+        }
         executor.failures = 0;
         executor.has_seen_epoch = false;
         // Start orders may have reached the new incarnation, or may still reach it. Its lists show
