Tell orders for a former incarnation by the incarnation, not by the time

Seen in two tests of an independent review: a late report shows that a hold for the former incarnation has reached the known one, and was dropped before it was counted (runs considered over 2.07 s early); a start that was decided in the same millisecond in which a restart was seen was taken for one of the known incarnation (0.34 s early).

Cause: strays were told by the time of their decision, and only where a report was applied.

Change: holds in flight at a restart are marked, starts are told by their deadline, which a restart clears, and a late report counts before it is compared with newer ones. A start whose run is not known any more counts as a stray for one longest lease after a restart.

--- a/crates/guavacart_jobs/src/state/executors.rs
+++ b/crates/guavacart_jobs/src/state/executors.rs
@@ -36,6 +36,8 @@
     /// The last run end that the hold acknowledges.
     pub(super) acknowledged: u64,
     pub(super) has_deadline: bool,
+    /// The hold was meant for an earlier incarnation than the known one.
+    pub(super) is_for_former: bool,
 }
 
 /// One executor across all its incarnations.
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -95,6 +95,7 @@
         let unanswered = Some(UnansweredHold {
             acknowledged,
             has_deadline: deadline_ms.is_some(),
+            is_for_former: false,
         });
         if must_wait {
             executor.long_poll_hold = unanswered;
@@ -145,8 +146,8 @@
                 self.hold_failed(x, failure);
             }
         }
-        if hold.is_some_and(|hold| hold.has_deadline) {
-            self.executors[x].record_stray_order(self.now, sent);
+        if hold.is_some_and(|hold| hold.has_deadline && hold.is_for_former) {
+            self.executors[x].record_stray_order(self.now);
         }
         if repeats_immediate_hold && self.executors[x].failed_holds == 0 {
             self.hold_immediately(x);
@@ -161,11 +162,14 @@
         let Some(&x) = self.by_id.get(id) else {
             return;
         };
-        if sent < self.executors[x].last_report_sent {
+        let executor = &mut self.executors[x];
+        if sent <= executor.restart_seen_at {
+            executor.record_stray_order(self.now);
+        }
+        if sent < executor.last_report_sent {
             return;
         }
         self.apply_report(x, sent, 0, report);
-        self.executors[x].record_stray_order(self.now, sent);
         self.hold_if_needed(x);
     }
 
@@ -295,6 +299,7 @@
         let in_flight = executor.long_poll_hold.iter_mut();
         for hold in in_flight.chain(&mut executor.immediate_hold) {
             hold.acknowledged = 0;
+            hold.is_for_former = true;
         }
         executor.failures = 0;
         executor.has_seen_epoch = false;
--- a/crates/guavacart_jobs/src/state/leases.rs
+++ b/crates/guavacart_jobs/src/state/leases.rs
@@ -8,7 +8,7 @@
     ownership::MAX_ORDER_DELAY,
     runs::{Phase, Run},
 };
-use crate::{Decision, Effect, LossReason, TaskKey};
+use crate::{Decision, Effect, LossReason, RunNumber, TaskKey};
 
 /// Part of the longest lease that an order requests, in percent; the rest allows for a slow answer.
 const LEASE_PERCENT: u64 = 75;
@@ -56,13 +56,27 @@
         self.lease_extended_at = self.lease_extended_at.max(at);
     }
 
-    /// Notes that an order with a deadline that was sent at `sent` may have reached the executor until
-    /// `now`. If the executor was found to have restarted in between, the deadline may have been on the
-    /// clock of the earlier incarnation.
-    pub(super) fn record_stray_order(&mut self, now: Timestamp, sent: Timestamp) {
-        if sent < self.restart_seen_at {
-            self.stray_order_at = self.stray_order_at.max(now);
-        }
+    /// Notes that an order with a deadline on the clock of an earlier incarnation may have reached the
+    /// executor until `now`.
+    pub(super) fn record_stray_order(&mut self, now: Timestamp) {
+        self.stray_order_at = self.stray_order_at.max(now);
+    }
+
+    /// True if the start of a run was ordered for an earlier incarnation than the known one, or if this
+    /// is not known any more.
+    fn is_stray_start(
+        &self,
+        now: Timestamp,
+        max_lease: Span,
+        task: TaskKey,
+        run: RunNumber,
+    ) -> bool {
+        let has_restarted = self.restart_seen_at != Timestamp(0);
+        let known = self.runs.get(&task).filter(|known| known.run == run);
+        known.map_or(
+            has_restarted && now.since(self.restart_seen_at) <= max_lease,
+            |known| known.deadline_ms == 0,
+        )
     }
 
     /// When the lease of the known incarnation has expired; `None` if no incarnation is known.
@@ -113,6 +127,16 @@
         Some(deadline)
     }
 
+    /// Notes that a start whose answer or failure has come may have extended the lease.
+    pub(super) fn record_start_arrival(&mut self, x: usize, task: TaskKey, run: RunNumber) {
+        let (now, max_lease) = (self.now, self.bounds.max_lease);
+        let executor = &mut self.executors[x];
+        executor.record_extension(now);
+        if executor.is_stray_start(now, max_lease, task, run) {
+            executor.record_stray_order(now);
+        }
+    }
+
     /// Compares the clock reading in the answer to a start with the expected one. If they differ, a
     /// report is requested that names the incarnation.
     pub(super) fn check_clock(&mut self, x: usize, reading_ms: u64) {
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -132,12 +132,7 @@
             Err(OrderFailure::NotSent | OrderFailure::OtherIncarnation)
         );
         if !is_not_sent {
-            let executor = &mut self.executors[x];
-            executor.record_extension(now);
-            let sent = executor.runs.get(&task).filter(|known| known.run == run);
-            if let Some(sent) = sent.map(|known| known.since) {
-                executor.record_stray_order(now, sent);
-            }
+            self.record_start_arrival(x, task, run);
         }
         if let Ok(clock_ms) = result {
             self.check_clock(x, clock_ms);
--- a/crates/guavacart_jobs/src/state/runs.rs
+++ b/crates/guavacart_jobs/src/state/runs.rs
@@ -22,7 +22,8 @@
     /// Incarnation of the executor that has listed the run. An answer to a start does not name the
     /// incarnation that gave it.
     pub(super) listed_by: Option<Incarnation>,
-    /// Deadline in the start order, on the executor's clock.
+    /// Deadline in the start order, on the executor's clock; 0 if the order was meant for an earlier
+    /// incarnation, or was not this owner's.
     pub(super) deadline_ms: u64,
     /// When the start was ordered, or when the hold that listed an adopted run was sent.
     pub(super) since: Timestamp,
