Take a run that is listed after its assumed lease for running

The task starts elsewhere while its run goes on.

Cause: the assumed lease stayed in the past until the next hold, which is put off while listed ends are not stored.

Change: a list that shows a run after the assumed lease sets it to the longest one from the list's clock.

Evidence: a_run_that_is_listed_after_its_assumed_lease_is_not_considered_over fails on the code before and passes. The tests of guavacart_jobs pass.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -209,9 +209,10 @@
         {
             executor.clock = Some((report.clock_ms, self.now));
         }
-        if executor.lease_end_ms == 0 {
-            // The lease granted by an earlier owner is not known, but it is at most the longest
-            // lease.
+        let outlasts_lease = !report.running.is_empty() && report.clock_ms > executor.lease_end_ms;
+        if executor.lease_end_ms == 0 || outlasts_lease {
+            // The lease granted by an earlier owner, or by an order that this one has not counted, is
+            // not known, but it is at most the longest lease.
             executor.lease_end_ms = report.clock_ms + self.bounds.max_lease.0;
         }
         executor.last_report_at = self.now;
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -8,7 +8,7 @@
     Decision, Effect, Event, HoldReport, Job, LossReason, OrderFailure, Schedule,
 };
 use guavacart_types::{Incarnation, Processors, Span, Timestamp};
-use support::{Harness, one_task_job};
+use support::{Harness, job, one_task_job, step};
 
 /// Guards against a lease that never expires for the owner because each unanswered hold extends it.
 #[test]
@@ -353,3 +353,31 @@
     let started = started.filter(|effect| matches!(effect, Effect::Start(..)));
     assert_eq!(started.count(), 4, "a task was started again");
 }
+
+/// Guards against a task that starts again while an executor that answers lists its run, which shows
+/// that the lease has lasted longer than assumed. The next hold waits until listed ends are stored.
+#[test]
+fn a_run_that_is_listed_after_its_assumed_lease_is_not_considered_over() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.stop_answering(&"b".into());
+    harness.run_for(9_000);
+    harness.accept(1, job(vec![step(2)]));
+    harness.run_for(1_500);
+    let started: Vec<_> = std::iter::from_fn(|| harness.next_start()).collect();
+    assert!(started.iter().all(|run| &*run.executor.0 == "a"));
+    harness.stop_answering(&"a".into());
+    harness.run_for(6_000);
+    harness.complete_run(&started[0]);
+    harness.run_for(1_500);
+    let since = harness.effects().len();
+    harness.answer_again(&"a".into());
+    harness.run_for(4_000);
+    let effects = &harness.effects()[since..];
+    let is_adopted = |effect: &Effect| matches!(effect, Effect::Log(Decision::Adopted { .. }));
+    assert!(effects.iter().any(is_adopted), "the run is listed again");
+    let is_lost = |effect: &Effect| matches!(effect, Effect::Log(Decision::Lost { .. }));
+    assert!(
+        !effects.iter().any(is_lost),
+        "a listed run is considered over"
+    );
+}
