Count a hold without an answer as arrived once its connection can be open

A new connection, as after a restart, takes up to 0.4 s.

Change: such a hold counts as arrived 0.5 s after it was sent, or when its failure is reported if that is sooner.

Evidence: a_hold_that_waits_for_its_connection_is_waited_out fails on the code before (0.16 s early) and passes.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -6,7 +6,6 @@
 use super::{
     IDLE_HOLD_INTERVAL, State, Timer,
     executors::UnansweredHold,
-    ownership::MAX_ORDER_DELAY,
     runs::{Phase, Run},
 };
 use crate::{
@@ -22,6 +21,9 @@
 /// Delay between holds while run ends wait to be stored. The next hold is sent earlier if the save
 /// finishes earlier.
 const UNSAVED_ENDS_DELAY: Span = Span::millis(120);
+/// Longest time from sending a hold until it has reached the executor, over a connection that has to be
+/// opened first.
+const MAX_HOLD_DELAY: Span = Span::millis(500);
 /// Delay after the first failed hold; doubled with each further failure.
 const FIRST_RETRY_DELAY: Span = Span::millis(100);
 /// Backoff for an executor whose report came too late for the starts that wait for it.
@@ -141,7 +143,7 @@
             }
             Err(failure) => {
                 if hold.is_some_and(|hold| hold.has_deadline) {
-                    executor.record_extension(sent + MAX_ORDER_DELAY);
+                    executor.record_extension(self.now.min(sent + MAX_HOLD_DELAY));
                 }
                 self.hold_failed(x, failure);
             }
--- a/crates/guavacart_jobs/tests/late_orders.rs
+++ b/crates/guavacart_jobs/tests/late_orders.rs
@@ -7,6 +7,8 @@
 use guavacart_types::Timestamp;
 use support::{Harness, job, one_task_job, step};
 
+/// Longest time to open a connection to an executor, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Time after which an executor carries out a late order, in milliseconds.
 const LATE_ORDER_MS: u64 = 3_000;
 
@@ -93,3 +95,23 @@
         "the run may last until {end} ms, it was considered over at {over} ms"
     );
 }
+
+/// Guards against a hold that is counted as arrived 0.1 s after it was sent, although its connection
+/// may take longer to open.
+#[test]
+fn a_hold_that_waits_for_its_connection_is_waited_out() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.run_for(400);
+    harness.restart_with_new_clock("a");
+    harness.restart_with_new_clock("b");
+    harness.accept(1, one_task_job());
+    harness.run_for(3);
+    let started = harness.next_start().expect("the task is started");
+    harness.stop_answering(&started.executor);
+    let end = harness.now() + CONNECT_TIMEOUT_MS + Harness::longest_lease();
+    let over = first_lapse(&mut harness, &started.executor.0);
+    assert!(
+        over >= end,
+        "the run may last until {end} ms, it was considered over at {over} ms"
+    );
+}
