Send no deadline while it is open whether an unanswered start was carried out

Seen in a test: the hold that asks for the list after an unanswered start carried a deadline. If the start went to an unknown incarnation, so does this hold, and extends its lease to the longest once more.

Change: holds have no deadline while a run's start is unanswered and the run is neither listed nor being stopped. The list settles that within one answer; the next hold extends the lease.

Evidence: the_hold_after_an_unanswered_start_has_no_deadline fails on the code before and passes.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -80,12 +80,7 @@
     }
 
     fn send_hold(&mut self, x: usize, must_wait: bool) {
-        // The lease of an executor that does not answer must be allowed to expire, and a deadline must
-        // not reach another incarnation than the one on whose clock it is.
-        let executor = &self.executors[x];
-        let may_extend = executor.failed_holds == 0
-            && executor.has_seen_epoch
-            && executor.clock_suspect_since.is_none();
+        let may_extend = self.executors[x].may_extend_lease();
         let deadline_ms = may_extend.then(|| self.extend_lease(x)).flatten();
         let wait = match (must_wait, self.watches_tails_closely(x)) {
             (false, _) => Span::ZERO,
--- a/crates/guavacart_jobs/src/state/leases.rs
+++ b/crates/guavacart_jobs/src/state/leases.rs
@@ -51,6 +51,16 @@
         is_listed || answered_at.is_some_and(|at| at < self.last_report_sent)
     }
 
+    /// True if a hold may have a deadline. The lease of an executor that does not answer must be allowed
+    /// to expire, and a deadline must not reach another incarnation than the one on whose clock it is.
+    pub(super) fn may_extend_lease(&self) -> bool {
+        let is_open = |run: &Run| run.phase == Phase::Unanswered && run.stop.is_none();
+        self.failed_holds == 0
+            && self.has_seen_epoch
+            && self.clock_suspect_since.is_none()
+            && !self.runs.values().any(is_open)
+    }
+
     /// Notes that an order with a deadline may have reached the executor until `at`.
     pub(super) fn record_extension(&mut self, at: Timestamp) {
         self.lease_extended_at = self.lease_extended_at.max(at);
--- a/crates/guavacart_jobs/tests/late_orders.rs
+++ b/crates/guavacart_jobs/tests/late_orders.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use guavacart_jobs::{Decision, Effect, Event, ExecutorId, LossReason};
+use guavacart_jobs::{Decision, Effect, Event, ExecutorId, LossReason, OrderFailure};
 use guavacart_types::Timestamp;
 use support::{Harness, job, one_task_job, step};
 
@@ -115,3 +115,40 @@
         "the run may last until {end} ms, it was considered over at {over} ms"
     );
 }
+
+/// Restarts both executors unseen and lets the first start on one of them stay without an answer; its
+/// executor is silent from then on.
+fn silent_after_unanswered_start() -> (Harness, ExecutorId) {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.run_for(20_000);
+    for executor in ["a", "b"] {
+        harness.restart_with_new_clock(executor);
+        harness.fail_starts_on(executor, OrderFailure::NoAnswer);
+    }
+    harness.accept(1, one_task_job());
+    let executor = harness.effects().iter().find_map(|effect| match effect {
+        Effect::Start(target, _) => Some(target.id.clone()),
+        _ => None,
+    });
+    let executor = executor.expect("a start was ordered");
+    harness.run_for(1);
+    harness.stop_answering(&executor);
+    (harness, executor)
+}
+
+/// Guards against a lease of the longest length that the hold after an unanswered start extends in an
+/// unknown incarnation.
+#[test]
+fn the_hold_after_an_unanswered_start_has_no_deadline() {
+    let (mut harness, executor) = silent_after_unanswered_start();
+    let since = harness.effects().len();
+    harness.run_for(100);
+    let holds = harness.effects()[since..].iter();
+    let holds = holds.filter_map(|effect| match effect {
+        Effect::Hold(target, order) if target.id == executor => Some(order.deadline_ms),
+        _ => None,
+    });
+    let deadlines: Vec<Option<u64>> = holds.collect();
+    assert!(!deadlines.is_empty(), "no hold after the start");
+    assert!(deadlines.iter().all(Option::is_none), "{deadlines:?}");
+}
