Send no start after the time in which its decision was allowed

A successor waits for 0.3 s after an executor's first report for starts of its predecessor, so that such a start could reach an executor that has restarted after the successor had read all its lists.

Cause: the decision and the sending were bounded apart, and the successor counted on the first bound alone.

Change: the reducer gives each start the time until which it may be sent: while the decision would still be allowed, and 0.8 s at most. The node checks that right before the first byte, in place of a bound of its own.

Evidence: a_start_is_not_sent_after_the_validity_of_its_decision fails on the code before (sent 1.3 s after the renewal) and passes.

--- a/crates/guavacart_jobs/src/effect.rs
+++ b/crates/guavacart_jobs/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects that the reducer returns: orders to executors, writes to the store and log lines.
 
-use guavacart_types::{Epoch, Incarnation, Processors, Resources, Span};
+use guavacart_types::{Epoch, Incarnation, Processors, Resources, Span, Timestamp};
 use smol_str::SmolStr;
 
 use crate::{
@@ -124,6 +124,8 @@
     pub checkpoint: Option<SmolStr>,
     /// Permission from the advice service, where the queue requires one.
     pub ticket: Option<Ticket>,
+    /// Latest time at which the order may be sent, on the owner's monotonic clock.
+    pub send_until: Timestamp,
 }
 
 /// An order to take a machine down for maintenance.
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -68,6 +68,7 @@
         let waited = self.now.since(ready_since.unwrap_or(self.now));
         let priority = self.rules(entry).priority;
         self.record_start(priority, step.is_long_running, waited);
+        let send_until = self.start_may_be_sent_until(x);
         let executor = &mut self.executors[x];
         let decision = Decision::Placed {
             task,
@@ -89,6 +90,7 @@
                 deadline_ms,
                 checkpoint,
                 ticket,
+                send_until,
             },
         ));
         self.record_placement(x, task, run);
--- a/crates/guavacart_jobs/src/state/ownership.rs
+++ b/crates/guavacart_jobs/src/state/ownership.rs
@@ -24,6 +24,8 @@
 /// Greatest age of an executor's report, from when it was requested, on which a run is started after
 /// that time.
 const MAX_REPORT_AGE: Span = Span::millis(200);
+/// Longest time from the decision to start a run until the order is sent.
+const MAX_START_DELAY: Span = Span::millis(800);
 /// Longest time on its way of an order that reaches an executor in its next incarnation.
 pub(super) const MAX_ORDER_DELAY: Span = Span::millis(100);
 /// Time from a successor's first order to an executor until no earlier owner's start order reaches
@@ -134,9 +136,17 @@
     /// is over. After that time, only a new report shows that no successor has reached this
     /// incarnation of the executor.
     pub(super) fn may_start_on(&self, x: usize) -> bool {
-        let reported = self.executors[x].last_report_sent;
-        self.now <= self.ownership.confirmed_at + START_VALIDITY
-            || self.now <= reported + MAX_REPORT_AGE
+        self.now <= self.may_start_until(x)
+    }
+
+    fn may_start_until(&self, x: usize) -> Timestamp {
+        let by_confirmation = self.ownership.confirmed_at + START_VALIDITY;
+        by_confirmation.max(self.executors[x].last_report_sent + MAX_REPORT_AGE)
+    }
+
+    /// Latest time at which a start that is decided now may be sent to the executor.
+    pub(super) fn start_may_be_sent_until(&self, x: usize) -> Timestamp {
+        self.may_start_until(x).min(self.now + MAX_START_DELAY)
     }
 
     /// Like [`Self::may_start_on`]; otherwise requests the missing report. The report leads to the
--- a/crates/guavacart_node/src/owner/orders.rs
+++ b/crates/guavacart_node/src/owner/orders.rs
@@ -11,10 +11,6 @@
 use super::Owner;
 use crate::{Platform, clock};
 
-/// Longest time from the decision to start a run until the order is sent. The decision may rely on a
-/// renewal of the lease one interval earlier; together they are shorter than the lease.
-const MAX_START_DELAY: Span = Span::millis(800);
-
 /// Longest time from the decision to take a machine down until the order is sent. The decision may rely
 /// on a renewal 1 s earlier; together they are as long as the lease.
 const MAX_MAINTENANCE_DELAY: Span = Span::millis(200);
@@ -60,7 +56,7 @@
     }
 
     /// Sends the order to start a run, unless the process is held up between the decision and the
-    /// first byte, and applies its answer.
+    /// first byte for longer than the order allows, and applies its answer.
     pub(super) async fn start_run(
         self: Rc<Self>,
         target: OrderTarget,
@@ -68,10 +64,12 @@
         decided: Timestamp,
     ) {
         let (executor, task, run) = (target.id.clone(), order.task, order.run);
+        let send_until = order.send_until;
         let may_send = || {
-            let delay = clock::now().since(decided);
-            let may_send = self.is_active() && delay <= MAX_START_DELAY;
+            let now = clock::now();
+            let may_send = self.is_active() && now <= send_until;
             if may_send {
+                let delay = now.since(decided);
                 self.shared.counters.start_delay.record(delay.into());
             }
             may_send
--- a/crates/guavacart_node/src/owner/tests.rs
+++ b/crates/guavacart_node/src/owner/tests.rs
@@ -170,6 +170,29 @@
     });
 }
 
+/// Guards against a start that is sent when the renewal that its decision relies on is older than the
+/// lease, and that a successor does not wait for.
+#[test]
+fn a_start_is_not_sent_after_the_validity_of_its_decision() {
+    block_on(async {
+        let (owner, platform) = working_owner().await;
+        platform.connect_time.set(START_TIME / 2);
+        clock::tests::suspend(Span::millis(700));
+        owner.apply(Event::JobAccepted(JobKey(2), job()));
+        let runs = owner.summary().runs;
+        assert_eq!(runs, 2, "the start is decided");
+        clock::tests::suspend(Span::millis(600));
+        time::sleep(START_TIME).await;
+        assert_eq!(
+            platform.starts(),
+            1,
+            "the start is sent 1.3 s after the renewal"
+        );
+        platform.connect_time.set(Duration::ZERO);
+        wait_for_starts(&owner, &platform, 2).await;
+    });
+}
+
 /// Guards against an urgent start that waits behind the other work of a busy owner.
 #[test]
 fn a_start_is_sent_when_it_is_decided() {
