Count the wait for a silent executor from the end of its known lease

Seen in a test: a service task whose executors are lost right after its starts waits 6.3 s for the longest lease, and as a suspect 2.5 s more for the executor to return, 9.5 s in all with two answers that do not come; the platform asks for 9 s.

Cause: both waits are for the same silence and were added up, since runs in an unknown incarnation expire later.

Change: the delay of a suspect counts from when the lease of the known incarnation has expired, as before runs expired in two steps.

Evidence: a_service_task_on_executors_that_are_lost_after_its_starts_runs_again_in_time fails on the code before (9,005 ms without a start) and passes.

--- a/crates/guavacart_jobs/src/state/crash_blame.rs
+++ b/crates/guavacart_jobs/src/state/crash_blame.rs
@@ -31,8 +31,8 @@
 const ISOLATED_START_INTERVAL: Span = Span::millis(1_000);
 /// Interval between attempts to place a suspect that no executor suits.
 const RETRY_INTERVAL: Span = Span::millis(250);
-/// Delay before a suspect starts again after a lapsed lease, for the executor to return and show
-/// whether it crashed.
+/// Delay before a suspect starts again after the lease of a silent executor has expired, for the
+/// executor to return and show whether it crashed.
 const LAPSE_DELAY: Span = Span::millis(2_500);
 /// Time after a crash in which suspects prefer other executors.
 const CRASH_MEMORY: Span = Span::secs(30);
@@ -195,12 +195,13 @@
     pub(super) fn keep_lapsed_runs(&mut self, x: usize, expired: &[TaskKey]) {
         let mut runs = self.unproven_runs(x);
         runs.retain(|run| expired.contains(&run.task));
+        let waited = self.now.since(self.lease_expires_at(x).unwrap_or(self.now));
         for unproven in &runs {
             if self.is_over(unproven.task) {
                 continue;
             }
             if !self.suspects.tasks.insert(unproven.task) {
-                self.delay(unproven.task, LAPSE_DELAY);
+                self.delay(unproven.task, LAPSE_DELAY.saturating_sub(waited));
             }
             self.presume_crash(unproven.task, unproven.run);
         }
--- a/crates/guavacart_jobs/src/state/leases.rs
+++ b/crates/guavacart_jobs/src/state/leases.rs
@@ -166,13 +166,18 @@
         self.hold_immediately(x);
     }
 
+    /// When the lease of the known incarnation has expired; `None` if no incarnation is known.
+    pub(super) fn lease_expires_at(&self, x: usize) -> Option<Timestamp> {
+        self.executors[x].lease_expires_at(self.bounds.max_lease)
+    }
+
     /// Makes sure that the executor's lease is checked when it has expired by the slowest allowed
     /// clock. A check that is due earlier stays, since it sets the timer again.
     pub(super) fn set_lease_timer(&mut self, x: usize) {
         let at = if self.executors[x].clock.is_none() && self.unreconciled.contains(&x) {
             Some(self.next_check_of_earlier_leases())
         } else {
-            self.executors[x].lease_expires_at(self.bounds.max_lease)
+            self.lease_expires_at(x)
         };
         if let Some(at) = at {
             self.check_lease_at(x, at);
@@ -195,12 +200,10 @@
     /// Marks the runs of the executor lost whose leases have expired.
     pub(super) fn check_lease_expiry(&mut self, x: usize) {
         self.executors[x].lease_check_at = None;
-        let executor = &self.executors[x];
-        let is_over = if executor.clock.is_none() {
+        let is_over = if self.executors[x].clock.is_none() {
             self.have_earlier_leases_expired()
         } else {
-            let expires_at = executor.lease_expires_at(self.bounds.max_lease);
-            expires_at.is_some_and(|at| self.now >= at)
+            self.lease_expires_at(x).is_some_and(|at| self.now >= at)
         };
         if !is_over {
             self.set_lease_timer(x);
--- a/crates/guavacart_jobs/tests/lapse.rs
+++ b/crates/guavacart_jobs/tests/lapse.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use guavacart_jobs::{
-    Decision, Effect, Event, HoldReport, Job, LossReason, OrderFailure, Schedule,
+    Decision, Effect, Event, HoldReport, Job, LossReason, OrderFailure, Schedule, Step,
 };
 use guavacart_types::{Incarnation, Processors, Span, Timestamp};
 use support::{Harness, job, one_task_job, step};
@@ -381,3 +381,33 @@
         "a listed run is considered over"
     );
 }
+
+/// Guards against a service task that waits for two leases one after the other, since its executors are
+/// lost right after its starts.
+#[test]
+fn a_service_task_on_executors_that_are_lost_after_its_starts_runs_again_in_time() {
+    /// Time after the last run of a service task within which the next one begins, with room for it.
+    const LONGEST_PAUSE_MS: u64 = 9_000;
+    /// Least time until a start and the hold after it count as unanswered, which take none here.
+    const UNANSWERED_MS: u64 = 2 * 350;
+    let ids = ["a", "b", "c", "d", "e"];
+    let mut harness = Harness::new(&ids);
+    let service = Step {
+        is_long_running: true,
+        ..step(1)
+    };
+    harness.accept(1, job(vec![service]));
+    let mut last_start = harness.now();
+    for _ in 1..ids.len() {
+        let started = loop {
+            harness.run_for(5);
+            if let Some(started) = harness.next_start() {
+                break started;
+            }
+            let pause = harness.now() - last_start + UNANSWERED_MS;
+            assert!(pause <= LONGEST_PAUSE_MS, "no start for {pause} ms");
+        };
+        harness.stop_answering(&started.executor);
+        last_start = harness.now();
+    }
+}
