Believe lists of an incarnation with an earlier start that were requested after the last report

All its lists were dropped as older, their answers counted as signs of the former incarnation, and the lease of a run that was over was extended for ever.

Cause: incarnations were ordered by their own account of their start alone.

Change: a list that was requested after the last report was received is of the same incarnation or of a later one, whatever start it names.

Evidence: runs_are_over_after_a_restart_on_a_machine_whose_time_was_set_back fails on the code before (nothing starts within 30 s) and passes.

--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -1,7 +1,7 @@
 //! Holds: the platform's long-poll calls that extend leases and return run ends and the list of
 //! runs.
 
-use guavacart_types::{Span, Timestamp};
+use guavacart_types::{Incarnation, Span, Timestamp};
 
 use super::{
     IDLE_HOLD_INTERVAL, State, Timer,
@@ -194,8 +194,11 @@
 
     /// Applies the answer to a hold that acknowledged the run ends up to `acknowledged`.
     fn apply_report(&mut self, x: usize, sent: Timestamp, acknowledged: u64, report: HoldReport) {
-        let known = self.executors[x].incarnation;
-        if known.is_some_and(|known| report.incarnation < known) {
+        // An incarnation that began earlier by its own account is a later one if it was asked after the
+        // last report, since the time of day of its machine may have been set back.
+        let executor = &self.executors[x];
+        let began_earlier = |known: Incarnation| report.incarnation < known;
+        if executor.incarnation.is_some_and(began_earlier) && sent <= executor.last_report_at {
             return;
         }
         self.update_incarnation(x, &report);
--- a/crates/guavacart_jobs/tests/support/entries.rs
+++ b/crates/guavacart_jobs/tests/support/entries.rs
@@ -64,6 +64,14 @@
         self.lease_ends.remove(&ExecutorId::from(executor));
     }
 
+    /// Restarts an executor like `restart_with_new_clock`, on a machine whose time of day was set back.
+    pub(crate) fn restart_with_time_set_back(&mut self, executor: &str) {
+        let id = ExecutorId::from(executor);
+        let earlier = Incarnation(self.incarnation(&id).0 - 1);
+        self.restart_with_new_clock(executor);
+        self.incarnations.insert(id, earlier);
+    }
+
     /// Reading of an executor's clock.
     pub(super) fn clock(&self, executor: &ExecutorId) -> u64 {
         self.now - self.clock_starts.get(executor).copied().unwrap_or(0)
--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -250,3 +250,18 @@
         |effect: &Effect| matches!(effect, Effect::Log(Decision::ClockMismatch { .. }));
     assert!(!harness.effects().iter().any(is_mismatch));
 }
+
+/// Guards against a lease that each answer of an incarnation with an earlier start extends for ever.
+#[test]
+fn runs_are_over_after_a_restart_on_a_machine_whose_time_was_set_back() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(2_100);
+    let first = harness.next_start().expect("the task is started");
+    harness.restart_with_time_set_back(&first.executor.0);
+    harness.read_entry(&first.executor.0, harness.entry(&first.executor.0));
+    harness.run_for(30_000);
+    harness
+        .next_start()
+        .expect("the task is started again although its run is over");
+}
