Model executors that restart unseen and are cut off soon after

The new fault restarts an executor within 0.5 s and cuts it off from all owners 20 to 2,500 ms after its return, for 5 to 10 s, in series and on two executors at once. Its entry is written at once, up to 3 s late, or after the cut; owners that take over before read the former one. An order that reaches the executor while it is down is carried out by the next incarnation in half of the cases, if it is at most 0.1 s on its way (one kind: 1 s). In these kinds an answer is lost if the executor crashes or is cut off before it is due, a hold shows the lists and the clock of when it is answered, 60% of the runs that start before 40 s last 2 to 12 s, and there are service jobs. As with other crashes, a job may be given up if executors have crashed under one of its tasks.

--- a/crates/guavacart_jobs/tests/model/executor.rs
+++ b/crates/guavacart_jobs/tests/model/executor.rs
@@ -32,6 +32,8 @@
 pub(crate) struct Executor {
     /// Start on the simulation's clock, which also identifies the incarnation.
     pub(crate) started_at: u64,
+    /// Incarnation in the executor's entry.
+    pub(crate) written_incarnation: u64,
     /// Number of executors that the machine has run before this one, each under an id of its own.
     pub(crate) life: u32,
     pub(crate) is_up: bool,
@@ -53,6 +55,7 @@
     pub(crate) fn new(started_at: u64, capacity: Capacity) -> Self {
         Self {
             started_at,
+            written_incarnation: started_at,
             life: 0,
             is_up: true,
             unreachable_until: 0,
@@ -136,6 +139,16 @@
         }
         let is_acknowledged = |ended: &mut Ended| ended.end.number <= order.acknowledged;
         let acknowledged = self.ended.extract_if(.., is_acknowledged).collect();
+        Ok((self.lists(now), acknowledged))
+    }
+
+    /// Returns a report as of a time after the hold was carried out.
+    pub(crate) fn report(&mut self, now: u64) -> HoldReport {
+        self.expire_lease(now);
+        self.lists(now)
+    }
+
+    fn lists(&self, now: u64) -> HoldReport {
         let running = self.running.iter().map(|(task, running)| ListedRun {
             task: *task,
             run: running.run,
@@ -143,14 +156,13 @@
             percent: 100,
             usage: None,
         });
-        let report = HoldReport {
+        HoldReport {
             incarnation: Incarnation(self.started_at),
             clock_ms: self.clock(now),
             running: running.collect(),
             ended: self.ended.iter().map(|ended| ended.end.clone()).collect(),
             has_more_ends: false,
-        };
-        Ok((report, acknowledged))
+        }
     }
 
     /// Carries out a start. Returns true if a new run began, false if the run was running already.
--- a/crates/guavacart_jobs/tests/model/faults.rs
+++ b/crates/guavacart_jobs/tests/model/faults.rs
@@ -33,6 +33,11 @@
     pub(crate) executor_crashes: usize,
     /// Number of times that an executor crashes again and again, with short lives.
     pub(crate) executor_flaps: usize,
+    /// Number of series of restarts in which an executor is cut off before owners read its new entry.
+    /// Answers are lost in the cut, runs last longer, and there are service jobs.
+    pub(crate) unseen_restarts: usize,
+    /// True if orders take up to a second to the next incarnation in an unseen restart.
+    pub(crate) late_stray_orders: bool,
     /// Number of times that an executor cannot be reached for a while.
     pub(crate) executor_disconnects: usize,
     /// Number of times that an executor can be reached by a part of the owners only.
@@ -69,6 +74,15 @@
         index: usize,
         left: u32,
     },
+    /// An executor restarts and is cut off soon, as many times as are left.
+    RestartUnseen {
+        index: usize,
+        left: u32,
+    },
+    CutOffExecutor {
+        index: usize,
+        until: u64,
+    },
     DisconnectExecutor(usize),
     PartitionExecutor(usize),
     StoreDown,
@@ -99,6 +113,7 @@
         for _ in 0..faults.store_downtimes {
             self.schedule_at_random(Fault::StoreDown);
         }
+        self.schedule_unseen_restarts();
     }
 
     fn schedule_on_executors(&mut self, count: usize, fault: impl Fn(usize) -> Fault) {
@@ -151,6 +166,8 @@
                     self.schedule(self.now + downtime + life, SimEvent::Fault(next));
                 }
             }
+            Fault::RestartUnseen { index, left } => self.restart_unseen(index, left),
+            Fault::CutOffExecutor { index, until } => self.cut_off_executor(index, until),
             Fault::DisconnectExecutor(index) => {
                 self.executors[index].unreachable_until =
                     self.now + self.rng.random_range(500..9_000);
@@ -189,7 +206,7 @@
         task.step.job.0 <= self.faults.crashing_jobs && task.step.step == 0 && task.index == 0
     }
 
-    fn crash(&mut self, index: usize, downtime: u64) {
+    pub(crate) fn crash(&mut self, index: usize, downtime: u64) {
         if self.maintenance.is_in_progress(index) {
             return;
         }
@@ -206,13 +223,14 @@
             return;
         }
         let life = executor.life;
+        let earlier = executor.written_incarnation;
         self.trace(|| format!("x{index} restarts"));
         let unreachable_until = self.executors[index].unreachable_until;
         let capacity = self.executors[index].capacity.clone();
         self.executors[index] = Executor::new(self.now, capacity);
         self.executors[index].unreachable_until = unreachable_until;
         self.executors[index].life = life;
-        self.broadcast_entry(index);
+        self.write_entry_of_restarted(index, earlier);
     }
 
     /// Suspends the newest owner or an earlier one. Another owner may take over in the meantime.
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -10,6 +10,7 @@
 mod maintenance;
 mod network;
 mod owner;
+mod restarts;
 mod services;
 mod simulation;
 #[path = "../support/site.rs"]
@@ -19,6 +20,7 @@
 use std::{env, panic};
 
 use faults::Faults;
+use restarts::unseen_restarts_and;
 use simulation::Simulation;
 
 /// Number of seeds for each kind of fault if `GUAVACART_CASES` is not set.
@@ -401,4 +403,42 @@
         takeover_series: 1,
         ..all_faults_and_partitions()
     });
+    invariants_hold_in_unseen_restarts: unseen_restarts_and(Faults::default());
+    invariants_hold_in_unseen_restarts_when_answers_are_lost: unseen_restarts_and(Faults {
+        lost_answers: 0.1,
+        ..Faults::default()
+    });
+    invariants_hold_in_unseen_restarts_when_orders_are_delayed: unseen_restarts_and(Faults {
+        delayed_orders: 0.1,
+        ..Faults::default()
+    });
+    invariants_hold_in_unseen_restarts_when_stray_orders_are_late: unseen_restarts_and(Faults {
+        late_stray_orders: true,
+        ..Faults::default()
+    });
+    invariants_hold_in_unseen_restarts_when_owners_crash: unseen_restarts_and(Faults {
+        owner_crashes: 3,
+        ..Faults::default()
+    });
+    invariants_hold_in_unseen_restarts_when_owners_crash_and_the_store_is_unavailable:
+        unseen_restarts_and(Faults {
+            owner_crashes: 3,
+            store_outages: 1,
+            ..Faults::default()
+        });
+    invariants_hold_in_unseen_restarts_when_owners_overlap_and_leases_run_out:
+        unseen_restarts_and(Faults {
+            owner_overlaps: 3,
+            leases_run_out: true,
+            ..Faults::default()
+        });
+    invariants_hold_in_unseen_restarts_when_owners_freeze: unseen_restarts_and(Faults {
+        owner_freezes: 4,
+        leases_run_out: true,
+        ..Faults::default()
+    });
+    invariants_hold_in_unseen_restarts_with_all_faults: unseen_restarts_and(Faults {
+        leases_run_out: true,
+        ..all_faults_and_partitions()
+    });
 }
--- a/crates/guavacart_jobs/tests/model/network.rs
+++ b/crates/guavacart_jobs/tests/model/network.rs
@@ -31,7 +31,7 @@
 }
 
 impl Simulation {
-    fn is_reachable(&self, owner: usize, index: usize) -> bool {
+    pub(crate) fn is_reachable(&self, owner: usize, index: usize) -> bool {
         let executor = &self.executors[index];
         if !executor.is_up || executor.unreachable_until > self.now {
             return false;
@@ -89,9 +89,7 @@
         let index = index_of(&target.id);
         let is_current = target.id == self.executor_id(index);
         if !self.is_reachable(owner, index) {
-            if answered && let Some(event) = failure_event(&order, sent, OrderFailure::NoAnswer) {
-                self.schedule(self.now + 350, SimEvent::Deliver(owner, event));
-            }
+            self.miss_order(owner, order, sent, answered);
             return;
         }
         let event = if is_current {
@@ -100,6 +98,10 @@
             failure_event(&order, sent, OrderFailure::OtherIncarnation)
         };
         if let Some(event) = event.filter(|_| answered) {
+            if self.faults.unseen_restarts > 0 {
+                self.schedule_answer(owner, index, order, sent, event);
+                return;
+            }
             let wait = match &order {
                 Effect::Hold(_, order) => order.wait.0 / 4,
                 _ => 0,
@@ -128,7 +130,7 @@
                 }
             }
             Effect::Start(_, order) => {
-                let duration = self.rng.random_range(100..2_500);
+                let duration = self.draw_duration();
                 let is_service = self.is_service(order.task);
                 let running = Running {
                     run: order.run,
@@ -226,7 +228,7 @@
 }
 
 /// Returns the event that reports the failure of an order to its owner.
-fn failure_event(order: &Effect, sent: u64, failure: OrderFailure) -> Option<Event> {
+pub(crate) fn failure_event(order: &Effect, sent: u64, failure: OrderFailure) -> Option<Event> {
     if let Effect::BeginMaintenance(order) = order {
         let result = Err(failure);
         return Some(maintenance_answer(order, result));
--- a/crates/guavacart_jobs/tests/model/simulation.rs
+++ b/crates/guavacart_jobs/tests/model/simulation.rs
@@ -17,6 +17,7 @@
     maintenance::Maintenance,
     network::{Partition, target_of},
     owner::Owner,
+    restarts::{PendingAnswer, UnseenRestart},
     services::Services,
     site::rules,
     store::Store,
@@ -42,6 +43,8 @@
         /// if the executor restarts.
         queued_in: Option<u64>,
     },
+    /// The answer to an order is due.
+    Answer(Box<PendingAnswer>),
     /// An owner receives an event.
     Deliver(usize, Event),
     Tick(usize),
@@ -64,6 +67,8 @@
     ChangeCapacity(usize),
     /// An executor writes its entry.
     WriteEntry(usize),
+    /// An executor that restarted writes its entry, if it still has the given start time.
+    WriteIncarnation(usize, u64),
     /// An owner reads all entries.
     PollEntries(usize),
     RequestWave(MaintenanceWave),
@@ -90,6 +95,7 @@
     next_sequence: u64,
     pub(crate) executors: Vec<Executor>,
     pub(crate) partitions: [Option<Partition>; EXECUTOR_COUNT],
+    pub(crate) unseen_restarts: [Option<UnseenRestart>; EXECUTOR_COUNT],
     pub(crate) owners: Vec<Owner>,
     /// When takeovers are due, in the past and in the future.
     pub(crate) planned_takeovers: Vec<u64>,
@@ -128,6 +134,7 @@
                 .map(|_| Executor::new(1, Capacity::default()))
                 .collect(),
             partitions: [None; EXECUTOR_COUNT],
+            unseen_restarts: [None; EXECUTOR_COUNT],
             owners: Vec::new(),
             planned_takeovers: Vec::new(),
             store: Store::default(),
@@ -203,8 +210,9 @@
                 let max_attempts = usize::try_from(rules().max_attempts).expect("few attempts");
                 let steps = self.store.progress[key].steps.values();
                 let mut failed = steps.flat_map(|step| step.failed.values());
-                let has_other_crashes =
-                    self.faults.executor_crashes > 0 || self.faults.executor_flaps > 0;
+                let has_other_crashes = self.faults.executor_crashes > 0
+                    || self.faults.executor_flaps > 0
+                    || self.faults.unseen_restarts > 0;
                 let may_be_given_up = has_other_crashes && self.observer.may_be_given_up(*key);
                 assert!(
                     may_be_given_up || failed.any(|runs| runs.len() >= max_attempts),
@@ -237,6 +245,7 @@
                     self.receive_order(owner, order, sent, answered);
                 }
             }
+            SimEvent::Answer(answer) => self.send_answer(*answer),
             SimEvent::Deliver(owner, event) => self.deliver(owner, event),
             SimEvent::Tick(owner) => self.tick(owner),
             SimEvent::Finish(index, started, task, run) => self.finish(index, started, task, run),
@@ -253,6 +262,7 @@
             SimEvent::CrashUnderRun(index, started) => self.crash_under_run(index, started),
             SimEvent::ChangeCapacity(index) => self.change_capacity(index),
             SimEvent::WriteEntry(index) => self.write_entry(index),
+            SimEvent::WriteIncarnation(index, started) => self.write_incarnation(index, started),
             SimEvent::PollEntries(owner) => self.poll_entries(owner),
             SimEvent::RequestWave(wave) => self.request_wave(wave),
             SimEvent::EndMaintenance(index) => self.end_maintenance(index),
--- a/crates/guavacart_jobs/tests/model/store.rs
+++ b/crates/guavacart_jobs/tests/model/store.rs
@@ -144,7 +144,7 @@
             drain_left: None,
             capacity: self.executors[index].capacity.written,
             labels: vec!["a".into(), "r1".into()],
-            incarnation: Some(Incarnation(self.executors[index].started_at)),
+            incarnation: Some(Incarnation(self.executors[index].written_incarnation)),
         }
     }
 
