Model the connections over which orders reach one incarnation

The model lets an order reach whichever incarnation is there, so that it tests the bounds of leases alone. Two kinds now have orders that reach only the incarnation that they are meant for, as the adapter's do; orders that the executor carries out 2 to 12 s late then wait in the queue of that one.

--- a/crates/guavacart_jobs/tests/model/faults.rs
+++ b/crates/guavacart_jobs/tests/model/faults.rs
@@ -50,6 +50,8 @@
     pub(crate) missing_entries: bool,
     /// Number of jobs whose first task crashes each executor that starts it.
     pub(crate) crashing_jobs: u64,
+    /// True if an order reaches only the incarnation that it is meant for.
+    pub(crate) orders_reach_one_incarnation: bool,
     /// Number of times that the capacity of an executor changes.
     pub(crate) capacity_changes: usize,
     /// Number of maintenance waves.
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -4,6 +4,7 @@
 //! `GUAVACART_TRACE`, orders, their effects and faults are printed.
 
 mod capacity;
+mod connections;
 mod executor;
 mod faults;
 mod invariants;
@@ -19,6 +20,7 @@
 
 use std::{env, panic};
 
+use connections::orders_reach_one_incarnation_and;
 use faults::Faults;
 use restarts::unseen_restarts_and;
 use simulation::Simulation;
@@ -441,4 +443,14 @@
         leases_run_out: true,
         ..all_faults_and_partitions()
     });
+    invariants_hold_in_unseen_restarts_when_delayed_orders_reach_one_incarnation:
+        orders_reach_one_incarnation_and(unseen_restarts_and(Faults {
+            delayed_orders: 0.1,
+            ..Faults::default()
+        }));
+    invariants_hold_in_unseen_restarts_with_all_faults_when_orders_reach_one_incarnation:
+        orders_reach_one_incarnation_and(unseen_restarts_and(Faults {
+            leases_run_out: true,
+            ..all_faults_and_partitions()
+        }));
 }
--- a/crates/guavacart_jobs/tests/model/network.rs
+++ b/crates/guavacart_jobs/tests/model/network.rs
@@ -48,6 +48,7 @@
         let sent = self.now;
         let are_faults_over = self.now > FAULTS_END_MS;
         let is_delayed = !are_faults_over && self.rng.random_bool(self.faults.delayed_orders);
+        let is_delayed = is_delayed && !self.is_for_other_incarnation(&order);
         let is_lost = !are_faults_over && self.rng.random_bool(self.faults.lost_answers);
         let delay = if is_delayed {
             self.rng.random_range(2_000..12_000)
@@ -66,7 +67,7 @@
         let index = target_of(&order).map(|target| index_of(&target.id));
         let queued_in = index
             .filter(|_| is_delayed)
-            .map(|index| self.executors[index].started_at);
+            .map(|index| self.queue_of(owner, index).unwrap_or_default());
         let order = SimEvent::Order {
             owner,
             order,
@@ -92,7 +93,9 @@
             self.miss_order(owner, order, sent, answered);
             return;
         }
-        let event = if is_current {
+        let event = if is_current && self.is_for_other_incarnation(&order) {
+            self.meet_other_incarnation(index, &order, sent)
+        } else if is_current {
             self.execute(index, &order, sent)
         } else {
             failure_event(&order, sent, OrderFailure::OtherIncarnation)
@@ -111,7 +114,7 @@
         }
     }
 
-    fn execute(&mut self, index: usize, order: &Effect, sent: u64) -> Option<Event> {
+    pub(crate) fn execute(&mut self, index: usize, order: &Effect, sent: u64) -> Option<Event> {
         let executor = self.executor_id(index);
         let now = self.now;
         self.trace(|| format!("x{index} carries out {order:?}, sent at {sent}"));
--- a/crates/guavacart_jobs/tests/model/restarts.rs
+++ b/crates/guavacart_jobs/tests/model/restarts.rs
@@ -166,6 +166,8 @@
     /// lost.
     pub(crate) fn miss_order(&mut self, owner: usize, order: Effect, sent: u64, answered: bool) {
         let index = target_of(&order).map(|target| index_of(&target.id));
+        let may_stray = !self.faults.orders_reach_one_incarnation;
+        let index = index.filter(|_| may_stray);
         let arrives_at = index.and_then(|index| self.draw_stray_arrival(index, sent));
         let timeout_at = sent + ANSWER_TIMEOUT_MS;
         let is_in_time = arrives_at.is_some_and(|at| at < timeout_at);
