Do not count an announced leave as a crash once the next entry is read

Seen in a test, after a review of the same class: an executor announces that it leaves and returns under its id. If its new entry was read before its first list, the runs of the former incarnation were blamed for a crash, and a sound task could be given up.

Cause: the new entry cleared the mark of the former incarnation.

Change: the mark stays until the list of the next incarnation.

Evidence: an_announced_leave_is_no_crash_if_the_next_entry_is_read_before_the_list fails on the code before and passes.

--- a/crates/guavacart_jobs/src/state/registration.rs
+++ b/crates/guavacart_jobs/src/state/registration.rs
@@ -74,7 +74,9 @@
             _ => false,
         };
         let is_draining = registration.is_draining;
-        executor.crash_watch.is_leaving = is_draining;
+        // The incarnation that has left is found to be over only with the list of the next one.
+        let has_left = is_restarted && executor.crash_watch.is_leaving;
+        executor.crash_watch.is_leaving = is_draining || has_left;
         executor.registration = Some(registration);
         executor.has_new_room = true;
         if is_restarted {
--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use guavacart_jobs::{Decision, Effect, Event, ExecutorId, HoldOrder, OrderFailure};
+use guavacart_jobs::{Decision, Effect, Event, ExecutorId, HoldOrder, OrderFailure, Registration};
 use support::{Harness, job, one_task_job, step};
 
 /// Time after the first list in which a start of an earlier owner may reach an executor, in
@@ -265,3 +265,25 @@
         .next_start()
         .expect("the task is started again although its run is over");
 }
+
+/// Guards against an announced leave that counts as a crash under the runs, since the entry of the next
+/// incarnation is read before its list.
+#[test]
+fn an_announced_leave_is_no_crash_if_the_next_entry_is_read_before_the_list() {
+    let mut harness = Harness::new(&["a"]);
+    harness.accept(1, one_task_job());
+    harness.run_for(10);
+    let leaving = Registration {
+        is_draining: true,
+        ..harness.entry("a")
+    };
+    harness.read_entry("a", leaving);
+    harness.run_for(10);
+    harness.restart_with_new_clock("a");
+    harness.read_entry("a", harness.entry("a"));
+    harness.run_for(10);
+    assert!(has_learned_restart(&harness, &"a".into()));
+    let is_crash =
+        |effect: &Effect| matches!(effect, Effect::Log(Decision::ExecutorCrashed { .. }));
+    assert!(!harness.effects().iter().any(is_crash));
+}
