Drop the tickets for an executor that has restarted

Seen in a test, after a review of the same class: an executor restarts, and the next starts there carry the tickets that were given for its former incarnation. They are refused, and each refusal drops one step's ticket only.

Change: with the list of a later incarnation the tickets for the executor go, and advice on it may be requested again.

Evidence: a_ticket_is_not_used_after_a_restart fails on the code before (four starts with the earlier ticket) and passes.

--- a/crates/guavacart_jobs/src/state/advice.rs
+++ b/crates/guavacart_jobs/src/state/advice.rs
@@ -133,6 +133,17 @@
         }
     }
 
+    /// Drops the tickets for an executor that has restarted, which are not valid for its next incarnation.
+    pub(super) fn drop_tickets(&mut self, x: usize) {
+        let id = &self.executors[x].id;
+        let steps = self.jobs.values_mut().flat_map(|e| e.steps.values_mut());
+        for state in steps {
+            if state.tickets.remove(id).is_some() {
+                state.asked.remove(id);
+            }
+        }
+    }
+
     /// Drops a ticket that an executor refused; the advice service may be asked about that executor
     /// again.
     pub(super) fn drop_ticket(&mut self, x: usize, key: StepKey) {
--- a/crates/guavacart_jobs/src/state/holds.rs
+++ b/crates/guavacart_jobs/src/state/holds.rs
@@ -288,6 +288,7 @@
             acknowledged: executor.last_acknowledged_end,
         }));
         self.executor_restarted(x, report);
+        self.drop_tickets(x);
         let executor = &mut self.executors[x];
         executor.clock = None;
         executor.lease_end_ms = 0;
--- a/crates/guavacart_jobs/tests/unseen_restart.rs
+++ b/crates/guavacart_jobs/tests/unseen_restart.rs
@@ -3,7 +3,11 @@
 
 mod support;
 
-use guavacart_jobs::{Decision, Effect, Event, ExecutorId, HoldOrder, OrderFailure, Registration};
+use guavacart_jobs::{
+    AdvicePolicy, Decision, Effect, Event, ExecutorId, HoldOrder, OrderFailure, Registration,
+    Ticket,
+};
+use guavacart_types::Span;
 use support::{Harness, job, one_task_job, step};
 
 /// Time after the first list in which a start of an earlier owner may reach an executor, in
@@ -287,3 +291,37 @@
         |effect: &Effect| matches!(effect, Effect::Log(Decision::ExecutorCrashed { .. }));
     assert!(!harness.effects().iter().any(is_crash));
 }
+
+/// Guards against a start with the ticket that was given for the former incarnation.
+#[test]
+fn a_ticket_is_not_used_after_a_restart() {
+    let mut harness = Harness::new(&["a"]);
+    let mut advised = job(vec![step(6)]);
+    advised.queue = "advised".into();
+    advised.rules.advice = Some(AdvicePolicy {
+        base_time: Span(10),
+        time_per_executor: Span(1),
+        validity: Span::secs(60),
+    });
+    harness.accept(1, advised);
+    let key = harness.effects().iter().find_map(|effect| match effect {
+        Effect::AskAdvice { step, .. } => Some(*step),
+        _ => None,
+    });
+    let step = key.expect("advice is requested");
+    harness.apply(Event::AdviceAnswered {
+        step,
+        allowed: Some(vec![("a".into(), Ticket("t".into()))]),
+    });
+    harness.run_for(100);
+    harness.restart_with_new_clock("a");
+    harness.read_entry("a", harness.entry("a"));
+    let since = harness.effects().len();
+    harness.run_for(3_000);
+    let effects = harness.effects()[since..].iter();
+    let with_ticket = effects
+        .filter(|effect| matches!(effect, Effect::Start(_, order) if order.ticket.is_some()));
+    assert_eq!(with_ticket.count(), 0, "starts with the earlier ticket");
+    let mut effects = harness.effects()[since..].iter();
+    assert!(effects.any(|effect| matches!(effect, Effect::AskAdvice { .. })));
+}
