--- a/crates/guavacart/tests/soak_executors/faults.rs
+++ b/crates/guavacart/tests/soak_executors/faults.rs
@@ -10,6 +10,8 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::index};
 
 use crate::{
+    bursts::Bursts,
+    configurations::Versions,
     fleet::{Fleet, MachineService},
     node::Node,
 };
@@ -24,6 +26,8 @@
 pub(crate) struct Faults {
     pub(crate) nodes: Vec<Arc<Node>>,
     pub(crate) fleet: Arc<Fleet>,
+    pub(crate) bursts: Arc<Bursts>,
+    pub(crate) versions: Arc<Versions>,
     pub(crate) executors: usize,
     pub(crate) end: Instant,
 }
@@ -50,7 +54,7 @@
         })
     }
 
-    fn random_node(&self, rng: &mut StdRng) -> &Arc<Node> {
+    pub(crate) fn random_node(&self, rng: &mut StdRng) -> &Arc<Node> {
         &self.nodes[rng.random_range(0..self.nodes.len())]
     }
 
@@ -149,9 +153,10 @@
                 self.fleet.revoke(OWNER);
             }
             let n = turn % group;
-            self.fleet.crash(n);
+            self.fleet.crash(n, false);
             thread::sleep(Duration::from_millis(rng.random_range(10..150)));
-            self.fleet.restart(n, rng.random_bool(0.1));
+            let has_new_id = rng.random_bool(0.1);
+            self.fleet.restart(n, has_new_id, Duration::ZERO);
         }
     }
 
@@ -160,11 +165,12 @@
         let count = rng.random_range(1..=self.executors / 6);
         let crashed: Vec<usize> = index::sample(rng, self.executors, count).into_vec();
         for n in &crashed {
-            self.fleet.crash(*n);
+            self.fleet.crash(*n, false);
         }
         thread::sleep(Duration::from_millis(rng.random_range(50..4_500)));
         for n in crashed {
-            self.fleet.restart(n, rng.random_bool(0.3));
+            let has_new_id = rng.random_bool(0.3);
+            self.fleet.restart(n, has_new_id, Duration::ZERO);
         }
     }
 
