Report all own ends of nodes, and wait for a slow start before SIGHUP

Change: the 100 ms no longer count the time for which the process waits for a processor (its run delay in the kernel's statistics). Processes that are found to have ended by themselves when a fault is to end them are reported as well, in both soaks.

--- a/crates/guavacart/tests/soak/main.rs
+++ b/crates/guavacart/tests/soak/main.rs
@@ -162,7 +162,7 @@
 fn check_end(nodes: &[Arc<Node>], history: &History, jobs: &[String]) -> Vec<String> {
     let mut violations = Vec::new();
     for node in nodes {
-        violations.extend(node.end());
+        violations.extend(node.own_ends());
         for prefix in PREFIXES {
             let wanted = if history.newest_has(prefix) { 200 } else { 404 };
             let status = request::count(node, prefix);
--- a/crates/guavacart/tests/soak/node.rs
+++ b/crates/guavacart/tests/soak/node.rs
@@ -22,7 +22,8 @@
 
 use crate::{gate::Gate, loopback};
 
-/// Time from the start of a process until its first statement; a signal before ends any process.
+/// Time from the start of a process until its first statement, without the time for which it waits
+/// for a processor; a signal before ends any process.
 const START_TIME: Duration = Duration::from_millis(100);
 /// Time after a fault for which a node may lag behind.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -44,9 +45,13 @@
     child: Mutex<Child>,
     /// When the process last started or continued.
     running_since: Mutex<Instant>,
+    /// Time for which the process had waited for a processor by then.
+    queued_before: Mutex<Duration>,
     /// Time from then to the last SIGHUP.
     last_hang_up: Mutex<Duration>,
     incarnation: AtomicU64,
+    /// Descriptions of processes that had ended by themselves before a fault was to end them.
+    own_ends: Mutex<Vec<String>>,
     /// When the last fault of the path to the store, or of the process, ended or will end.
     disturbed_until: Mutex<Option<Instant>>,
     faults: AtomicU64,
@@ -89,8 +94,10 @@
             gate,
             child,
             running_since: Mutex::new(Instant::now()),
+            queued_before: Mutex::default(),
             last_hang_up: Mutex::default(),
             incarnation: AtomicU64::new(0),
+            own_ends: Mutex::default(),
             disturbed_until: Mutex::new(None),
             faults: AtomicU64::new(0),
         }
@@ -101,9 +108,15 @@
         self.incarnation.load(Ordering::SeqCst)
     }
 
-    /// Describes the process's end if it has ended by itself.
-    pub(crate) fn end(&self) -> Option<String> {
+    /// Describes the ends of processes that have ended by themselves.
+    pub(crate) fn own_ends(&self) -> Vec<String> {
         let mut child = self.child.lock().expect("no panic");
+        let mut ends = self.own_ends.lock().expect("no panic").clone();
+        ends.extend(self.own_end(&mut child));
+        ends
+    }
+
+    fn own_end(&self, child: &mut Child) -> Option<String> {
         let status = child.try_wait().expect("a status")?;
         let hang_up = *self.last_hang_up.lock().expect("no panic");
         Some(format!(
@@ -156,10 +169,14 @@
 
     /// Stops the process and lets it continue.
     pub(crate) fn pause(&self, length: Duration) {
-        let child = self.child.lock().expect("no panic");
+        let mut child = self.child.lock().expect("no panic");
+        if self.own_end(&mut child).is_some() {
+            return;
+        }
         self.mark_disturbed(length);
         send(&child, Signal::SIGSTOP);
         thread::sleep(length);
+        *self.queued_before.lock().expect("no panic") = queued_time(&child);
         send(&child, Signal::SIGCONT);
         *self.running_since.lock().expect("no panic") = Instant::now();
         self.mark_disturbed(Duration::ZERO);
@@ -167,26 +184,41 @@
 
     /// Kills the process and starts it again after a while.
     pub(crate) fn kill(&self, down: Duration) {
-        let mut child = self.child.lock().expect("no panic");
-        self.mark_disturbed(down);
-        send(&child, Signal::SIGKILL);
-        self.restart(&mut child, down);
+        self.end(Signal::SIGKILL, down);
     }
 
     /// Stops the process gracefully and starts it again.
     pub(crate) fn terminate(&self) {
+        self.end(Signal::SIGTERM, Duration::ZERO);
+    }
+
+    fn end(&self, signal: Signal, down: Duration) {
         let mut child = self.child.lock().expect("no panic");
-        self.mark_disturbed(Duration::ZERO);
-        send(&child, Signal::SIGTERM);
-        self.restart(&mut child, Duration::ZERO);
+        self.mark_disturbed(down);
+        match self.own_end(&mut child) {
+            Some(end) => self.own_ends.lock().expect("no panic").push(end),
+            None => send(&child, signal),
+        }
+        self.restart(&mut child, down);
     }
 
     /// Tells the process that its settings file has changed.
     pub(crate) fn hang_up(&self) {
-        self.faults.fetch_add(1, Ordering::Relaxed);
-        let child = self.child.lock().expect("no panic");
+        let mut child = self.child.lock().expect("no panic");
         let running_since = *self.running_since.lock().expect("no panic");
-        thread::sleep(START_TIME.saturating_sub(running_since.elapsed()));
+        let queued_before = *self.queued_before.lock().expect("no panic");
+        loop {
+            let queued = queued_time(&child).saturating_sub(queued_before);
+            let missing = (START_TIME + queued).saturating_sub(running_since.elapsed());
+            if missing.is_zero() {
+                break;
+            }
+            thread::sleep(missing);
+        }
+        if self.own_end(&mut child).is_some() {
+            return;
+        }
+        self.faults.fetch_add(1, Ordering::Relaxed);
         *self.last_hang_up.lock().expect("no panic") = running_since.elapsed();
         send(&child, Signal::SIGHUP);
     }
@@ -196,6 +228,7 @@
         let incarnation = self.incarnation.fetch_add(1, Ordering::SeqCst) + 1;
         thread::sleep(down);
         *child = start(&self.dir, incarnation);
+        *self.queued_before.lock().expect("no panic") = Duration::ZERO;
         *self.running_since.lock().expect("no panic") = Instant::now();
         self.mark_disturbed(Duration::ZERO);
     }
@@ -222,6 +255,14 @@
         .expect("the guavacart binary can be started")
 }
 
+/// Time for which the first thread of a process has waited for a processor.
+fn queued_time(child: &Child) -> Duration {
+    let text = fs::read_to_string(format!("/proc/{}/schedstat", child.id()));
+    let text = text.unwrap_or_default();
+    let time = text.split(' ').nth(1).and_then(|time| time.parse().ok());
+    Duration::from_nanos(time.unwrap_or_default())
+}
+
 fn send(child: &Child, signal: Signal) {
     let pid = i32::try_from(child.id()).expect("a process id");
     signal::kill(Pid::from_raw(pid), signal).expect("a running process");
--- a/crates/guavacart/tests/soak_executors/main.rs
+++ b/crates/guavacart/tests/soak_executors/main.rs
@@ -240,7 +240,7 @@
 /// are completed.
 fn check_end(nodes: &[Arc<Node>], fleet: &Fleet, jobs: &[Accepted]) -> Vec<String> {
     let end = Instant::now() + COMPLETION_TIME;
-    let mut violations: Vec<String> = nodes.iter().filter_map(|node| node.end()).collect();
+    let mut violations: Vec<String> = nodes.iter().flat_map(|node| node.own_ends()).collect();
     let mut wait_for = |what: &str, problem: &dyn Fn() -> Option<String>| {
         while let Some(problem) = problem() {
             if Instant::now() >= end {
