--- a/crates/guavacart/tests/soak_executors/main.rs
+++ b/crates/guavacart/tests/soak_executors/main.rs
@@ -136,7 +136,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 49"]
 fn tasks_run_once_when_restarted_executors_are_cut_off() {
     run_seeds(&RESTARTS);
 }
