--- a/crates/guavacart_jobs/tests/support/mod.rs
+++ b/crates/guavacart_jobs/tests/support/mod.rs
@@ -281,11 +281,16 @@
 
     /// Crashes executors together and restarts them 3 s later under the same ids.
     pub(crate) fn crash(&mut self, executors: &[ExecutorId]) {
+        self.crash_for(executors, 3_000);
+    }
+
+    /// Does the same as `crash`, with another time until they restart.
+    pub(crate) fn crash_for(&mut self, executors: &[ExecutorId], ms: u64) {
         for id in executors {
             self.unresponsive.insert(id.clone());
             self.restart(&id.0);
         }
-        self.run_for(3_000);
+        self.run_for(ms);
         for id in executors {
             self.unresponsive.remove(id);
             self.read_entry(&id.0, self.entry(&id.0));
