Count an unanswered start as still on its way when its failure is reported

Seen in the model: a start without an answer is reported as failed after 0.35 s and reaches the next incarnation 94 ms later. Its run was considered over 30 ms before its lease ended. Until the hold after such a start lost its deadline, that hold hid this.

Change: an unanswered start counts as arrived 0.1 s after its failure, as other orders do after their decision.

--- a/crates/guavacart_jobs/src/state/leases.rs
+++ b/crates/guavacart_jobs/src/state/leases.rs
@@ -138,13 +138,25 @@
         Some(deadline)
     }
 
-    /// Notes that a start whose answer or failure has come may have extended the lease.
-    pub(super) fn record_start_arrival(&mut self, x: usize, task: TaskKey, run: RunNumber) {
+    /// Notes that a start whose answer or failure has come may have extended the lease. One without an
+    /// answer may still be on its way.
+    pub(super) fn record_start_arrival(
+        &mut self,
+        x: usize,
+        task: TaskKey,
+        run: RunNumber,
+        is_answered: bool,
+    ) {
         let (now, max_lease) = (self.now, self.bounds.max_lease);
+        let arrives_until = if is_answered {
+            now
+        } else {
+            now + MAX_ORDER_DELAY
+        };
         let executor = &mut self.executors[x];
-        executor.record_extension(now);
+        executor.record_extension(arrives_until);
         if executor.is_stray_start(now, max_lease, task, run) {
-            executor.record_stray_order(now);
+            executor.record_stray_order(arrives_until);
         }
     }
 
--- a/crates/guavacart_jobs/src/state/orders.rs
+++ b/crates/guavacart_jobs/src/state/orders.rs
@@ -134,7 +134,8 @@
             Err(OrderFailure::NotSent | OrderFailure::OtherIncarnation)
         );
         if !is_not_sent {
-            self.record_start_arrival(x, task, run);
+            let is_answered = result != Err(OrderFailure::NoAnswer);
+            self.record_start_arrival(x, task, run, is_answered);
         }
         if let Ok(clock_ms) = result {
             let known = self.executors[x].runs.get(&task);
--- a/crates/guavacart_jobs/tests/model/main.rs
+++ b/crates/guavacart_jobs/tests/model/main.rs
@@ -271,6 +271,16 @@
     }
 }
 
+/// Guards against an unanswered start that is counted as arrived when its failure is reported.
+#[test]
+fn an_unanswered_start_that_is_still_on_its_way_is_waited_out() {
+    let late_stray_orders = Faults {
+        late_stray_orders: true,
+        ..Faults::default()
+    };
+    run_seed(1_078, unseen_restarts_and(late_stray_orders));
+}
+
 macro_rules! invariants_hold {
     ($($name:ident: $faults:expr;)*) => {$(
         #[test]
