--- /dev/null
+++ b/review/standin-3/cases.rs
@@ -0,0 +1,520 @@
+//! The cases. Each begins its disruption only if `has_trouble`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::executor::Fleet;
+use crate::http::{Answer, Request};
+use crate::json::{Json, quote};
+use crate::world::{Queue, World, sleep_ms};
+
+const HOST: &str = "jobs.example";
+
+fn queue(advice: Option<&'static str>) -> Queue {
+    Queue {
+        name: "r-main",
+        host: HOST,
+        prefix: "/main/",
+        priority: 0,
+        attempts: 4,
+        advice,
+    }
+}
+
+fn verdict(world: &mut World, faults: &[String]) -> i32 {
+    for fault in faults {
+        world.log.line(&format!("BROKEN: {fault}"));
+        println!("BROKEN: {fault}");
+    }
+    if faults.is_empty() {
+        world.log.line("the rule held");
+        println!("the rule held");
+    }
+    world.finish();
+    i32::from(!faults.is_empty())
+}
+
+fn cannot_run(world: &mut World, why: &str) -> i32 {
+    world.log.line(why);
+    println!("{why}");
+    world.finish();
+    2
+}
+
+/// Hands a job in; true if it was accepted.
+fn submit(world: &World, node: usize, path: &str, body: &str) -> bool {
+    for _ in 0..5 {
+        if let Some((status, _)) = world.client(node, "POST", HOST, path, body) {
+            if (200..300).contains(&status) {
+                return true;
+            }
+        }
+        sleep_ms(300);
+    }
+    false
+}
+
+/// Executors crash several times, each time shortly after they are back; then all is calm.
+pub fn crashes(record: &str, has_trouble: bool) -> i32 {
+    let ids: Vec<String> = (1..=20).map(|n| format!("i-{n:04}")).collect();
+    let executors: Vec<(&str, &[&str])> = ids
+        .iter()
+        .map(|id| -> (&str, &[&str]) {
+            match id.as_str() {
+                "i-0019" => (id, &["b", "r1-3"]),
+                "i-0020" => (id, &["c", "r1-3"]),
+                _ => (id, &["a", "r1-1"]),
+            }
+        })
+        .collect();
+    let mut world = World::start(record, 3, 2_000, &[queue(None)], None, &executors);
+    let service = "00000000000000a1";
+    let batch = "00000000000000b2";
+    let service_body = r#"{"spec":"lasts=1","steps":[{"count":6,"cpu":2000,"mem-mb":1024,"estimate-ms":1000,"long-running":true},{"count":1,"cpu":2000,"mem-mb":1024,"estimate-ms":1000,"long-running":true,"requires":"b"}]}"#;
+    let batch_body = r#"{"spec":"work=5000","steps":[{"count":1,"cpu":2000,"mem-mb":1024,"estimate-ms":5000,"requires":"c"}]}"#;
+    if !submit(&world, 0, &format!("/main/{service}"), service_body)
+        || !submit(&world, 1, &format!("/main/{batch}"), batch_body)
+    {
+        return cannot_run(&mut world, "a job was not accepted");
+    }
+    let begun = Instant::now();
+    if has_trouble {
+        for number in 0..3_u64 {
+            let at = Duration::from_millis(600 + number * 2_000);
+            std::thread::sleep(at.saturating_sub(begun.elapsed()));
+            world.fleet.down("i-0019");
+            world.fleet.down("i-0020");
+            sleep_ms(500);
+            world.fleet.up("i-0019");
+            world.fleet.up("i-0020");
+        }
+    }
+    // All is calm for the rest.
+    std::thread::sleep(Duration::from_secs(26).saturating_sub(begun.elapsed()));
+    let mut faults = Vec::new();
+    let ends = world.fleet.ends.lock().unwrap().clone();
+    for (job, name) in [(service, "the job that lasts"), (batch, "the batch job")] {
+        let state = world.state(2, HOST, &format!("/main/{job}"));
+        let failed = ends
+            .iter()
+            .filter(|end| end.task.starts_with(job) && end.how == "failed")
+            .count();
+        world.log.line(&format!(
+            "{name} is shown as {state}; {failed} of its runs ended `failed`"
+        ));
+        if matches!(state.as_str(), "failed" | "cancelled" | "410") {
+            faults.push(format!(
+                "LOST: {name} {job} is shown as {state}, with {failed} ends `failed`"
+            ));
+        }
+    }
+    let at_work = world.fleet.at_work(service);
+    world
+        .log
+        .line(&format!("{at_work} of 7 tasks of the job that lasts run"));
+    if at_work < 7 {
+        faults.push(format!(
+            "LOST: {at_work} of 7 tasks of the job that lasts run, 15 s after the last crash"
+        ));
+    }
+    verdict(&mut world, &faults)
+}
+
+/// An executor leaves one start unanswered and carries it out late; between the two it crashes and
+/// starts again under its id.
+pub fn late_start(record: &str, has_trouble: bool) -> i32 {
+    let ids: Vec<String> = (1..=8).map(|n| format!("i-{n:04}")).collect();
+    let executors: Vec<(&str, &[&str])> = ids
+        .iter()
+        .map(|id| -> (&str, &[&str]) { (id, &["a", "r1-1"]) })
+        .collect();
+    let mut world = World::start(record, 3, 2_000, &[queue(None)], None, &executors);
+    // Some work before, so that the executors have their connections and runs.
+    for number in 0..4 {
+        let body = r#"{"spec":"work=800","steps":[{"count":6,"cpu":4000,"mem-mb":1024,"estimate-ms":800}]}"#;
+        if !submit(
+            &world,
+            number % 3,
+            &format!("/main/00000000000000f{number}"),
+            body,
+        ) {
+            return cannot_run(&mut world, "a job was not accepted");
+        }
+    }
+    sleep_ms(3_000);
+    let job = "00000000000000aa";
+    if has_trouble {
+        world.fleet.late_start(job, 7_000);
+    }
+    let body =
+        r#"{"spec":"work=1000","steps":[{"count":1,"cpu":4000,"mem-mb":1024,"estimate-ms":1000}]}"#;
+    if !submit(&world, 0, &format!("/main/{job}"), body) {
+        return cannot_run(&mut world, "the job was not accepted");
+    }
+    if has_trouble {
+        sleep_ms(4_500);
+        let Some(executor) = world.fleet.delayed_at() else {
+            return cannot_run(&mut world, "no start was delayed");
+        };
+        world.fleet.down(&executor);
+        sleep_ms(1_000);
+        world.fleet.up(&executor);
+    }
+    sleep_ms(12_000);
+    let starts = world.fleet.starts.lock().unwrap().clone();
+    let ends = world.fleet.ends.lock().unwrap().clone();
+    let mut faults = Vec::new();
+    let runs: Vec<_> = starts.iter().filter(|s| s.task.starts_with(job)).collect();
+    for (number, first) in runs.iter().enumerate() {
+        let end = ends
+            .iter()
+            .find(|e| e.task == first.task && e.run == first.run && e.executor == first.executor);
+        let until = end.map_or(world.log.ms(), |end| end.at);
+        let how = end.map_or("still running", |end| end.how.as_str());
+        world.log.line(&format!(
+            "run {} of {} on {}: {} to {until} ms, {how}",
+            first.run, first.task, first.executor, first.at
+        ));
+        let is_noted = end.is_some_and(|end| end.how == "done" && end.acked_at > 0);
+        for second in &runs[number + 1..] {
+            if is_noted && second.at > until {
+                faults.push(format!(
+                    "TWICE: run {} of {} ended `done` on {} at {until} ms, which was acknowledged at {} ms; run {} starts on {} at {} ms",
+                    first.run,
+                    first.task,
+                    first.executor,
+                    end.map_or(0, |end| end.acked_at),
+                    second.run,
+                    second.executor,
+                    second.at
+                ));
+            } else if second.at < until {
+                faults.push(format!(
+                    "TWICE: run {} of {} works on {} from {} to {until} ms; run {} starts on {} at {} ms",
+                    first.run, first.task, first.executor, first.at, second.run, second.executor, second.at
+                ));
+            }
+        }
+    }
+    world.state(1, HOST, &format!("/main/{job}"));
+    verdict(&mut world, &faults)
+}
+
+/// Two jobs that can never be done fail on the executor that other jobs need.
+pub fn penalty(record: &str, has_trouble: bool) -> i32 {
+    let ids: Vec<String> = (1..=10).map(|n| format!("i-{n:04}")).collect();
+    let executors: Vec<(&str, &[&str])> = ids
+        .iter()
+        .map(|id| -> (&str, &[&str]) {
+            if id == "i-0010" {
+                (id, &["b", "r1-2"])
+            } else {
+                (id, &["a", "r1-1"])
+            }
+        })
+        .collect();
+    let mut world = World::start(record, 3, 2_000, &[queue(None)], None, &executors);
+    let mut accepted = Vec::new();
+    let begun = Instant::now();
+    // 48 jobs in 12 s, of which two can never be done.
+    for number in 0..48_u64 {
+        std::thread::sleep(Duration::from_millis(250 * number).saturating_sub(begun.elapsed()));
+        let id = format!("0000000000000b{number:02}");
+        let poison = has_trouble && (number == 44 || number == 45);
+        let is_last = number == 47;
+        let body = if number == 44 || number == 45 {
+            let work = if poison {
+                "work=150 fail=1"
+            } else {
+                "work=150"
+            };
+            format!(
+                r#"{{"spec":"{work}","steps":[{{"count":6,"cpu":1000,"mem-mb":512,"estimate-ms":500,"requires":"b"}}]}}"#
+            )
+        } else if is_last {
+            r#"{"spec":"work=1500","steps":[{"count":1,"cpu":1000,"mem-mb":512,"estimate-ms":1500,"requires":"b"},{"count":1,"cpu":1000,"mem-mb":512,"estimate-ms":1500,"requires":"b","after":[0]}]}"#.to_owned()
+        } else {
+            r#"{"spec":"work=600","steps":[{"count":3,"cpu":1000,"mem-mb":512,"estimate-ms":600}]}"#
+                .to_owned()
+        };
+        if !submit(&world, (number % 3) as usize, &format!("/main/{id}"), &body) {
+            return cannot_run(&mut world, "a job was not accepted");
+        }
+        accepted.push((id, poison));
+    }
+    let traffic_end = world.log.ms();
+    world.log.line("the traffic ends");
+    // `finish_s` after the end of the traffic.
+    let mut idle_since: BTreeMap<String, u64> = BTreeMap::new();
+    let mut faults = Vec::new();
+    let mut reported: BTreeSet<String> = BTreeSet::new();
+    while world.log.ms() < traffic_end + 32_000 {
+        sleep_ms(100);
+        let now = world.log.ms();
+        let ends = world.fleet.ends.lock().unwrap().clone();
+        for (id, is_poison) in &accepted {
+            let steps = if id.ends_with("47") { 2 } else { 1 };
+            let per_step = if id.ends_with("44") || id.ends_with("45") {
+                6
+            } else {
+                3
+            };
+            let needed = if id.ends_with("47") {
+                2
+            } else {
+                per_step * steps
+            };
+            let done = ends
+                .iter()
+                .filter(|e| e.task.starts_with(id.as_str()) && e.how == "done")
+                .count();
+            if *is_poison
+                || done >= needed
+                || world.fleet.at_work(id) > 0
+                || now < traffic_end + 14_000
+            {
+                idle_since.remove(id);
+                continue;
+            }
+            let since = *idle_since.entry(id.clone()).or_insert(now);
+            if now - since >= 3_000 && reported.insert(id.clone()) {
+                faults.push(format!(
+                    "LOST: job {id} has nothing running for {} ms, {} ms after the end of the traffic, with an idle executor that may run its task",
+                    now - since,
+                    now - traffic_end
+                ));
+            }
+        }
+    }
+    for (id, _) in &accepted[44..] {
+        world.state(0, HOST, &format!("/main/{id}"));
+    }
+    verdict(&mut world, &faults)
+}
+
+/// One executor refuses starts for a while; a queue's count of waiting jobs is asked meanwhile.
+pub fn waiting(record: &str, has_trouble: bool) -> i32 {
+    let ids: Vec<String> = (1..=10).map(|n| format!("i-{n:04}")).collect();
+    let executors: Vec<(&str, &[&str])> = ids
+        .iter()
+        .map(|id| -> (&str, &[&str]) {
+            if id == "i-0010" {
+                (id, &["b", "r1-2"])
+            } else {
+                (id, &["a", "r1-1"])
+            }
+        })
+        .collect();
+    let mut world = World::start(record, 3, 2_000, &[queue(None)], None, &executors);
+    if has_trouble {
+        world.fleet.set("i-0010", |e| e.sheds = true);
+        world
+            .log
+            .line("executor i-0010 answers 503 to starts from now on");
+    }
+    let begun = Instant::now();
+    let mut accepted = Vec::new();
+    for number in 0..6_usize {
+        let id = format!("00000000000000c{number}");
+        let body = r#"{"spec":"work=1500","steps":[{"count":2,"cpu":1000,"mem-mb":512,"estimate-ms":1500,"requires":"b"}]}"#;
+        if !submit(&world, number % 3, &format!("/main/{id}"), body) {
+            return cannot_run(&mut world, "a job was not accepted");
+        }
+        accepted.push(id);
+    }
+    let accepted_at = Instant::now();
+    // `visible_ms` and 2 s are over 5.3 s after the last acknowledgement.
+    let mut faults = Vec::new();
+    std::thread::sleep(Duration::from_millis(5_300).saturating_sub(accepted_at.elapsed()));
+    for node in 0..3 {
+        let starts = world.fleet.starts.lock().unwrap().clone();
+        let begun_jobs = |id: &&String| starts.iter().any(|s| s.task.starts_with(id.as_str()));
+        let not_begun = accepted.iter().filter(|id| !begun_jobs(id)).count();
+        let answer = world.client(node, "GET", HOST, "/main/", "");
+        let Some((200, text)) = answer else { continue };
+        let waiting = Json::parse(&text)
+            .and_then(|j| j.get("waiting").num())
+            .unwrap_or(0);
+        world.log.line(&format!(
+            "{not_begun} accepted jobs have not begun; `waiting` is {waiting}"
+        ));
+        if (waiting as usize) * 2 < not_begun {
+            faults.push(format!(
+                "MIXED: node {} gives {waiting} as `waiting`; {not_begun} jobs accepted over 5 s before have not begun",
+                node + 1
+            ));
+        }
+    }
+    if has_trouble {
+        std::thread::sleep(Duration::from_millis(6_500).saturating_sub(begun.elapsed()));
+        world.fleet.set("i-0010", |e| e.sheds = false);
+        world.log.line("executor i-0010 starts tasks again");
+    }
+    sleep_ms(5_000);
+    for id in &accepted {
+        world.state(0, HOST, &format!("/main/{id}"));
+    }
+    verdict(&mut world, &faults)
+}
+
+/// A gang with checkpoints loses one executor, and the owner's process is killed while the gang waits
+/// for room.
+pub fn gang(record: &str, has_trouble: bool) -> i32 {
+    let ids: Vec<String> = (1..=10).map(|n| format!("i-{n:04}")).collect();
+    let executors: Vec<(&str, &[&str])> = ids
+        .iter()
+        .map(|id| -> (&str, &[&str]) {
+            if id.as_str() > "i-0006" {
+                (id, &["b", "r1-2"])
+            } else {
+                (id, &["a", "r1-1"])
+            }
+        })
+        .collect();
+    let mut world = World::start(record, 3, 500, &[queue(None)], None, &executors);
+    let gang = "00000000000000d1";
+    let body = r#"{"spec":"work=14000 gang=4 saves=1","steps":[{"count":4,"cpu":20000,"mem-mb":40000,"estimate-ms":14000,"gang":true,"checkpointing":true,"requires":"b"}]}"#;
+    if !submit(&world, 0, &format!("/main/{gang}"), body) {
+        return cannot_run(&mut world, "the job was not accepted");
+    }
+    sleep_ms(4_300);
+    if world.fleet.at_work(gang) != 4 {
+        return cannot_run(&mut world, "the gang does not run");
+    }
+    let mut calm_from = world.log.ms();
+    if has_trouble {
+        let starts = world.fleet.starts.lock().unwrap().clone();
+        let last = starts
+            .iter()
+            .find(|s| s.task == format!("{gang}.0.0.3"))
+            .map(|s| s.executor.clone());
+        let Some(lost) = last else {
+            return cannot_run(&mut world, "no start was seen");
+        };
+        world.fleet.down(&lost);
+        sleep_ms(2_000);
+        let Some(owner) = world.owner() else {
+            return cannot_run(&mut world, "no owner");
+        };
+        world.kill_node(owner);
+        sleep_ms(1_000);
+        world.start_node(owner);
+        sleep_ms(1_500);
+        world.fleet.up(&lost);
+        calm_from = world.log.ms();
+    }
+    sleep_ms(30_000);
+    let mut faults = Vec::new();
+    let starts = world.fleet.starts.lock().unwrap().clone();
+    let ends = world.fleet.ends.lock().unwrap().clone();
+    let mut runs: Vec<u64> = starts
+        .iter()
+        .filter(|s| s.task.starts_with(gang))
+        .map(|s| s.run)
+        .collect();
+    runs.sort_unstable();
+    runs.dedup();
+    for run in runs {
+        let of_run: Vec<_> = starts
+            .iter()
+            .filter(|s| s.task.starts_with(gang) && s.run == run)
+            .collect();
+        let mut carried: Vec<&str> = of_run.iter().map(|s| s.checkpoint.as_str()).collect();
+        carried.sort_unstable();
+        carried.dedup();
+        world.log.line(&format!(
+            "run {run}: {} starts with the checkpoints {carried:?}",
+            of_run.len()
+        ));
+        let alone = ends
+            .iter()
+            .filter(|e| e.task.starts_with(gang) && e.run == run && e.how == "alone");
+        let alone: Vec<_> = alone.collect();
+        if let Some(first) = alone.first() {
+            let since = first.at.saturating_sub(calm_from);
+            faults.push(format!(
+                "GANG: {} members of run {run} end `alone`, {since} ms after all is calm; its starts carried {carried:?}",
+                alone.len()
+            ));
+        }
+    }
+    world.state(0, HOST, &format!("/main/{gang}"));
+    verdict(&mut world, &faults)
+}
+
+/// The advice service allows two kinds of executors. The one that a step has a ticket for is lost.
+pub fn advice(record: &str, has_trouble: bool) -> i32 {
+    let ids: Vec<String> = (1..=16).map(|n| format!("i-{n:04}")).collect();
+    let executors: Vec<(&str, &[&str])> = ids
+        .iter()
+        .map(|id| -> (&str, &[&str]) { (id, &["a", "r1-1"]) })
+        .collect();
+    let advise = Box::new(|fleet: &Fleet, req: &Request| {
+        let body = Json::parse(&req.body).unwrap_or(Json::Null);
+        let asked: Vec<&str> = body.get("workers").list().iter().map(Json::str).collect();
+        std::thread::sleep(Duration::from_millis(20 + 2 * asked.len() as u64));
+        // The policy allows each fifth executor to run the step.
+        let is_allowed = |id: &&&str| matches!(**id, "i-0003" | "i-0008" | "i-0013");
+        let good = asked.iter().filter(is_allowed).filter_map(|id| {
+            let state = fleet.state.lock().unwrap();
+            let life = state.executors.get(*id)?.life.as_ref()?;
+            Some(format!(
+                "[{},{}]",
+                quote(id),
+                quote(&format!("t-{id}-{}", life.born))
+            ))
+        });
+        let good: Vec<String> = good.collect();
+        let answer = format!("{{\"good\":[{}],\"validity-ms\":30000}}", good.join(","));
+        fleet.log.line(&format!(
+            "advice on {} for {asked:?}: {answer}",
+            body.get("step").str()
+        ));
+        Answer::Reply(200, answer)
+    });
+    let queue = queue(Some(
+        r#"{"decision-ms":20,"period-ms":2,"validity-ms":30000}"#,
+    ));
+    let mut world = World::start(record, 3, 2_000, &[queue], Some(advise), &executors);
+    let service = "00000000000000e1";
+    let body = r#"{"spec":"lasts=1 ticket=1","steps":[{"count":1,"cpu":2000,"mem-mb":1024,"estimate-ms":1000,"long-running":true}]}"#;
+    if !submit(&world, 0, &format!("/main/{service}"), body) {
+        return cannot_run(&mut world, "the job was not accepted");
+    }
+    sleep_ms(2_000);
+    let starts = world.fleet.starts.lock().unwrap().clone();
+    let Some(first) = starts.iter().find(|s| s.task.starts_with(service)) else {
+        return cannot_run(&mut world, "the task does not run");
+    };
+    let mut faults = Vec::new();
+    if has_trouble {
+        world.fleet.down(&first.executor);
+        let lost_at = world.log.ms();
+        sleep_ms(3_300);
+        world.store.remove(&format!("servers/{}", first.executor));
+        world
+            .log
+            .line(&format!("the entry of {} is removed", first.executor));
+        sleep_ms(lost_at + 24_000 - world.log.ms());
+        let starts = world.fleet.starts.lock().unwrap().clone();
+        let next = starts
+            .iter()
+            .find(|s| s.task.starts_with(service) && s.at > lost_at);
+        let waited = next.map(|next| next.at - lost_at);
+        world
+            .log
+            .line(&format!("the task starts again after {waited:?} ms"));
+        // From 6 s after its last run: 3 s with room for it.
+        if waited.is_none_or(|ms| ms > 9_000) {
+            faults.push(format!(
+                "LOST: the task that lasts doesn't run for {waited:?} ms after its executor was lost, with 15 idle executors, two of which may run it"
+            ));
+        }
+    } else {
+        sleep_ms(10_000);
+        if world.fleet.at_work(service) != 1 {
+            faults.push("the task does not run".to_owned());
+        }
+    }
+    verdict(&mut world, &faults)
+}
--- /dev/null
+++ b/review/standin-3/main.rs
@@ -0,0 +1,28 @@
+//! Runs one case of the third review: `standin-3 CASE RECORD`. Exits with 1 if the rule was broken,
+//! 0 if it held, 2 if the case could not run.
+
+mod cases;
+mod executor;
+mod http;
+mod json;
+mod store;
+mod world;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let (Some(case), Some(record)) = (args.get(1), args.get(2)) else {
+        eprintln!("usage: standin-3 CASE RECORD");
+        std::process::exit(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
+    let code = match case.as_str() {
+        "crashes" => cases::crashes(record, has_trouble),
+        "late-start" => cases::late_start(record, has_trouble),
+        "penalty" => cases::penalty(record, has_trouble),
+        "waiting" => cases::waiting(record, has_trouble),
+        "gang" => cases::gang(record, has_trouble),
+        "advice" => cases::advice(record, has_trouble),
+        _ => 2,
+    };
+    std::process::exit(code);
+}
