--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -183,6 +183,13 @@
         );
     }
 
+    /// Adds an executor whose address ends with 100 + `number`.
+    pub fn add_executor(&self, number: u8, id: &str, labels: &[&str]) {
+        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], 100 + number);
+        let at = SocketAddr::new(IpAddr::V4(ip), 8445);
+        self.fleet.add(id, at, SERVICE, labels);
+    }
+
     fn node_ip(&self, node: usize) -> String {
         format!("127.{}.{}.{}", self.net[0], self.net[1], node + 1)
     }
