--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -53,6 +53,8 @@
     pub fleet: Arc<Fleet>,
     dir: PathBuf,
     nodes: Vec<Option<Child>>,
+    /// For each node, a process that kills it if this program ends before it.
+    guards: Vec<Option<Child>>,
     net: [u8; 2],
     _store_server: Server,
     _advice_server: Option<Server>,
@@ -71,6 +73,17 @@
     std::process::exit(2);
 }
 
+/// Starts a process that kills the process `id` unless it reads a line before its input ends.
+fn guard(id: u32) -> Option<Child> {
+    Command::new("sh")
+        .args(["-c", "read -r line || kill -9 \"$0\"", &id.to_string()])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .ok()
+}
+
 const SERVICE: &str = "work-svc";
 
 impl World {
@@ -133,6 +146,7 @@
             fleet,
             dir,
             nodes: (0..nodes).map(|_| None).collect(),
+            guards: (0..nodes).map(|_| None).collect(),
             net,
             _store_server: store_server,
             _advice_server: advice_server,
@@ -229,6 +243,7 @@
         match child {
             Ok(child) => {
                 PROCESSES.lock().unwrap().push(child.id());
+                self.guards[node] = guard(child.id());
                 self.nodes[node] = Some(child);
             }
             Err(err) => {
@@ -240,11 +255,23 @@
         self.log.line(&format!("node {name} is started"));
     }
 
+    /// Ends the guard of a node that has ended.
+    fn end_guard(&mut self, node: usize) {
+        if let Some(mut guard) = self.guards[node].take() {
+            if let Some(mut input) = guard.stdin.take() {
+                let _ = input.write_all(b"ended\n");
+            }
+            let _ = guard.wait();
+        }
+    }
+
     /// Kills a node's process.
     pub fn kill_node(&mut self, node: usize) {
+        self.end_guard(node);
         if let Some(mut child) = self.nodes[node].take() {
             let _ = child.kill();
             let _ = child.wait();
+            PROCESSES.lock().unwrap().retain(|id| *id != child.id());
             self.log
                 .line(&format!("node {} is killed", Self::name(node)));
         }
@@ -306,6 +333,7 @@
     /// Ends all processes, and appends what the nodes logged to the record where asked.
     pub fn finish(&mut self) {
         for node in 0..self.nodes.len() {
+            self.end_guard(node);
             if let Some(mut child) = self.nodes[node].take() {
                 let _ = child.kill();
                 let _ = child.wait();
